--- /dev/null
+++ b/bins/balancer/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/domain/src/moment.rs
@@ -0,0 +1,63 @@
+//! Time as the decision libraries see it: a number handed in, never a clock that is read.
+
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// A point on the caller's monotonic clock, in microseconds from an arbitrary start.
+///
+/// Decisions take a `Moment` as an argument so that tests and the users' bench can replay any
+/// sequence of events, including a process that wakes late.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Moment(u64);
+
+impl Moment {
+    /// The start of the clock.
+    pub const ZERO: Self = Self(0);
+
+    /// A moment `micros` microseconds after the start.
+    #[must_use]
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// A moment `millis` milliseconds after the start.
+    #[must_use]
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1_000)
+    }
+
+    /// Microseconds since the start.
+    #[must_use]
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Time from `earlier` to `self`, or zero when `earlier` is later.
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Moment {
+    type Output = Self;
+
+    fn add(self, duration: Duration) -> Self {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(micros))
+    }
+}
+
+impl Sub<Duration> for Moment {
+    type Output = Self;
+
+    fn sub(self, duration: Duration) -> Self {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+}
--- /dev/null
+++ b/crates/domain/src/name.rs
@@ -0,0 +1,141 @@
+//! Names that operators write, checked once when they enter the system.
+
+use std::borrow::Borrow;
+use std::fmt;
+use std::hash::Hasher;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+use siphasher::sip::SipHasher24;
+use thiserror::Error;
+
+/// The longest name that is accepted, in bytes.
+pub const MAX_NAME_BYTES: usize = 64;
+
+/// Fixed keys of the hash behind [`ServiceId`]: every process must compute the same number.
+const SERVICE_ID_KEYS: (u64, u64) = (0x6c6f_7661_6765, 0x006c_6174_6368);
+
+/// Why a name was refused.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum NameError {
+    /// The name has no characters.
+    #[error("the name is empty")]
+    Empty,
+    /// The name is longer than [`MAX_NAME_BYTES`].
+    #[error("the name has {length} bytes, more than {MAX_NAME_BYTES}")]
+    TooLong {
+        /// Its length in bytes.
+        length: usize,
+    },
+    /// The name holds something other than lower-case letters, digits, `-`, `_` or `.`.
+    #[error("the name holds {character:?}; use lower-case letters, digits, '-', '_' and '.'")]
+    BadCharacter {
+        /// The first such character.
+        character: char,
+    },
+}
+
+fn check_name(text: &str) -> Result<(), NameError> {
+    if text.is_empty() {
+        return Err(NameError::Empty);
+    }
+    if text.len() > MAX_NAME_BYTES {
+        return Err(NameError::TooLong { length: text.len() });
+    }
+    let allowed =
+        |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || matches!(c, '-' | '_' | '.');
+    match text.chars().find(|&c| !allowed(c)) {
+        Some(character) => Err(NameError::BadCharacter { character }),
+        None => Ok(()),
+    }
+}
+
+macro_rules! checked_name {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(
+            /// Invariant: passes `check_name`.
+            String,
+        );
+
+        impl $name {
+            /// The name as text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = NameError;
+
+            fn from_str(text: &str) -> Result<Self, NameError> {
+                check_name(text)?;
+                Ok(Self(text.to_owned()))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = NameError;
+
+            fn try_from(text: String) -> Result<Self, NameError> {
+                check_name(&text)?;
+                Ok(Self(text))
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> Self {
+                name.0
+            }
+        }
+
+        impl Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                formatter.write_str(&self.0)
+            }
+        }
+    };
+}
+
+checked_name! {
+    /// A service as named in the operators' text, such as `claims`.
+    ServiceName
+}
+checked_name! {
+    /// A rebate agency, or any customer whose share is kept apart from its rivals'.
+    AgencyName
+}
+checked_name! {
+    /// An availability zone.
+    ZoneName
+}
+
+/// A short number for a [`ServiceName`], small enough to travel in every packet.
+///
+/// It is a hash, so no process has to hand numbers out. Two names of one text that share a
+/// number are a typed error of the text.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct ServiceId(pub u32);
+
+impl ServiceName {
+    /// The number that stands for this name in packets.
+    #[must_use]
+    pub fn id(&self) -> ServiceId {
+        let mut hasher = SipHasher24::new_with_keys(SERVICE_ID_KEYS.0, SERVICE_ID_KEYS.1);
+        hasher.write(self.0.as_bytes());
+        #[allow(clippy::cast_possible_truncation)]
+        ServiceId(hasher.finish() as u32)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,15 @@
+//! Runs the membership library in a process: asks the platform, exchanges messages with peers,
+//! and keeps the newest view where any thread can read it.
+//!
+//! ```text
+//! platform (read only) --HTTP--> FleetClient <--UDP, TCP--> peers
+//!                                    |
+//!                                    v
+//!                          Arc<FleetView>, swapped whole
+//! ```
+
+mod client;
+mod platform;
+
+pub use client::{FleetClient, FleetRole, FleetSetup};
+pub use platform::{PlatformError, PlatformReader, PublishedConfig};
--- /dev/null
+++ b/crates/network/src/header.rs
@@ -0,0 +1,80 @@
+//! PROXY protocol version 2 headers for IPv4, without allocation on the way out.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use ppp::v2::{Addresses, Header, ParseError};
+use thiserror::Error;
+
+/// Bytes of the header before an IPv4 datagram or stream.
+pub const HEADER_BYTES: usize = 28;
+
+/// Signature, version 2 with command PROXY.
+const START: [u8; 13] = *b"\r\n\r\n\0\r\nQUIT\n\x21";
+const FAMILY_UDP_IPV4: u8 = 0x12;
+const FAMILY_TCP_IPV4: u8 = 0x11;
+const ADDRESS_BYTES: u16 = 12;
+
+/// Where a packet comes from and goes to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct PacketEnds {
+    /// The address it comes from.
+    pub source: SocketAddrV4,
+    /// The address it goes to.
+    pub destination: SocketAddrV4,
+}
+
+/// Why a header was refused.
+#[derive(Debug, PartialEq, Error)]
+pub enum HeaderError {
+    /// It is no PROXY version 2 header, or is cut short.
+    #[error("no readable PROXY header: {0}")]
+    Unreadable(#[from] ParseError),
+    /// It names no IPv4 addresses.
+    #[error("PROXY header without IPv4 addresses")]
+    NotIpv4,
+}
+
+/// Writes the header for a datagram.
+#[must_use]
+pub fn write_header(ends: &PacketEnds) -> [u8; HEADER_BYTES] {
+    write_family(ends, FAMILY_UDP_IPV4)
+}
+
+/// Writes the header for the start of a TCP stream.
+pub(crate) fn write_stream_header(ends: &PacketEnds) -> [u8; HEADER_BYTES] {
+    write_family(ends, FAMILY_TCP_IPV4)
+}
+
+fn write_family(ends: &PacketEnds, family: u8) -> [u8; HEADER_BYTES] {
+    let mut header = [0; HEADER_BYTES];
+    header[..13].copy_from_slice(&START);
+    header[13] = family;
+    header[14..16].copy_from_slice(&ADDRESS_BYTES.to_be_bytes());
+    header[16..20].copy_from_slice(&ends.source.ip().octets());
+    header[20..24].copy_from_slice(&ends.destination.ip().octets());
+    header[24..26].copy_from_slice(&ends.source.port().to_be_bytes());
+    header[26..28].copy_from_slice(&ends.destination.port().to_be_bytes());
+    header
+}
+
+/// Splits a datagram into its header's addresses and the rest.
+///
+/// # Errors
+///
+/// A [`HeaderError`] when it does not start with an IPv4 header.
+pub fn open_header(datagram: &[u8]) -> Result<(PacketEnds, &[u8]), HeaderError> {
+    let header = Header::try_from(datagram)?;
+    let Addresses::IPv4(addresses) = &header.addresses else {
+        return Err(HeaderError::NotIpv4);
+    };
+    let ends = PacketEnds {
+        source: to_socket(addresses.source_address, addresses.source_port),
+        destination: to_socket(addresses.destination_address, addresses.destination_port),
+    };
+    let length = header.len();
+    Ok((ends, &datagram[length..]))
+}
+
+fn to_socket(address: Ipv4Addr, port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(address, port)
+}
--- /dev/null
+++ b/crates/operations/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/settings/src/process.rs
@@ -0,0 +1,451 @@
+//! The settings file of a process.
+//!
+//! ```ini
+//! [process]
+//! name = agent-7
+//! zone = lahore-a
+//! control = 127.0.0.1:7101      ; UDP frames and TCP streams of the system's own processes
+//! operations = 127.0.0.1:8101   ; health, status, metrics, phone page
+//! threads = 2
+//!
+//! [platform]
+//! address = 127.0.0.1:6000
+//! poll_ms = 1000
+//!
+//! [keys]
+//! file = fleet.keys
+//!
+//! [network]
+//! gateway = 127.0.0.1:6100      ; optional: UDP and TCP leave through it, behind PROXY v2
+//!
+//! [balancer]
+//! ingress = proxy-v2            ; or: direct
+//! listen = 127.0.0.1:7001       ; where the fabric hands packets in
+//!
+//! [agent]
+//! service = claims
+//! backend = 127.0.0.1:9001
+//! gateway_listen = 127.0.0.1:9101 ; where its backend server calls its dependencies
+//! certificate = claims.pem
+//! private_key = claims.key
+//! slots = 3
+//!
+//! [limits]
+//! drain_ms = 30000
+//! ```
+
+use std::net::SocketAddrV4;
+use std::path::PathBuf;
+use std::str::FromStr;
+use std::time::Duration;
+
+use lovagelatch_domain::{AgentAddress, ServiceName, ZoneName};
+
+use crate::document::{DocumentSection, IniDocument, MAX_SETTINGS_BYTES};
+use crate::fault::{FaultList, SettingFault};
+
+/// How caller datagrams arrive at a balancer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IngressKind {
+    /// The service addresses are configured on this instance; datagrams arrive as sent.
+    Direct,
+    /// The fabric puts a PROXY protocol version 2 header before each datagram.
+    ProxyV2,
+}
+
+impl FromStr for IngressKind {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        match text {
+            "direct" => Ok(Self::Direct),
+            "proxy-v2" => Ok(Self::ProxyV2),
+            _ => Err(()),
+        }
+    }
+}
+
+/// What every process is told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CommonSettings {
+    /// Its name in logs.
+    pub name: String,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Where it listens for the system's other processes.
+    pub control: AgentAddress,
+    /// Where it serves health, status, metrics and the phone page.
+    pub operations: SocketAddrV4,
+    /// Worker threads. Invariant: at least 1.
+    pub threads: usize,
+    /// The platform's service.
+    pub platform: SocketAddrV4,
+    /// How often the platform is asked when watching is not possible.
+    pub platform_poll: Duration,
+    /// The key file.
+    pub key_file: PathBuf,
+    /// Where UDP and TCP to other processes and callers leave, behind PROXY v2; `None` sends
+    /// them directly.
+    pub gateway: Option<SocketAddrV4>,
+    /// Limits.
+    pub limits: LimitSettings,
+}
+
+/// Limits that end what would otherwise wait for ever.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LimitSettings {
+    /// How long a planned stop waits for work in flight.
+    pub drain: Duration,
+    /// The deadline of a request whose caller names none.
+    pub request_deadline: Duration,
+    /// How long a flow may be silent before it is closed.
+    pub flow_idle: Duration,
+    /// The largest request body, in bytes.
+    pub body_bytes: usize,
+    /// How long a once-only request's answer is kept.
+    pub ticket_lifetime: Duration,
+}
+
+/// What a balancer is told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BalancerSettings {
+    /// What every process is told.
+    pub common: CommonSettings,
+    /// How datagrams arrive.
+    pub ingress: IngressKind,
+    /// Where the fabric hands them in.
+    pub listen: SocketAddrV4,
+}
+
+/// What an agent is told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AgentSettings {
+    /// What every process is told.
+    pub common: CommonSettings,
+    /// The service of its backend server.
+    pub service: ServiceName,
+    /// Its backend server.
+    pub backend: SocketAddrV4,
+    /// Where its backend server calls the services it depends on.
+    pub gateway_listen: SocketAddrV4,
+    /// The service's certificate chain, PEM.
+    pub certificate: PathBuf,
+    /// Its private key, PEM.
+    pub private_key: PathBuf,
+    /// How many requests its backend server runs at once. Invariant: at least 1.
+    pub slots: u16,
+}
+
+/// Reads a process's settings with one of the `parse` functions.
+///
+/// # Errors
+///
+/// All faults at once; a file that cannot be read is one fault.
+pub fn read_settings<S>(
+    path: &std::path::Path,
+    parse: impl FnOnce(&str) -> Result<S, FaultList<SettingFault>>,
+) -> Result<S, FaultList<SettingFault>> {
+    let text = std::fs::read_to_string(path).map_err(|error| {
+        let reason = format!("{}: {error}", path.display());
+        file_fault(0, reason)
+    })?;
+    parse(&text)
+}
+
+fn file_fault(line: usize, reason: String) -> FaultList<SettingFault> {
+    let section = "file".to_owned();
+    FaultList(vec![SettingFault {
+        line,
+        section,
+        field: "text".to_owned(),
+        reason,
+    }])
+}
+
+impl BalancerSettings {
+    /// Parses the text of a balancer's settings file.
+    ///
+    /// # Errors
+    ///
+    /// All faults at once.
+    pub fn parse(text: &str) -> Result<Self, FaultList<SettingFault>> {
+        let mut reader = FieldReader::new(text)?;
+        let common = reader.common();
+        let ingress = reader.value(
+            "balancer",
+            "ingress",
+            "'direct' or 'proxy-v2'",
+            Some("direct"),
+        );
+        let listen = reader.value("balancer", "listen", "an address IP:PORT", None);
+        reader.finish(&[
+            "process", "platform", "keys", "network", "limits", "balancer",
+        ])?;
+        match (common, ingress, listen) {
+            (Some(common), Some(ingress), Some(listen)) => Ok(Self {
+                common,
+                ingress,
+                listen,
+            }),
+            _ => Err(incomplete()),
+        }
+    }
+}
+
+impl AgentSettings {
+    /// Parses the text of an agent's settings file.
+    ///
+    /// # Errors
+    ///
+    /// All faults at once.
+    pub fn parse(text: &str) -> Result<Self, FaultList<SettingFault>> {
+        let mut reader = FieldReader::new(text)?;
+        let common = reader.common();
+        let service = reader.value("agent", "service", "the name of a service", None);
+        let backend = reader.value("agent", "backend", "an address IP:PORT", None);
+        let gateway_listen = reader.value("agent", "gateway_listen", "an address IP:PORT", None);
+        let certificate = reader.value("agent", "certificate", "a path", None);
+        let private_key = reader.value("agent", "private_key", "a path", None);
+        let slots = reader.at_least_one("agent", "slots", None);
+        reader.finish(&["process", "platform", "keys", "network", "limits", "agent"])?;
+        let parts = (
+            common,
+            service,
+            backend,
+            gateway_listen,
+            certificate,
+            private_key,
+            slots,
+        );
+        let (
+            Some(common),
+            Some(service),
+            Some(backend),
+            Some(gateway_listen),
+            Some(certificate),
+            Some(private_key),
+            Some(slots),
+        ) = parts
+        else {
+            return Err(incomplete());
+        };
+        Ok(Self {
+            common,
+            service,
+            backend,
+            gateway_listen,
+            certificate,
+            private_key,
+            slots,
+        })
+    }
+}
+
+/// Cannot be reached while `FieldReader` records a fault for every field it does not return.
+fn incomplete() -> FaultList<SettingFault> {
+    file_fault(0, "settings are incomplete".to_owned())
+}
+
+/// Takes typed fields out of a document and records every fault.
+struct FieldReader {
+    document: IniDocument,
+    faults: Vec<SettingFault>,
+    /// Section and field names that were asked for; others are unknown.
+    asked: Vec<(&'static str, &'static str)>,
+}
+
+impl FieldReader {
+    fn new(text: &str) -> Result<Self, FaultList<SettingFault>> {
+        if text.len() > MAX_SETTINGS_BYTES {
+            let reason = format!("{} bytes; {MAX_SETTINGS_BYTES} at most", text.len());
+            return Err(file_fault(1, reason));
+        }
+        let document =
+            IniDocument::parse(text).map_err(|error| file_fault(error.line, error.reason))?;
+        Ok(Self {
+            document,
+            faults: Vec::new(),
+            asked: Vec::new(),
+        })
+    }
+
+    fn fault(&mut self, line: usize, section: &str, field: &str, reason: String) {
+        self.faults.push(SettingFault {
+            line,
+            section: section.to_owned(),
+            field: field.to_owned(),
+            reason,
+        });
+    }
+
+    /// The text of a field with its line; a repeated field is a fault.
+    fn text(&mut self, section: &'static str, field: &'static str) -> Option<(String, usize)> {
+        self.asked.push((section, field));
+        let found: Vec<(String, usize)> = self
+            .document
+            .sections
+            .iter()
+            .filter(|candidate| candidate.name == section)
+            .flat_map(|candidate| &candidate.fields)
+            .filter(|candidate| candidate.name == field)
+            .map(|candidate| (candidate.value.clone(), candidate.line))
+            .collect();
+        if let Some((_, line)) = found.get(1) {
+            self.fault(
+                *line,
+                section,
+                field,
+                "given twice; give it once".to_owned(),
+            );
+        }
+        found.into_iter().next()
+    }
+
+    fn value<V: FromStr>(
+        &mut self,
+        section: &'static str,
+        field: &'static str,
+        expected: &str,
+        default: Option<&str>,
+    ) -> Option<V> {
+        let found = self.text(section, field);
+        let (text, line) = match (found, default) {
+            (Some(found), _) => found,
+            (None, Some(default)) => (default.to_owned(), 0),
+            (None, None) => {
+                self.fault(0, section, field, format!("missing; give {expected}"));
+                return None;
+            }
+        };
+        let value = if text.is_empty() {
+            None
+        } else {
+            text.parse().ok()
+        };
+        if value.is_none() {
+            self.fault(line, section, field, format!("{text:?} is not {expected}"));
+        }
+        value
+    }
+
+    fn optional<V: FromStr>(
+        &mut self,
+        section: &'static str,
+        field: &'static str,
+        expected: &str,
+    ) -> Option<V> {
+        let (text, line) = self.text(section, field)?;
+        let value = text.parse().ok();
+        if value.is_none() {
+            self.fault(line, section, field, format!("{text:?} is not {expected}"));
+        }
+        value
+    }
+
+    fn at_least_one<V: FromStr + PartialOrd + From<u8>>(
+        &mut self,
+        section: &'static str,
+        field: &'static str,
+        default: Option<&str>,
+    ) -> Option<V> {
+        let value: V = self.value(section, field, "a whole number from 1", default)?;
+        if value < V::from(1) {
+            self.fault(0, section, field, "must be at least 1".to_owned());
+            return None;
+        }
+        Some(value)
+    }
+
+    fn millis(
+        &mut self,
+        section: &'static str,
+        field: &'static str,
+        default: &str,
+    ) -> Option<Duration> {
+        let millis: u64 = self.value(section, field, "milliseconds from 1", Some(default))?;
+        if millis == 0 {
+            self.fault(0, section, field, "must be at least 1".to_owned());
+            return None;
+        }
+        Some(Duration::from_millis(millis))
+    }
+
+    fn common(&mut self) -> Option<CommonSettings> {
+        let name = self.value("process", "name", "a name", None);
+        let zone = self.value("process", "zone", "the name of a zone", None);
+        let control = self.value("process", "control", "an address IP:PORT", None);
+        let operations = self.value("process", "operations", "an address IP:PORT", None);
+        let threads = self.threads();
+        let platform = self.value("platform", "address", "an address IP:PORT", None);
+        let platform_poll = self.millis("platform", "poll_ms", "1000");
+        let key_file = self.value("keys", "file", "a path", None);
+        let gateway = self.optional("network", "gateway", "an address IP:PORT");
+        let limits = self.limits();
+        Some(CommonSettings {
+            name: name?,
+            zone: zone?,
+            control: AgentAddress(control?),
+            operations: operations?,
+            threads: threads?,
+            platform: platform?,
+            platform_poll: platform_poll?,
+            key_file: key_file?,
+            gateway,
+            limits: limits?,
+        })
+    }
+
+    fn threads(&mut self) -> Option<usize> {
+        let threads: u32 = self.at_least_one("process", "threads", Some("2"))?;
+        usize::try_from(threads).ok()
+    }
+
+    fn limits(&mut self) -> Option<LimitSettings> {
+        let drain = self.millis("limits", "drain_ms", "30000");
+        let request_deadline = self.millis("limits", "request_deadline_ms", "10000");
+        let flow_idle = self.millis("limits", "flow_idle_ms", "30000");
+        let body_bytes = self.at_least_one::<u32>("limits", "body_bytes", Some("1048576"));
+        let ticket_lifetime = self.millis("limits", "ticket_lifetime_ms", "600000");
+        Some(LimitSettings {
+            drain: drain?,
+            request_deadline: request_deadline?,
+            flow_idle: flow_idle?,
+            body_bytes: usize::try_from(body_bytes?).ok()?,
+            ticket_lifetime: ticket_lifetime?,
+        })
+    }
+
+    /// Reports unknown sections and fields, then all faults, if there are any.
+    fn finish(mut self, sections: &[&str]) -> Result<(), FaultList<SettingFault>> {
+        for line in std::mem::take(&mut self.document.stray_lines) {
+            self.fault(line, "", "", "stands outside a section".to_owned());
+        }
+        for section in std::mem::take(&mut self.document.sections) {
+            self.check_known(&section, sections);
+        }
+        if self.faults.is_empty() {
+            return Ok(());
+        }
+        self.faults.sort_by_key(|fault| fault.line);
+        Err(FaultList(self.faults))
+    }
+
+    fn check_known(&mut self, section: &DocumentSection, sections: &[&str]) {
+        if !sections.contains(&section.name.as_str()) {
+            let reason = format!("unknown section; known are {}", sections.join(", "));
+            self.fault(section.line, &section.name, "", reason);
+            return;
+        }
+        for field in &section.fields {
+            let known = |&(s, f): &(&str, &str)| s == section.name && f == field.name;
+            if !self.asked.iter().any(known) {
+                self.fault(
+                    field.line,
+                    &section.name,
+                    &field.name,
+                    "unknown field".to_owned(),
+                );
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,15 @@
+//! Logs as JSON lines through `slog`, metrics through `opentelemetry`.
+//!
+//! A process logs one line for each routing or placement decision (the start of a flow, the
+//! relay of a request, a refusal), never one for each packet. Lines go to standard error, from
+//! a thread of their own, so that a slow reader of the log delays no packet; when the log's
+//! queue is full, lines are dropped and their number is logged.
+
+mod log;
+mod metrics;
+
+pub use log::{DecisionKind, new_logger};
+pub use metrics::{MetricsError, MetricsRegistry};
+pub use opentelemetry::KeyValue;
+pub use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, UpDownCounter};
+pub use slog::{Logger, debug, error, info, o, warn};
--- /dev/null
+++ b/crates/telemetry/src/log.rs
@@ -0,0 +1,103 @@
+//! The logger of a process.
+
+use serde::{Deserialize, Serialize};
+use slog::{Drain, FnValue, Logger, PushFnValue, Record, o};
+
+/// Lines that may wait to be written before more are dropped.
+const QUEUE_LINES: usize = 16 * 1024;
+
+/// What a decision line decided, in its field `decision`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DecisionKind {
+    /// A balancer chose an agent for a new flow.
+    FlowPlaced,
+    /// An agent handed a new flow on to another agent.
+    FlowHandedOn,
+    /// An agent accepted a new flow.
+    FlowAccepted,
+    /// A packet or flow was refused.
+    FlowRefused,
+    /// A request was placed at a gate.
+    RequestPlaced,
+    /// A request was relayed to another agent.
+    RequestRelayed,
+    /// A request was refused.
+    RequestRefused,
+    /// A request ended.
+    RequestEnded,
+    /// A configuration came into force.
+    ConfigTaken,
+    /// A configuration was refused.
+    ConfigRefused,
+    /// An instance is leaving.
+    LeavingSeen,
+    /// A peer is suspected, or no longer.
+    SuspicionChanged,
+}
+
+impl DecisionKind {
+    /// The word that stands in the log.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::FlowPlaced => "flow_placed",
+            Self::FlowHandedOn => "flow_handed_on",
+            Self::FlowAccepted => "flow_accepted",
+            Self::FlowRefused => "flow_refused",
+            Self::RequestPlaced => "request_placed",
+            Self::RequestRelayed => "request_relayed",
+            Self::RequestRefused => "request_refused",
+            Self::RequestEnded => "request_ended",
+            Self::ConfigTaken => "config_taken",
+            Self::ConfigRefused => "config_refused",
+            Self::LeavingSeen => "leaving_seen",
+            Self::SuspicionChanged => "suspicion_changed",
+        }
+    }
+}
+
+impl slog::Value for DecisionKind {
+    fn serialize(
+        &self,
+        _record: &Record<'_>,
+        key: slog::Key,
+        serializer: &mut dyn slog::Serializer,
+    ) -> slog::Result {
+        serializer.emit_str(key, self.as_str())
+    }
+}
+
+/// Makes the logger of a process: JSON lines on standard error, each with the time, the level,
+/// the binary, the process's name and its zone.
+pub fn new_logger(binary: &'static str, name: &str, zone: &str) -> Logger {
+    let lines = slog_json::Json::new(std::io::stderr())
+        .set_newlines(true)
+        .add_key_value(o!(
+            "time" => FnValue(|_| unix_millis()),
+            "level" => FnValue(|record: &Record<'_>| record.level().as_short_str()),
+            "message" => PushFnValue(|record: &Record<'_>, serializer| {
+                serializer.emit(record.msg())
+            }),
+        ))
+        .build()
+        .ignore_res();
+    let queued = slog_async::Async::new(lines)
+        .chan_size(QUEUE_LINES)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+        .build()
+        .ignore_res();
+    let (name, zone) = (name.to_owned(), zone.to_owned());
+    Logger::root(
+        queued,
+        o!("binary" => binary, "process" => name, "zone" => zone),
+    )
+}
+
+/// Milliseconds since the Unix epoch, for the log only.
+fn unix_millis() -> u64 {
+    let since_epoch = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since_epoch.map_or(0, |time| {
+        u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+    })
+}
--- /dev/null
+++ b/crates/telemetry/src/metrics.rs
@@ -0,0 +1,58 @@
+//! The metrics of a process, scraped as Prometheus text from its operations address.
+
+use opentelemetry::metrics::{Meter, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+use thiserror::Error;
+
+/// Why metrics cannot be kept or written.
+#[derive(Debug, Error)]
+pub enum MetricsError {
+    /// The exporter could not be built.
+    #[error("metrics exporter: {0}")]
+    Exporter(#[from] opentelemetry_sdk::error::OTelSdkError),
+    /// The metrics could not be encoded.
+    #[error("metrics encoding: {0}")]
+    Encoding(#[from] prometheus::Error),
+}
+
+/// Keeps the instruments of a process and writes their values.
+#[derive(Clone, Debug)]
+pub struct MetricsRegistry {
+    provider: SdkMeterProvider,
+    registry: Registry,
+}
+
+impl MetricsRegistry {
+    /// An empty registry.
+    ///
+    /// # Errors
+    ///
+    /// [`MetricsError::Exporter`] when the exporter refuses to start.
+    pub fn new() -> Result<Self, MetricsError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        Ok(Self { provider, registry })
+    }
+
+    /// The meter that makes instruments.
+    #[must_use]
+    pub fn meter(&self) -> Meter {
+        self.provider.meter("lovagelatch")
+    }
+
+    /// All values as Prometheus text.
+    ///
+    /// # Errors
+    ///
+    /// [`MetricsError::Encoding`] when a value cannot be written.
+    pub fn to_text(&self) -> Result<String, MetricsError> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(String::from_utf8_lossy(&text).into_owned())
+    }
+}
