Serve operators: settings, plans, the command, health, status and a phone page

Settings and service texts report every fault at once with its line; TextPlan says what a new text changes for callers. `lovagelatch` has check, plan, status, explain and keys; every process serves health, status, metrics, explanations and the phone page by rocket.

--- /dev/null
+++ b/bins/lovagelatch/src/command.rs
@@ -0,0 +1,105 @@
+//! The command line.
+
+use std::net::SocketAddrV4;
+use std::path::PathBuf;
+
+use bpaf::Bpaf;
+
+/// Checks and plans service texts, asks instances what they know, keeps the fleet key file.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+pub(crate) enum OperatorCommand {
+    /// Check a service text; lists every fault with its line
+    #[bpaf(command)]
+    Check {
+        /// Print JSON
+        json: bool,
+        /// The text's file, or - for standard input
+        #[bpaf(positional("TEXT"))]
+        text: PathBuf,
+    },
+    /// Show what changes for callers between two texts
+    #[bpaf(command)]
+    Plan {
+        /// Print JSON
+        json: bool,
+        /// Exit with 0 even when callers lose something
+        allow_high: bool,
+        /// The file of the text in force
+        #[bpaf(positional("OLD"))]
+        old: PathBuf,
+        /// The file of the new text
+        #[bpaf(positional("NEW"))]
+        new: PathBuf,
+    },
+    /// Ask instances which revision is in force, who lags and what they see
+    #[bpaf(command)]
+    Status {
+        /// Print JSON
+        json: bool,
+        /// The platform's address; its instance list says whom to ask
+        #[bpaf(argument("IP:PORT"))]
+        platform: Option<SocketAddrV4>,
+        /// Operations addresses of instances to ask
+        #[bpaf(positional("IP:PORT"))]
+        instances: Vec<SocketAddrV4>,
+    },
+    /// Ask a balancer why a new flow goes where it goes
+    #[bpaf(command)]
+    Explain {
+        /// Print JSON
+        json: bool,
+        /// The balancer's operations address
+        #[bpaf(argument("IP:PORT"))]
+        instance: SocketAddrV4,
+        /// The service address that the caller sends to
+        #[bpaf(argument("IP:PORT"))]
+        address: SocketAddrV4,
+        /// The flow's first connection ID in hexadecimal; without it, only the candidates
+        #[bpaf(argument("HEX"))]
+        flow_key: Option<String>,
+    },
+    /// Make or rotate the fleet key file
+    #[bpaf(command)]
+    Keys(#[bpaf(external(key_command))] KeyCommand),
+}
+
+/// What to do with the key file.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) enum KeyCommand {
+    /// Write a new file with one key; refuses to replace a file
+    #[bpaf(command)]
+    New {
+        /// The key file
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Rotation, step 1: add a key that is accepted but not yet used
+    #[bpaf(command)]
+    Add {
+        /// The key file
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Rotation, step 2: use the added key, once every process has taken step 1
+    #[bpaf(command)]
+    Switch {
+        /// The key file
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Rotation, step 3: take the old key out, once flows opened under it have ended
+    #[bpaf(command)]
+    Drop {
+        /// The key file
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Check a key file and its permissions
+    #[bpaf(command)]
+    Verify {
+        /// The key file
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+}
--- a/bins/lovagelatch/src/main.rs
+++ b/bins/lovagelatch/src/main.rs
@@ -1,2 +1,57 @@
-//! Placeholder.
-fn main() {}
+//! The operators' command: checks a service text, plans a change, asks instances for their
+//! status, explains a decision, and keeps the key file.
+//!
+//! Exit codes, for scripts: 0 all is well; 1 the answer is no (a text has faults, a plan is
+//! risky, an instance lags); 2 the command could not be carried out.
+
+mod check;
+mod client;
+mod command;
+mod explain;
+mod failure;
+mod keys;
+mod output;
+mod plan;
+mod status;
+
+use std::process::ExitCode;
+
+use command::{OperatorCommand, operator_command};
+use failure::CommandError;
+use output::Verdict;
+
+fn main() -> ExitCode {
+    let command = operator_command().run();
+    match run(&command) {
+        Ok(Verdict::Good) => ExitCode::SUCCESS,
+        Ok(Verdict::Bad) => ExitCode::from(1),
+        Err(error) => {
+            eprintln!("lovagelatch: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run(command: &OperatorCommand) -> Result<Verdict, CommandError> {
+    match command {
+        OperatorCommand::Check { json, text } => check::run(text, *json),
+        OperatorCommand::Plan {
+            json,
+            allow_high,
+            old,
+            new,
+        } => plan::run(old, new, *json, *allow_high),
+        OperatorCommand::Status {
+            json,
+            platform,
+            instances,
+        } => status::run(*platform, instances, *json),
+        OperatorCommand::Explain {
+            json,
+            instance,
+            address,
+            flow_key,
+        } => explain::run(*instance, *address, flow_key.as_deref(), *json),
+        OperatorCommand::Keys(command) => keys::run(command),
+    }
+}
--- a/crates/keys/src/file.rs
+++ b/crates/keys/src/file.rs
@@ -18,6 +18,9 @@
 /// The largest key file that is read, in bytes.
 const MAX_FILE_BYTES: u64 = 16 * 1024;
 
+/// The generation of a new file's only secret.
+const FIRST_GENERATION: KeyGeneration = KeyGeneration(1);
+
 /// Permission bits that would let others than the owner read the file.
 const OTHERS_MAY_READ: u32 = 0o077;
 
@@ -107,23 +110,126 @@
 ///
 /// A [`KeyFileError`] that says what to mend.
 pub fn parse_key_file(text: &str) -> Result<FleetKeys, KeyFileError> {
-    let file = Ini::load_from_str(text).map_err(|error| KeyFileError::NotIni {
-        line: error.line,
-        reason: error.msg.to_string(),
-    })?;
-    let section = file.section(Some("keys")).ok_or(KeyFileError::NoCurrent)?;
-    let current = section.get("current").ok_or(KeyFileError::NoCurrent)?;
-    let current = parse_generation(current)?;
-    let mut secrets = Vec::new();
-    for (name, value) in section.iter().filter(|(name, _)| *name != "current") {
-        secrets.push(parse_secret(name, value)?);
+    Ok(KeyFile::parse(text)?.keys()?)
+}
+
+/// The secrets of a key file, for the commands that change one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyFile {
+    /// Invariant: the current secret stands first, and makes a valid ring with the others.
+    secrets: Vec<KeySecret>,
+}
+
+impl KeyFile {
+    /// A file with one new secret.
+    ///
+    /// # Errors
+    ///
+    /// [`RingError::NoRandomness`] when no secret can be drawn.
+    pub fn generate() -> Result<Self, RingError> {
+        Ok(Self {
+            secrets: vec![KeySecret::generate(FIRST_GENERATION)?],
+        })
+    }
+
+    /// Reads the text of a key file.
+    ///
+    /// # Errors
+    ///
+    /// A [`KeyFileError`] that says what to mend.
+    pub fn parse(text: &str) -> Result<Self, KeyFileError> {
+        let file = Ini::load_from_str(text).map_err(|error| KeyFileError::NotIni {
+            line: error.line,
+            reason: error.msg.to_string(),
+        })?;
+        let section = file.section(Some("keys")).ok_or(KeyFileError::NoCurrent)?;
+        let current = section.get("current").ok_or(KeyFileError::NoCurrent)?;
+        let current = parse_generation(current)?;
+        let mut secrets = Vec::new();
+        for (name, value) in section.iter().filter(|(name, _)| *name != "current") {
+            secrets.push(parse_secret(name, value)?);
+        }
+        let first = secrets
+            .iter()
+            .position(|secret| secret.generation == current)
+            .ok_or(KeyFileError::NoCurrent)?;
+        secrets.swap(0, first);
+        let file = Self { secrets };
+        file.keys()?;
+        Ok(file)
+    }
+
+    /// The ring that the secrets make.
+    ///
+    /// # Errors
+    ///
+    /// A [`RingError`] when they make none.
+    pub fn keys(&self) -> Result<FleetKeys, RingError> {
+        FleetKeys::new(&self.secrets)
+    }
+
+    /// The generations, the current one first.
+    pub fn generations(&self) -> impl Iterator<Item = KeyGeneration> + '_ {
+        self.secrets.iter().map(|secret| secret.generation)
+    }
+
+    /// Adds a new secret that is accepted but not yet used, the first step of a rotation.
+    ///
+    /// # Errors
+    ///
+    /// [`RingError::TooMany`] when two are valid already.
+    pub fn add(&mut self) -> Result<KeyGeneration, RingError> {
+        if self.secrets.len() > 1 {
+            return Err(RingError::TooMany {
+                count: self.secrets.len() + 1,
+            });
+        }
+        let current = self.secrets.first().ok_or(RingError::Empty)?.generation;
+        let generation = KeyGeneration(current.0.wrapping_add(1));
+        self.secrets.push(KeySecret::generate(generation)?);
+        Ok(generation)
+    }
+
+    /// Makes the other secret the current one, once every process accepts it.
+    ///
+    /// # Errors
+    ///
+    /// [`RingError::NoOther`] when there is only one.
+    pub fn switch(&mut self) -> Result<KeyGeneration, RingError> {
+        if self.secrets.len() < 2 {
+            return Err(RingError::NoOther);
+        }
+        self.secrets.swap(0, 1);
+        Ok(self.secrets[0].generation)
+    }
+
+    /// Takes out the secret that is not current, once no open flow was opened under it.
+    ///
+    /// # Errors
+    ///
+    /// [`RingError::NoOther`] when there is only one.
+    pub fn drop_other(&mut self) -> Result<KeyGeneration, RingError> {
+        if self.secrets.len() < 2 {
+            return Err(RingError::NoOther);
+        }
+        self.secrets
+            .pop()
+            .map(|secret| secret.generation)
+            .ok_or(RingError::NoOther)
+    }
+
+    /// The text of the file.
+    #[must_use]
+    pub fn to_text(&self) -> String {
+        let mut text = String::from("[keys]\n");
+        if let Some(first) = self.secrets.first() {
+            text += &format!("current = {}\n", first.generation);
+        }
+        for secret in &self.secrets {
+            text += &format!("{} = {}\n", secret.generation, secret.to_hex());
+        }
+        text
     }
-    let first = secrets
-        .iter()
-        .position(|secret| secret.generation == current)
-        .ok_or(KeyFileError::NoCurrent)?;
-    secrets.swap(0, first);
-    Ok(FleetKeys::new(&secrets)?)
 }
 
 fn parse_generation(text: &str) -> Result<KeyGeneration, KeyFileError> {
--- a/crates/keys/src/lib.rs
+++ b/crates/keys/src/lib.rs
@@ -20,7 +20,7 @@
 mod ticket;
 mod token;
 
-pub use file::{KeyFileError, parse_key_file, read_key_file};
+pub use file::{KeyFile, KeyFileError, parse_key_file, read_key_file};
 pub use frame::{FRAME_TAG_BYTES, FrameTag};
 pub use ring::{FleetKeys, KeyGeneration, KeySecret, RESET_KEY_BYTES, RingError};
 pub use ticket::{RequestTicket, TICKET_TEXT_BYTES, TicketError};
--- a/crates/keys/src/ring.rs
+++ b/crates/keys/src/ring.rs
@@ -88,6 +88,9 @@
     /// Two generations hold the same bytes, so that a rotation would change nothing.
     #[error("generations {0} and {1} hold the same key")]
     SameKey(KeyGeneration, KeyGeneration),
+    /// Only one secret is there, where two are needed.
+    #[error("only one key is given; add another first")]
+    NoOther,
     /// The operating system's random source failed.
     #[error("the operating system's random source failed")]
     NoRandomness,
@@ -189,6 +192,18 @@
         &oldest.unwrap_or(&self.current).reset
     }
 
+    /// The key for the stateless reset token of a connection ID that was sealed with
+    /// `generation`; `None` when that generation is not valid.
+    ///
+    /// A reset token is handed out with its connection ID. If a rotation changed the key in
+    /// between, a later reset would carry another token, the caller would ignore it, and a
+    /// dead flow would stay silent until its idle timeout. The generation in the connection
+    /// ID keeps the two together.
+    #[must_use]
+    pub fn reset_key_of(&self, generation: KeyGeneration) -> Option<&[u8; RESET_KEY_BYTES]> {
+        self.find(generation.0).map(|keys| &keys.reset)
+    }
+
     pub(crate) fn current(&self) -> &DerivedKeys {
         &self.current
     }
--- /dev/null
+++ b/crates/keys/tests/all/main.rs
@@ -0,0 +1,7 @@
+//! Tests of keys and of what is sealed with them.
+
+mod file;
+mod frame;
+mod support;
+mod ticket;
+mod token;
--- a/crates/operations/src/lib.rs
+++ b/crates/operations/src/lib.rs
@@ -1,1 +1,22 @@
-//! Placeholder.
+//! What every process serves to operators by HTTP on its operations address.
+//!
+//! | path | answer |
+//! |---|---|
+//! | `/health` | 200 while serving, 503 while starting or leaving; the state as JSON |
+//! | `/status` | [`ProcessStatus`] as JSON |
+//! | `/explain?address=IP:PORT&key=HEX` | [`FlowExplanation`] as JSON |
+//! | `/metrics` | all metrics as Prometheus text |
+//! | `/` | the phone page: the fleet as this instance knows it, and a check of a text |
+//!
+//! No instance is set aside for control, so any of them answers for what it knows and says how
+//! old that knowledge is. Nothing here changes anything: the page shows what accepting a text
+//! would do, and accepting happens at the platform.
+
+mod explain;
+mod page;
+mod server;
+mod status;
+
+pub use explain::{FlowCandidate, FlowExplanation};
+pub use server::{OperationsError, OperationsServer};
+pub use status::{ProcessIdentity, ProcessPhase, ProcessStatus, ServiceStatus};
--- /dev/null
+++ b/crates/operations/tests/all/main.rs
@@ -0,0 +1,212 @@
+//! What a process answers to operators.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use lovagelatch_domain::{AgentAddress, Incarnation};
+use lovagelatch_fleet::{FleetClient, FleetRole, FleetSetup};
+use lovagelatch_keys::KeyFile;
+use lovagelatch_operations::{OperationsServer, ProcessIdentity, ProcessPhase};
+use lovagelatch_settings::{CommonSettings, LimitSettings, MAX_TEXT_BYTES};
+use lovagelatch_telemetry::{Logger, MetricsRegistry, o};
+use rocket::http::{ContentType, Status};
+use rocket::local::asynchronous::Client;
+use tokio::net::UdpSocket;
+
+const LOOPBACK: &str = "127.0.0.1:40000";
+const ELSEWHERE: &str = "192.0.2.7:40000";
+
+/// Settings whose platform answers nobody.
+fn settings() -> CommonSettings {
+    CommonSettings {
+        name: "balancer-<b>1</b>".to_owned(),
+        zone: "lahore-a".parse().unwrap(),
+        control: AgentAddress("127.0.0.1:1".parse().unwrap()),
+        operations: "127.0.0.1:0".parse().unwrap(),
+        operators: None,
+        threads: 1,
+        platform: "127.0.0.1:1".parse().unwrap(),
+        platform_poll: Duration::from_secs(1),
+        key_file: "none".into(),
+        gateway: None,
+        limits: LimitSettings {
+            drain: Duration::from_secs(1),
+            request_deadline: Duration::from_secs(1),
+            flow_idle: Duration::from_secs(1),
+            body_bytes: 1,
+            ticket_lifetime: Duration::from_secs(1),
+        },
+    }
+}
+
+async fn start() -> (Client, ProcessIdentity) {
+    let settings = settings();
+    let keys = KeyFile::generate().unwrap().keys().unwrap();
+    let identity = ProcessIdentity::new(
+        "lovagelatch-balancer",
+        &settings.name,
+        "lahore-a",
+        Incarnation(7),
+    );
+    let metrics = MetricsRegistry::new().unwrap();
+    metrics
+        .meter()
+        .u64_counter("lovagelatch.test.events")
+        .build()
+        .add(3, &[]);
+    let fleet = FleetClient::start(FleetSetup {
+        settings,
+        role: FleetRole::Balancer,
+        incarnation: Incarnation(7),
+        keys: Arc::new(ArcSwap::from_pointee(keys)),
+        socket: Arc::new(UdpSocket::bind("127.0.0.1:0").await.unwrap()),
+        log: Logger::root(lovagelatch_telemetry::discard(), o!()),
+    });
+    let address = "127.0.0.1:0".parse().unwrap();
+    let server = OperationsServer::new(address, identity.clone(), fleet, metrics)
+        .with_counters(|| BTreeMap::from([("flows_open".to_owned(), 5)]));
+    let client = Client::untracked(server.into_rocket())
+        .await
+        .expect("the routes fit together");
+    (client, identity)
+}
+
+#[rocket::async_test]
+async fn health_follows_the_phase() {
+    let (client, identity) = start().await;
+    for (phase, status) in [
+        (ProcessPhase::Starting, Status::ServiceUnavailable),
+        (ProcessPhase::Serving, Status::Ok),
+        (ProcessPhase::Leaving, Status::ServiceUnavailable),
+    ] {
+        identity.set_phase(phase);
+        let answer = client.get("/health").dispatch().await;
+        assert_eq!(answer.status(), status, "{phase:?}");
+        let body = answer.into_string().await.unwrap();
+        assert!(body.contains(phase.as_str()), "{body}");
+    }
+}
+
+#[rocket::async_test]
+async fn status_metrics_and_explanations_are_served() {
+    let (client, _) = start().await;
+    let status = client
+        .get("/status")
+        .dispatch()
+        .await
+        .into_string()
+        .await
+        .unwrap();
+    let status: serde_json::Value = serde_json::from_str(&status).unwrap();
+    assert_eq!(status["binary"], "lovagelatch-balancer");
+    assert_eq!(status["counters"]["flows_open"], 5);
+    assert_eq!(status["config_revision"], 0);
+    let metrics = client
+        .get("/metrics")
+        .dispatch()
+        .await
+        .into_string()
+        .await
+        .unwrap();
+    assert!(
+        metrics.contains("lovagelatch_test_events_total"),
+        "{metrics}"
+    );
+    let path = "/explain?address=127.20.0.1:4433&key=00ff";
+    let explanation = client
+        .get(path)
+        .dispatch()
+        .await
+        .into_string()
+        .await
+        .unwrap();
+    assert!(explanation.contains("\"service\":null"), "{explanation}");
+    for bad in [
+        "/explain?address=nowhere",
+        "/explain?address=127.20.0.1:4433&key=xyz",
+    ] {
+        assert_eq!(
+            client.get(bad).dispatch().await.status(),
+            Status::BadRequest,
+            "{bad}"
+        );
+    }
+}
+
+struct FormCase {
+    name: &'static str,
+    from: &'static str,
+    form: String,
+    status: Status,
+    says: &'static str,
+}
+
+#[rocket::async_test]
+async fn the_phone_page_checks_texts_of_operators_only() {
+    let (client, _) = start().await;
+    let good = "text=[service+claims]%0D%0Aaddress+%3D+127.20.0.1:4433%0D%0A";
+    let cases = [
+        FormCase {
+            name: "a good text",
+            from: LOOPBACK,
+            form: good.to_owned(),
+            status: Status::Ok,
+            says: "add service claims",
+        },
+        FormCase {
+            name: "faults",
+            from: LOOPBACK,
+            form: "text=[service+claims]%0Aport=1".to_owned(),
+            status: Status::Ok,
+            says: "unknown field",
+        },
+        FormCase {
+            name: "markup is escaped",
+            from: LOOPBACK,
+            form: "text=[<script>alert(1)</script>]".to_owned(),
+            status: Status::Ok,
+            says: "&lt;script&gt;",
+        },
+        FormCase {
+            name: "a stranger",
+            from: ELSEWHERE,
+            form: good.to_owned(),
+            status: Status::Forbidden,
+            says: "Check a text",
+        },
+        FormCase {
+            name: "too large",
+            from: LOOPBACK,
+            form: format!("text={}", "%20".repeat(MAX_TEXT_BYTES + 1_024)),
+            status: Status::PayloadTooLarge,
+            says: "Check a text",
+        },
+        FormCase {
+            name: "no text",
+            from: LOOPBACK,
+            form: "other=1".to_owned(),
+            status: Status::PayloadTooLarge,
+            says: "Check a text",
+        },
+    ];
+    for case in cases {
+        let from: SocketAddr = case.from.parse().unwrap();
+        let request = client
+            .post("/")
+            .remote(from)
+            .header(ContentType::Form)
+            .body(case.form);
+        let answer = request.dispatch().await;
+        assert_eq!(answer.status(), case.status, "{}", case.name);
+        let page = answer.into_string().await.unwrap();
+        assert!(page.contains(case.says), "{}: {page}", case.name);
+        assert!(
+            !page.contains("<script") && !page.contains("<b>1</b>"),
+            "{}",
+            case.name
+        );
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -6,12 +6,15 @@
 
 mod document;
 mod fault;
+mod plan;
 mod process;
 mod text;
 
 pub use document::MAX_SETTINGS_BYTES;
 pub use fault::{FaultList, SettingFault, TextFault, TextFaultKind};
+pub use plan::{PlanChange, PlanRisk, TextPlan};
 pub use process::{
-    AgentSettings, BalancerSettings, CommonSettings, IngressKind, LimitSettings, read_settings,
+    AddressBlock, AgentSettings, BalancerSettings, CommonSettings, FieldName, IngressKind,
+    LimitSettings, read_settings,
 };
 pub use text::{MAX_TEXT_BYTES, OnceRoute, ServiceAddress, ServiceEntry, ServiceText};
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -6,6 +6,7 @@
 //! zone = lahore-a
 //! control = 127.0.0.1:7101      ; UDP frames and TCP streams of the system's own processes
 //! operations = 127.0.0.1:8101   ; health, status, metrics, phone page
+//! operators = 127.0.0.0/8       ; optional: who may have the phone page check a text
 //! threads = 2
 //!
 //! [platform]
@@ -34,7 +35,7 @@
 //! drain_ms = 30000
 //! ```
 
-use std::net::SocketAddrV4;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::PathBuf;
 use std::str::FromStr;
 use std::time::Duration;
@@ -65,6 +66,43 @@
     }
 }
 
+/// A block of IPv4 addresses, written `IP/BITS`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AddressBlock {
+    address: Ipv4Addr,
+    /// Invariant: at most 32.
+    bits: u32,
+}
+
+impl AddressBlock {
+    /// This machine's own addresses.
+    pub const LOOPBACK: Self = Self {
+        address: Ipv4Addr::LOCALHOST,
+        bits: 8,
+    };
+
+    /// Whether `address` is in the block.
+    #[must_use]
+    pub fn contains(&self, address: Ipv4Addr) -> bool {
+        let mask = u32::MAX.checked_shl(32 - self.bits).unwrap_or(0);
+        (self.address.to_bits() ^ address.to_bits()) & mask == 0
+    }
+}
+
+impl FromStr for AddressBlock {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        let (address, bits) = text.split_once('/').ok_or(())?;
+        let address = address.parse().map_err(|_| ())?;
+        let bits = bits.parse().map_err(|_| ())?;
+        if bits > 32 {
+            return Err(());
+        }
+        Ok(Self { address, bits })
+    }
+}
+
 /// What every process is told.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CommonSettings {
@@ -76,6 +114,8 @@
     pub control: AgentAddress,
     /// Where it serves health, status, metrics and the phone page.
     pub operations: SocketAddrV4,
+    /// Where the phone page may be asked to check a text from; `None` allows loopback only.
+    pub operators: Option<AddressBlock>,
     /// Worker threads. Invariant: at least 1.
     pub threads: usize,
     /// The platform's service.
@@ -162,14 +202,19 @@
     }])
 }
 
+/// A field of a settings file: its section and its name.
+pub type FieldName = (&'static str, &'static str);
+
 impl BalancerSettings {
-    /// Parses the text of a balancer's settings file.
-    ///
-    /// # Errors
-    ///
-    /// All faults at once.
-    pub fn parse(text: &str) -> Result<Self, FaultList<SettingFault>> {
-        let mut reader = FieldReader::new(text)?;
+    /// Every field that a balancer's settings may have, for the settings reference.
+    #[must_use]
+    pub fn fields() -> Vec<FieldName> {
+        let mut reader = FieldReader::empty();
+        Self::take(&mut reader);
+        reader.asked
+    }
+
+    fn take(reader: &mut FieldReader) -> Option<Self> {
         let common = reader.common();
         let ingress = reader.value(
             "balancer",
@@ -178,28 +223,38 @@
             Some("direct"),
         );
         let listen = reader.value("balancer", "listen", "an address IP:PORT", None);
-        reader.finish(&[
-            "process", "platform", "keys", "network", "limits", "balancer",
-        ])?;
-        match (common, ingress, listen) {
-            (Some(common), Some(ingress), Some(listen)) => Ok(Self {
-                common,
-                ingress,
-                listen,
-            }),
-            _ => Err(incomplete()),
-        }
+        Some(Self {
+            common: common?,
+            ingress: ingress?,
+            listen: listen?,
+        })
     }
-}
 
-impl AgentSettings {
-    /// Parses the text of an agent's settings file.
+    /// Parses the text of a balancer's settings file.
     ///
     /// # Errors
     ///
     /// All faults at once.
     pub fn parse(text: &str) -> Result<Self, FaultList<SettingFault>> {
         let mut reader = FieldReader::new(text)?;
+        let settings = Self::take(&mut reader);
+        reader.finish(&[
+            "process", "platform", "keys", "network", "limits", "balancer",
+        ])?;
+        settings.ok_or_else(incomplete)
+    }
+}
+
+impl AgentSettings {
+    /// Every field that an agent's settings may have, for the settings reference.
+    #[must_use]
+    pub fn fields() -> Vec<FieldName> {
+        let mut reader = FieldReader::empty();
+        Self::take(&mut reader);
+        reader.asked
+    }
+
+    fn take(reader: &mut FieldReader) -> Option<Self> {
         let common = reader.common();
         let service = reader.value("agent", "service", "the name of a service", None);
         let backend = reader.value("agent", "backend", "an address IP:PORT", None);
@@ -207,38 +262,28 @@
         let certificate = reader.value("agent", "certificate", "a path", None);
         let private_key = reader.value("agent", "private_key", "a path", None);
         let slots = reader.at_least_one("agent", "slots", None);
-        reader.finish(&["process", "platform", "keys", "network", "limits", "agent"])?;
-        let parts = (
-            common,
-            service,
-            backend,
-            gateway_listen,
-            certificate,
-            private_key,
-            slots,
-        );
-        let (
-            Some(common),
-            Some(service),
-            Some(backend),
-            Some(gateway_listen),
-            Some(certificate),
-            Some(private_key),
-            Some(slots),
-        ) = parts
-        else {
-            return Err(incomplete());
-        };
-        Ok(Self {
-            common,
-            service,
-            backend,
-            gateway_listen,
-            certificate,
-            private_key,
-            slots,
+        Some(Self {
+            common: common?,
+            service: service?,
+            backend: backend?,
+            gateway_listen: gateway_listen?,
+            certificate: certificate?,
+            private_key: private_key?,
+            slots: slots?,
         })
     }
+
+    /// Parses the text of an agent's settings file.
+    ///
+    /// # Errors
+    ///
+    /// All faults at once.
+    pub fn parse(text: &str) -> Result<Self, FaultList<SettingFault>> {
+        let mut reader = FieldReader::new(text)?;
+        let settings = Self::take(&mut reader);
+        reader.finish(&["process", "platform", "keys", "network", "limits", "agent"])?;
+        settings.ok_or_else(incomplete)
+    }
 }
 
 /// Cannot be reached while `FieldReader` records a fault for every field it does not return.
@@ -255,6 +300,19 @@
 }
 
 impl FieldReader {
+    /// A reader of nothing, which only learns what is asked for.
+    fn empty() -> Self {
+        let document = IniDocument {
+            sections: Vec::new(),
+            stray_lines: Vec::new(),
+        };
+        Self {
+            document,
+            faults: Vec::new(),
+            asked: Vec::new(),
+        }
+    }
+
     fn new(text: &str) -> Result<Self, FaultList<SettingFault>> {
         if text.len() > MAX_SETTINGS_BYTES {
             let reason = format!("{} bytes; {MAX_SETTINGS_BYTES} at most", text.len());
@@ -328,6 +386,19 @@
         value
     }
 
+    /// The line of a field's first appearance, or 0.
+    fn line(&self, section: &str, field: &str) -> usize {
+        let sections = self
+            .document
+            .sections
+            .iter()
+            .filter(|candidate| candidate.name == section);
+        let mut fields = sections.flat_map(|candidate| &candidate.fields);
+        fields
+            .find(|candidate| candidate.name == field)
+            .map_or(0, |found| found.line)
+    }
+
     fn optional<V: FromStr>(
         &mut self,
         section: &'static str,
@@ -350,7 +421,12 @@
     ) -> Option<V> {
         let value: V = self.value(section, field, "a whole number from 1", default)?;
         if value < V::from(1) {
-            self.fault(0, section, field, "must be at least 1".to_owned());
+            self.fault(
+                self.line(section, field),
+                section,
+                field,
+                "must be at least 1".to_owned(),
+            );
             return None;
         }
         Some(value)
@@ -364,7 +440,12 @@
     ) -> Option<Duration> {
         let millis: u64 = self.value(section, field, "milliseconds from 1", Some(default))?;
         if millis == 0 {
-            self.fault(0, section, field, "must be at least 1".to_owned());
+            self.fault(
+                self.line(section, field),
+                section,
+                field,
+                "must be at least 1".to_owned(),
+            );
             return None;
         }
         Some(Duration::from_millis(millis))
@@ -375,6 +456,7 @@
         let zone = self.value("process", "zone", "the name of a zone", None);
         let control = self.value("process", "control", "an address IP:PORT", None);
         let operations = self.value("process", "operations", "an address IP:PORT", None);
+        let operators = self.optional("process", "operators", "a block IP/BITS");
         let threads = self.threads();
         let platform = self.value("platform", "address", "an address IP:PORT", None);
         let platform_poll = self.millis("platform", "poll_ms", "1000");
@@ -386,6 +468,7 @@
             zone: zone?,
             control: AgentAddress(control?),
             operations: operations?,
+            operators,
             threads: threads?,
             platform: platform?,
             platform_poll: platform_poll?,
--- /dev/null
+++ b/crates/settings/tests/all/main.rs
@@ -0,0 +1,6 @@
+//! Tests of what people write.
+
+mod plan;
+mod process;
+mod reference;
+mod text;
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -8,7 +8,7 @@
 mod log;
 mod metrics;
 
-pub use log::{DecisionKind, new_logger};
+pub use log::{DecisionKind, discard, new_logger};
 pub use metrics::{MetricsError, MetricsRegistry};
 pub use opentelemetry::KeyValue;
 pub use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, UpDownCounter};
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -101,3 +101,8 @@
         u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
     })
 }
+
+/// A drain that writes nothing, for tests and tools without a log.
+pub fn discard() -> slog::Discard {
+    slog::Discard
+}
