--- /dev/null
+++ b/bins/agent/src/agent.rs
@@ -0,0 +1,65 @@
+//! What all tasks of the agent share.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use http::Method;
+use lovagelatch_domain::{AgentAddress, ServiceId};
+use lovagelatch_fleet::FleetClient;
+use lovagelatch_keys::FleetKeys;
+use lovagelatch_network::DatagramPath;
+use lovagelatch_placement::{PeerPlacement, RetryBudget};
+use lovagelatch_settings::AgentSettings;
+use lovagelatch_telemetry::Logger;
+use parking_lot::Mutex;
+
+use crate::backend::BackendLink;
+use crate::clock::ProcessClock;
+use crate::drain::DrainSwitch;
+use crate::gate::GateKeeper;
+use crate::metrics::AgentMetrics;
+use crate::once::OnceLedger;
+use crate::packet::EndpointSet;
+use crate::path::plain_path;
+use crate::relay::RelayPool;
+
+/// The agent's state.
+pub(crate) struct Agent {
+    pub(crate) settings: AgentSettings,
+    pub(crate) service: ServiceId,
+    pub(crate) keys: Arc<ArcSwap<FleetKeys>>,
+    pub(crate) clock: ProcessClock,
+    pub(crate) log: Logger,
+    pub(crate) metrics: AgentMetrics,
+    pub(crate) fleet: FleetClient,
+    pub(crate) datagrams: DatagramPath,
+    pub(crate) endpoints: EndpointSet,
+    pub(crate) gate: GateKeeper,
+    pub(crate) placement: Mutex<PeerPlacement>,
+    pub(crate) budget: Mutex<RetryBudget>,
+    pub(crate) backend: Arc<BackendLink>,
+    pub(crate) relays: Arc<RelayPool>,
+    pub(crate) once: OnceLedger,
+    pub(crate) drain: DrainSwitch,
+}
+
+impl Agent {
+    /// Where this agent listens for the system's other processes.
+    pub(crate) fn address(&self) -> AgentAddress {
+        self.settings.common.control
+    }
+
+    /// Whether a request must run at most once.
+    pub(crate) fn is_once_only(&self, method: &Method, path: &str) -> bool {
+        let view = self.fleet.view();
+        let entry = view.text().service(self.settings.service.as_str());
+        entry.is_some_and(|entry| entry.is_once_only(method.as_str(), &plain_path(path)))
+    }
+
+    /// Whether the service has routes whose requests must run at most once.
+    pub(crate) fn has_once_routes(&self) -> bool {
+        let view = self.fleet.view();
+        let entry = view.text().service(self.settings.service.as_str());
+        entry.is_some_and(|entry| !entry.once.is_empty())
+    }
+}
--- /dev/null
+++ b/bins/agent/src/dispatch.rs
@@ -0,0 +1,271 @@
+//! Running a request: at the own gate or at a peer's, and once more elsewhere when a gate has
+//! proved that it did not run.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use lovagelatch_domain::{AgentAddress, AttemptId, GateCondition, RefusalReason};
+use lovagelatch_placement::{
+    AttemptAllowance, ExchangeEnd as PeerEnd, GateRequest, PlacementChoice,
+};
+use lovagelatch_telemetry::{DecisionKind, info};
+use smallvec::SmallVec;
+use tokio::time::Instant;
+
+use crate::agent::Agent;
+use crate::backend::{BackendLink, ExchangeEnd};
+use crate::exchange::{Answer, AnswerBody, AttemptEnd, CallerRequest, Refusal};
+use crate::gate::{Admission, SlotEnd, SlotGuard};
+use crate::relay::{RelayEnd, RelayTerms, unreached};
+
+/// Gates that one request is offered to at most, as an expectation for its list of them.
+const MAX_GATES: usize = 4;
+
+/// When to come back to a backend server that cannot be reached.
+const UNREACHED_RETRY: Duration = Duration::from_secs(1);
+
+impl Agent {
+    /// Runs the request at the gate of least expected wait; tries another one only after a
+    /// proof that it did not run, while the retry budget and the deadline last.
+    pub(crate) async fn dispatch(
+        self: &Arc<Self>,
+        request: &CallerRequest,
+        attempt: AttemptId,
+    ) -> AttemptEnd {
+        self.budget.lock().note_request(self.clock.now());
+        let mut request = request.clone();
+        let mut tried: SmallVec<[AgentAddress; MAX_GATES]> = SmallVec::new();
+        loop {
+            let (gate, end) = match self.choose(&request, &tried) {
+                PlacementChoice::Own => (self.address(), self.run_own(&request, attempt).await),
+                PlacementChoice::Peer(peer) => {
+                    (peer, self.run_at_peer(peer, &request, attempt).await)
+                }
+                PlacementChoice::Refuse {
+                    reason,
+                    retry_after,
+                } => return AttemptEnd::NotRun(Refusal::new(reason, retry_after)),
+            };
+            let AttemptEnd::NotRun(refusal) = end else {
+                return end;
+            };
+            tried.push(gate);
+            info!(self.log, "gate refused"; "decision" => DecisionKind::RequestRefused,
+                "attempt" => attempt.to_string(), "gate" => gate.to_string(),
+                "reason" => format!("{:?}", refusal.reason));
+            match self.retry_allowance(&request) {
+                Some(allowance) => request.allowance = allowance,
+                None => return AttemptEnd::NotRun(refusal),
+            }
+        }
+    }
+
+    /// The allowance of one more attempt, if it may be made: time is left, the request has an
+    /// attempt left, and the agent's budget pays for it.
+    pub(crate) fn retry_allowance(&self, request: &CallerRequest) -> Option<AttemptAllowance> {
+        if request.is_late() {
+            return None;
+        }
+        let allowance = request.allowance.retry()?;
+        let paid = self.budget.lock().try_spend(self.clock.now());
+        paid.then_some(allowance)
+    }
+
+    fn choose(&self, request: &CallerRequest, tried: &[AgentAddress]) -> PlacementChoice {
+        let own = self.gate.report();
+        let peers = self.fleet.peer_reports();
+        let untried = !tried.contains(&self.address());
+        // A feed holds no slot, so the gate's load says nothing about it.
+        let feed_here = request.is_feed() && own.condition == GateCondition::Open;
+        if untried && (feed_here || peers.is_empty()) {
+            return PlacementChoice::Own;
+        }
+        let time_left = request.time_left();
+        let now = self.fleet.now();
+        self.placement
+            .lock()
+            .choose(&own, &peers, tried, time_left, now)
+    }
+
+    /// Runs the request through the own gate.
+    pub(crate) async fn run_own(
+        self: &Arc<Self>,
+        request: &CallerRequest,
+        attempt: AttemptId,
+    ) -> AttemptEnd {
+        if request.is_feed() {
+            return self.run_backend(request, attempt, None).await;
+        }
+        let gate_request = GateRequest {
+            attempt,
+            agency: request.agency.clone(),
+            arrived: self.clock.moment(request.arrived),
+            deadline: self.clock.moment(request.deadline),
+        };
+        match self.gate.admit(gate_request).await {
+            Admission::Slot(slot) => self.run_backend(request, attempt, Some(slot)).await,
+            Admission::Refused(refusal) => AttemptEnd::NotRun(refusal),
+            Admission::Duplicate => AttemptEnd::Unknown,
+        }
+    }
+
+    async fn run_backend(
+        self: &Arc<Self>,
+        request: &CallerRequest,
+        attempt: AttemptId,
+        slot: Option<SlotGuard>,
+    ) -> AttemptEnd {
+        let mut handed = HandedOver {
+            link: Arc::clone(&self.backend),
+            attempt,
+            slot,
+            open: true,
+        };
+        let kept = request.cancel_reserve();
+        let limit = request.deadline - kept;
+        let exchange = self.backend.exchange(request, attempt);
+        match tokio::time::timeout_at(limit, exchange).await {
+            Ok(ExchangeEnd::Answered(answer)) => AttemptEnd::Answered(handed.into_answer(answer)),
+            Ok(ExchangeEnd::NotHandedOver) => {
+                handed.close(SlotEnd::Lost);
+                let refusal = Refusal::new(RefusalReason::NoTarget, UNREACHED_RETRY);
+                AttemptEnd::NotRun(refusal)
+            }
+            Ok(ExchangeEnd::Shed(refusal)) => {
+                handed.close(SlotEnd::Shed);
+                AttemptEnd::NotRun(refusal)
+            }
+            Ok(ExchangeEnd::Lost(reason)) => {
+                self.metrics.answers_discarded.add(1, &[]);
+                info!(self.log, "answer lost"; "attempt" => attempt.to_string(),
+                    "reason" => format!("{reason:?}"));
+                self.give_up(handed, kept).await
+            }
+            Err(_) => self.give_up(handed, kept).await,
+        }
+    }
+
+    /// Asks the backend server to cancel; only its confirmation makes the attempt not run.
+    async fn give_up(&self, mut handed: HandedOver, limit: Duration) -> AttemptEnd {
+        let cancelling = self.backend.cancel(handed.attempt);
+        let cancelled = tokio::time::timeout(limit, cancelling).await;
+        handed.close(SlotEnd::Lost);
+        if cancelled == Ok(true) {
+            AttemptEnd::NotRun(Refusal::new(RefusalReason::TooLate, UNREACHED_RETRY))
+        } else {
+            AttemptEnd::Unknown
+        }
+    }
+
+    /// Relays the request to a peer's gate.
+    async fn run_at_peer(
+        self: &Arc<Self>,
+        peer: AgentAddress,
+        request: &CallerRequest,
+        attempt: AttemptId,
+    ) -> AttemptEnd {
+        info!(self.log, "request relayed"; "decision" => DecisionKind::RequestRelayed,
+            "attempt" => attempt.to_string(), "peer" => peer.to_string());
+        self.metrics.relays.add(1, &[]);
+        let sent = Instant::now();
+        let _noted = SentNote::new(self, peer);
+        let terms = self.relay_terms(attempt, None);
+        let end = self.relays.relay(peer, request, terms).await;
+        let reached = !matches!(end, RelayEnd::NotHandedOver);
+        self.fleet.record_exchange(peer, reached);
+        let end = match end {
+            RelayEnd::Ended(end) => end,
+            RelayEnd::NotHandedOver => {
+                self.observe(peer, PeerEnd::Lost);
+                return AttemptEnd::NotRun(unreached());
+            }
+        };
+        let seen = match &end {
+            AttemptEnd::Answered(_) => PeerEnd::Answered {
+                took: sent.elapsed(),
+                report: None,
+            },
+            AttemptEnd::NotRun(refusal) => PeerEnd::Refused {
+                reason: refusal.reason,
+                retry_after: refusal.retry_after,
+            },
+            AttemptEnd::Unknown => PeerEnd::Lost,
+        };
+        self.observe(peer, seen);
+        end
+    }
+
+    pub(crate) fn relay_terms(&self, attempt: AttemptId, ticket: Option<String>) -> RelayTerms {
+        RelayTerms {
+            attempt,
+            service: self.service,
+            revision: self.fleet.view().revision(),
+            holder: self.address(),
+            ticket,
+        }
+    }
+
+    fn observe(&self, peer: AgentAddress, end: PeerEnd) {
+        let now = self.fleet.now();
+        self.placement.lock().observed(peer, end, now);
+    }
+}
+
+/// A request that the backend server may have. Dropped while open, because its caller left, it
+/// is cancelled and its slot given back.
+struct HandedOver {
+    link: Arc<BackendLink>,
+    attempt: AttemptId,
+    slot: Option<SlotGuard>,
+    open: bool,
+}
+
+impl HandedOver {
+    /// Nothing of it remains at the backend server, as far as can be known.
+    fn close(&mut self, end: SlotEnd) {
+        self.open = false;
+        if let Some(slot) = self.slot.take() {
+            slot.finish(end);
+        }
+    }
+
+    /// From here on the answer's body holds the slot.
+    fn into_answer(mut self, mut answer: Answer) -> Answer {
+        self.open = false;
+        let slot = self.slot.take();
+        if let AnswerBody::Backend(body) = &mut answer.body {
+            body.hold_slot(slot);
+        }
+        answer
+    }
+}
+
+impl Drop for HandedOver {
+    fn drop(&mut self) {
+        if self.open {
+            self.link.cancel_later(self.attempt, self.slot.take());
+        }
+    }
+}
+
+/// Counts a request as sent to a peer for as long as it is under way there, so that a burst
+/// between two heartbeats does not all go to the peer that looked free.
+struct SentNote<'a> {
+    agent: &'a Agent,
+    peer: AgentAddress,
+}
+
+impl<'a> SentNote<'a> {
+    fn new(agent: &'a Agent, peer: AgentAddress) -> Self {
+        let now = agent.fleet.now();
+        agent.placement.lock().sent(peer, now);
+        Self { agent, peer }
+    }
+}
+
+impl Drop for SentNote<'_> {
+    fn drop(&mut self) {
+        let now = self.agent.fleet.now();
+        self.agent.placement.lock().ended(self.peer, now);
+    }
+}
--- /dev/null
+++ b/bins/agent/src/flow.rs
@@ -0,0 +1,99 @@
+//! Flows: QUIC connections of callers, each carrying HTTP/3 requests.
+
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use h3::server::RequestResolver;
+use lovagelatch_telemetry::{DecisionKind, info};
+use quinn::{Connection, Endpoint, Incoming};
+use thiserror::Error;
+
+use crate::agent::Agent;
+use crate::drain::wait_true;
+use crate::request::serve_request;
+
+/// Largest header section of a request, in bytes.
+const MAX_HEADER_BYTES: u64 = 32 * 1024;
+
+/// What a GOAWAY leaves room for: requests that were on their way when it was sent are still
+/// served, here or by a peer.
+const GOAWAY_GRACE: usize = 1 << 20;
+
+/// Why a flow ended other than by its caller's wish.
+#[derive(Debug, Error)]
+enum FlowError {
+    #[error("handshake: {0}")]
+    Handshake(#[from] quinn::ConnectionError),
+    #[error("HTTP/3: {0}")]
+    Http(#[from] h3::error::ConnectionError),
+}
+
+type FlowResolver = RequestResolver<h3_quinn::Connection, Bytes>;
+
+/// Accepts the flows of one service address until its endpoint closes.
+pub(crate) async fn accept_flows(agent: Arc<Agent>, address: SocketAddrV4, endpoint: Endpoint) {
+    while let Some(incoming) = endpoint.accept().await {
+        tokio::spawn(run_flow(Arc::clone(&agent), address, incoming));
+    }
+}
+
+async fn run_flow(agent: Arc<Agent>, address: SocketAddrV4, incoming: Incoming) {
+    let caller = incoming.remote_address();
+    if let Err(error) = serve_flow(&agent, address, incoming).await {
+        info!(agent.log, "flow ended"; "caller" => caller.to_string(),
+            "error" => error.to_string());
+    }
+}
+
+async fn serve_flow(
+    agent: &Arc<Agent>,
+    address: SocketAddrV4,
+    incoming: Incoming,
+) -> Result<(), FlowError> {
+    let connection = incoming.await?;
+    agent.metrics.flows_accepted.add(1, &[]);
+    info!(agent.log, "flow accepted"; "decision" => DecisionKind::FlowAccepted,
+        "caller" => connection.remote_address().to_string(), "address" => address.to_string());
+    let mut http = h3::server::builder()
+        .max_field_section_size(MAX_HEADER_BYTES)
+        .build(h3_quinn::Connection::new(connection.clone()))
+        .await?;
+    let mut leaving = agent.drain.watch_leaving();
+    let mut told = false;
+    loop {
+        let accepted = tokio::select! {
+            accepted = http.accept() => accepted,
+            () = wait_true(&mut leaving), if !told => {
+                told = true;
+                http.shutdown(GOAWAY_GRACE).await?;
+                continue;
+            }
+        };
+        match accepted {
+            Ok(Some(resolver)) => start_request(agent, address, &connection, resolver),
+            Ok(None) => return Ok(()),
+            Err(error) if error.is_h3_no_error() => return Ok(()),
+            Err(error) => return Err(error.into()),
+        }
+    }
+}
+
+fn start_request(
+    agent: &Arc<Agent>,
+    address: SocketAddrV4,
+    connection: &Connection,
+    resolver: FlowResolver,
+) {
+    let agent = Arc::clone(agent);
+    let connection = connection.clone();
+    tokio::spawn(async move {
+        let _running = agent.drain.enter();
+        // A caller that closes its flow, or whose flow times out, waits for nothing any more;
+        // dropping the request withdraws or cancels it wherever it is.
+        tokio::select! {
+            () = serve_request(&agent, address, resolver) => {}
+            _ = connection.closed() => {}
+        }
+    });
+}
--- /dev/null
+++ b/bins/agent/src/gateway/handler.rs
@@ -0,0 +1,193 @@
+//! The HTTP server of the gateway.
+
+use std::net::SocketAddrV4;
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue};
+use lovagelatch_domain::ServiceName;
+use rocket::data::ToByteUnit;
+use rocket::fairing::AdHoc;
+use rocket::figment::Figment;
+use rocket::http::{Method, Status};
+use rocket::response::stream::stream;
+use rocket::route::{Handler, Outcome};
+use rocket::{Data, Request, Response, Route};
+use thiserror::Error;
+use tokio::time::Instant;
+use tokio_util::io::StreamReader;
+
+use crate::agent::Agent;
+use crate::exchange::{Answer, AnswerBody, AttemptEnd, CallerRequest};
+use crate::gateway::call::DependencyCall;
+use crate::headers;
+use crate::reply::ReplyTerms;
+
+const METHODS: [Method; 7] = [
+    Method::Get,
+    Method::Head,
+    Method::Post,
+    Method::Put,
+    Method::Patch,
+    Method::Delete,
+    Method::Options,
+];
+
+/// The longest answer whose length was not announced, in bytes.
+const MAX_UNSIZED_BYTES: usize = 8 * 1024 * 1024;
+
+/// Why the gateway stopped.
+#[derive(Debug, Error)]
+#[error("gateway for dependencies: {0}")]
+pub(crate) struct GatewayError(#[from] Box<rocket::Error>);
+
+#[derive(Clone)]
+struct GatewayHandler {
+    agent: Arc<Agent>,
+}
+
+/// Serves the gateway until the runtime ends; `address` is set once it listens.
+pub(crate) async fn serve_gateway(
+    agent: Arc<Agent>,
+    address: Arc<OnceLock<SocketAddrV4>>,
+) -> Result<(), GatewayError> {
+    let listen = agent.settings.gateway_listen;
+    let settings = Figment::from(rocket::Config::release_default())
+        .merge(("address", listen.ip().to_string()))
+        .merge(("port", listen.port()))
+        .merge(("log_level", "off"))
+        .merge(("shutdown.ctrlc", false))
+        .merge(("shutdown.signals", Vec::<String>::new()));
+    let note = AdHoc::on_liftoff("address", move |rocket| {
+        let port = rocket.config().port;
+        let _ = address.set(SocketAddrV4::new(*listen.ip(), port));
+        Box::pin(async {})
+    });
+    let handler = GatewayHandler { agent };
+    let routes = METHODS.map(|method| Route::new(method, "/<path..>", handler.clone()));
+    let server = rocket::custom(settings).mount("/", routes).attach(note);
+    server.launch().await.map_err(Box::new)?;
+    Ok(())
+}
+
+#[rocket::async_trait]
+impl Handler for GatewayHandler {
+    async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
+        let limit = self.agent.settings.common.limits.body_bytes;
+        let body = data.open(limit.bytes()).into_bytes().await;
+        let body = match body {
+            Ok(body) if body.is_complete() => Bytes::from(body.into_inner()),
+            _ => return Outcome::Error(Status::PayloadTooLarge),
+        };
+        let Some(call) = to_call(&self.agent, request, body) else {
+            return Outcome::Error(Status::NotFound);
+        };
+        let request = call.request.clone();
+        let end = self.agent.call(call).await;
+        Outcome::Success(to_response(&self.agent, &request, end).await)
+    }
+}
+
+/// The first segment of the path names the service.
+fn to_call(agent: &Agent, request: &Request<'_>, body: Bytes) -> Option<DependencyCall> {
+    let uri = request.uri().to_string();
+    let (service, path) = uri.strip_prefix('/')?.split_once('/')?;
+    let service: ServiceName = service.parse().ok()?;
+    let mut fields = HeaderMap::new();
+    for field in request.headers().iter() {
+        let name = HeaderName::from_bytes(field.name().as_str().as_bytes());
+        let value = HeaderValue::from_str(field.value());
+        if let (Ok(name), Ok(value)) = (name, value) {
+            fields.append(name, value);
+        }
+    }
+    let arrived = Instant::now();
+    let asked = headers::number_of(&fields, &headers::DEADLINE_MS).map(Duration::from_millis);
+    let time = asked.unwrap_or(agent.settings.common.limits.request_deadline);
+    let attempts = fields.get(headers::ATTEMPTS_LEFT);
+    let allowance = headers::allowance_of(attempts.map(HeaderValue::as_bytes));
+    let mut passed = headers::end_to_end(&fields);
+    passed.remove(http::header::HOST);
+    passed.remove(http::header::CONTENT_LENGTH);
+    let request = CallerRequest {
+        method: request.method().as_str().parse().ok()?,
+        path: format!("/{path}"),
+        headers: passed,
+        body,
+        agency: None,
+        allowance,
+        arrived,
+        deadline: arrived + time,
+    };
+    Some(DependencyCall { service, request })
+}
+
+async fn to_response<'r>(agent: &Agent, request: &CallerRequest, end: AttemptEnd) -> Response<'r> {
+    let terms = ReplyTerms {
+        agent: agent.settings.common.name.clone(),
+        ticket: None,
+    };
+    let lost = || head_only(&terms.unknown(request.is_late()));
+    match end {
+        AttemptEnd::Answered(answer) if may_stream(&answer, request) => {
+            let head = terms.done(&answer);
+            stream_body(&head, answer.body)
+        }
+        AttemptEnd::Answered(mut answer) => match answer.body.collect(MAX_UNSIZED_BYTES).await {
+            Ok(body) => whole_body(&terms.done(&answer), body),
+            Err(_) => lost(),
+        },
+        AttemptEnd::NotRun(refusal) => head_only(&terms.not_run(refusal)),
+        AttemptEnd::Unknown => lost(),
+    }
+}
+
+/// Whether the backend server would see that a streamed answer is cut.
+///
+/// The server library ends a body that breaks off as if it were whole, unless its length was
+/// announced; then the connection breaks instead. An answer of unknown length is therefore read
+/// whole first. A feed has no end that could be taken for one.
+fn may_stream(answer: &Answer, request: &CallerRequest) -> bool {
+    let sized = answer.headers.contains_key(http::header::CONTENT_LENGTH);
+    sized || request.is_feed()
+}
+
+fn start_response<'r>(head: &http::Response<()>) -> rocket::response::Builder<'r> {
+    let mut response = Response::build();
+    response.status(Status::new(head.status().as_u16()));
+    for (name, value) in head.headers() {
+        if let Ok(value) = value.to_str() {
+            response.raw_header_adjoin(name.as_str().to_owned(), value.to_owned());
+        }
+    }
+    response
+}
+
+fn head_only<'r>(head: &http::Response<()>) -> Response<'r> {
+    start_response(head).finalize()
+}
+
+fn whole_body<'r>(head: &http::Response<()>, body: Vec<u8>) -> Response<'r> {
+    let mut response = start_response(head);
+    response.sized_body(body.len(), std::io::Cursor::new(body));
+    response.finalize()
+}
+
+fn stream_body<'r>(head: &http::Response<()>, mut body: AnswerBody) -> Response<'r> {
+    let pieces = stream! {
+        loop {
+            match body.next().await {
+                Ok(Some(piece)) => yield Ok(piece),
+                Ok(None) => break,
+                Err(cut) => {
+                    yield Err(std::io::Error::new(std::io::ErrorKind::UnexpectedEof, cut));
+                    break;
+                }
+            }
+        }
+    };
+    let mut response = start_response(head);
+    response.streamed_body(StreamReader::new(Box::pin(pieces)));
+    response.finalize()
+}
--- /dev/null
+++ b/bins/agent/src/packet/ingress.rs
@@ -0,0 +1,171 @@
+//! Reads the control socket and gives each datagram to whom it is for.
+
+use std::io;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use lovagelatch_domain::AgentAddress;
+use lovagelatch_network::PacketEnds;
+use lovagelatch_routing::{ArrivalDecision, PacketView};
+use lovagelatch_telemetry::{DecisionKind, info, warn};
+use lovagelatch_wire::{ForwardHeader, FrameKind, open_forward, seal_forward};
+use quinn::Endpoint;
+use tokio::net::UdpSocket;
+
+use crate::agent::Agent;
+use crate::flow::accept_flows;
+use crate::packet::arrival::ArrivalDesk;
+use crate::packet::endpoint::PushResult;
+use crate::rate::LogLimiter;
+
+/// Room for the largest UDP datagram.
+const BUFFER_BYTES: usize = 65_536;
+
+/// Datagrams read in a row before other tasks get a turn.
+const BATCH_DATAGRAMS: usize = 64;
+
+/// Where a frame names its kind.
+const KIND_OFFSET: usize = 1;
+
+/// Refused frames that are logged, per second; all are counted.
+const REFUSALS_LOGGED: u32 = 10;
+
+/// The reader of the control socket.
+pub(crate) struct PacketIngress {
+    agent: Arc<Agent>,
+    socket: Arc<UdpSocket>,
+    refusals: LogLimiter,
+    desk: ArrivalDesk,
+}
+
+impl PacketIngress {
+    pub(crate) fn new(agent: Arc<Agent>, socket: Arc<UdpSocket>) -> Self {
+        Self {
+            agent,
+            socket,
+            refusals: LogLimiter::new(REFUSALS_LOGGED),
+            desk: ArrivalDesk::new(),
+        }
+    }
+
+    /// Reads until the task is ended.
+    pub(crate) async fn run(mut self) {
+        let mut buffer = vec![0; BUFFER_BYTES];
+        loop {
+            if self.socket.readable().await.is_err() {
+                tokio::task::yield_now().await;
+                continue;
+            }
+            self.read_batch(&mut buffer);
+            tokio::task::yield_now().await;
+        }
+    }
+
+    fn read_batch(&mut self, buffer: &mut [u8]) {
+        for _ in 0..BATCH_DATAGRAMS {
+            match self.socket.try_recv_from(buffer) {
+                Ok((length, _)) => self.accept(&buffer[..length]),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                // An answer that could not be delivered comes back here; the socket is well.
+                Err(_) => {}
+            }
+        }
+    }
+
+    fn accept(&mut self, datagram: &[u8]) {
+        let kind = datagram.get(KIND_OFFSET).copied();
+        if kind == Some(FrameKind::Membership as u8) {
+            self.agent.fleet.accept_datagram(datagram);
+            return;
+        }
+        let keys = self.agent.keys.load();
+        match open_forward(datagram, &keys) {
+            Ok((header, packet)) => self.accept_packet(&header, packet),
+            Err(error) => {
+                self.agent.metrics.frames_refused.add(1, &[]);
+                if self.refusals.allows(self.agent.clock.now()) {
+                    warn!(self.agent.log, "frame refused";
+                        "decision" => DecisionKind::FlowRefused, "error" => error.to_string());
+                }
+            }
+        }
+    }
+
+    /// Gives the caller's packet to QUIC, or to the agent that holds or shall open its flow.
+    fn accept_packet(&mut self, header: &ForwardHeader, packet: &[u8]) {
+        if !self.agent.drain.is_open() {
+            self.agent.metrics.packets_dropped.add(1, &[]);
+            return;
+        }
+        let keys = self.agent.keys.load();
+        let view = match PacketView::read(packet, header.service_address, &keys) {
+            Ok(view) => view,
+            Err(error) => {
+                self.agent.metrics.packets_dropped.add(1, &[]);
+                return self.log_refusal(header, &error.to_string());
+            }
+        };
+        let opens = view.token.is_none();
+        match self.desk.decide(&self.agent, header, view) {
+            // For a flow that QUIC does not know it sends a stateless reset by itself.
+            ArrivalDecision::Accept | ArrivalDecision::Reset => self.push(header, packet),
+            ArrivalDecision::HandOn { agent } => {
+                if opens {
+                    self.agent.metrics.flows_handed_on.add(1, &[]);
+                    info!(self.agent.log, "flow handed on";
+                        "decision" => DecisionKind::FlowHandedOn, "peer" => agent.to_string());
+                }
+                self.pass_on(header, packet, agent);
+            }
+            ArrivalDecision::Refuse { reason } => {
+                self.agent.metrics.wrong_service.add(1, &[]);
+                self.log_refusal(header, &reason.to_string());
+            }
+        }
+    }
+
+    fn push(&mut self, header: &ForwardHeader, packet: &[u8]) {
+        let address = header.service_address;
+        match self.agent.endpoints.push(address, header.caller, packet) {
+            Ok(PushResult::Taken) => {}
+            Ok(PushResult::Opened(endpoint)) => self.serve(address, endpoint),
+            Ok(PushResult::Overflow) => self.agent.metrics.packets_dropped.add(1, &[]),
+            Err(error) => {
+                self.agent.metrics.packets_dropped.add(1, &[]);
+                self.log_refusal(header, &error.to_string());
+            }
+        }
+    }
+
+    /// Logs a refused packet, up to a rate: a packet of another service must never reach this
+    /// backend server, and an operator must see which balancer's view is behind it.
+    fn log_refusal(&mut self, header: &ForwardHeader, reason: &str) {
+        if self.refusals.allows(self.agent.clock.now()) {
+            warn!(self.agent.log, "packet refused";
+                "decision" => DecisionKind::FlowRefused, "reason" => reason,
+                "service" => header.service.0, "own_service" => self.agent.service.0,
+                "address" => header.service_address.to_string(), "revision" => header.revision.0);
+        }
+    }
+
+    fn pass_on(&self, header: &ForwardHeader, packet: &[u8], holder: AgentAddress) {
+        self.agent.metrics.packets_passed_on.add(1, &[]);
+        let header = ForwardHeader {
+            hops: header.hops + 1,
+            ..*header
+        };
+        let mut frame = Vec::with_capacity(packet.len() + 96);
+        seal_forward(&header, packet, &self.agent.keys.load(), &mut frame);
+        let ends = PacketEnds {
+            source: self.agent.address().0,
+            destination: holder.0,
+        };
+        // A lost datagram is repaired by QUIC.
+        let _ = self.agent.datagrams.send(&self.socket, &ends, &frame);
+    }
+
+    fn serve(&self, address: SocketAddrV4, endpoint: Endpoint) {
+        info!(self.agent.log, "service address opened"; "address" => address.to_string());
+        tokio::spawn(accept_flows(Arc::clone(&self.agent), address, endpoint));
+    }
+}
--- /dev/null
+++ b/bins/agent/src/packet/mod.rs
@@ -0,0 +1,22 @@
+//! The packet side: forwarded datagrams in, answers out, QUIC in between.
+//!
+//! ```text
+//! balancer --UDP frame--> control socket --> PacketIngress --> FlowEndpoint (one per address)
+//!                                                                |  ServiceSocket queue
+//!                                                                v
+//! caller <------- direct server return, source = service address -- quinn
+//! ```
+
+mod arrival;
+mod connection_id;
+mod endpoint;
+mod ingress;
+mod opening;
+mod socket;
+mod tls;
+
+pub(crate) use connection_id::TokenIssuer;
+pub(crate) use endpoint::{EndpointSet, EndpointSetup};
+pub(crate) use ingress::PacketIngress;
+pub use tls::TlsError;
+pub(crate) use tls::{TlsFiles, load_server_crypto};
--- /dev/null
+++ b/bins/agent/src/relay/server.rs
@@ -0,0 +1,163 @@
+//! Requests that peers relay to this agent's gate, or to its ledger.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::Method;
+use lovagelatch_domain::{AttemptId, RefusalReason};
+use lovagelatch_keys::FleetKeys;
+use lovagelatch_telemetry::{DecisionKind, info};
+use lovagelatch_wire::{FrameKind, RelayHead, RelayMessage, RelayRequest, open_message};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use crate::agent::Agent;
+use crate::exchange::{Answer, AttemptEnd, CallerRequest, Refusal};
+use crate::headers;
+use crate::once::TICKET_PATH;
+use crate::path::plain_path;
+use crate::relay::stream::{RelayStream, StreamError};
+
+/// Serves a stream whose first frame is of kind `Relay`, one request after the other.
+pub(crate) async fn serve_relay(agent: Arc<Agent>, stream: TcpStream, first: Vec<u8>) {
+    let keys: Arc<FleetKeys> = agent.keys.load_full();
+    let Ok(mut message) = open_message::<RelayMessage>(FrameKind::Relay, &first, &keys) else {
+        agent.metrics.frames_refused.add(1, &[]);
+        return;
+    };
+    let mut stream = RelayStream::new(stream, Arc::clone(&agent.keys));
+    loop {
+        let RelayMessage::Request(head) = message else {
+            return;
+        };
+        let _running = agent.drain.enter();
+        if serve_request(&agent, &mut stream, head).await.is_err() {
+            return;
+        }
+        drop(_running);
+        match stream.receive().await {
+            Ok(next) => message = next,
+            Err(_) => return,
+        }
+    }
+}
+
+async fn serve_request(
+    agent: &Arc<Agent>,
+    stream: &mut RelayStream,
+    head: RelayRequest,
+) -> Result<(), StreamError> {
+    let attempt = head.attempt;
+    let arrived = Instant::now();
+    if head.service != agent.service {
+        let refusal = Refusal::new(RefusalReason::WrongService, std::time::Duration::ZERO);
+        send_end(stream, attempt, AttemptEnd::NotRun(refusal)).await?;
+        // The rest of the request is on its way; a fresh stream starts clean.
+        return Err(StreamError::Ended);
+    }
+    stream.send(&RelayMessage::Ready(attempt)).await?;
+    let body = receive_body(stream, agent.settings.common.limits.body_bytes).await?;
+    info!(agent.log, "request from a peer"; "decision" => DecisionKind::RequestPlaced,
+        "attempt" => attempt.to_string(), "holder" => head.holder.to_string(),
+        "home" => head.ticket.is_some());
+    let ticket = head.ticket.clone();
+    let request = to_request(head, body, arrived);
+    let running = run(agent, request, attempt, ticket);
+    tokio::pin!(running);
+    // A peer that gives up says so, or closes the stream; dropping the run then withdraws or
+    // cancels it.
+    let end = tokio::select! {
+        end = &mut running => end,
+        given_up = stream.receive() => return given_up.and(Err(StreamError::Ended)),
+    };
+    send_end(stream, attempt, end).await
+}
+
+async fn run(
+    agent: &Arc<Agent>,
+    request: CallerRequest,
+    attempt: AttemptId,
+    ticket: Option<String>,
+) -> AttemptEnd {
+    if plain_path(&request.path) == TICKET_PATH {
+        return agent.answer_ticket();
+    }
+    match ticket {
+        Some(ticket) => agent.file_at_home(&ticket, request, attempt).await,
+        None => agent.run_own(&request, attempt).await,
+    }
+}
+
+async fn receive_body(stream: &mut RelayStream, limit: usize) -> Result<Bytes, StreamError> {
+    let mut body = Vec::new();
+    loop {
+        match stream.receive().await? {
+            RelayMessage::Body(piece) if body.len() + piece.len() <= limit => {
+                body.extend_from_slice(&piece);
+            }
+            RelayMessage::BodyEnd => return Ok(Bytes::from(body)),
+            _ => return Err(StreamError::Ended),
+        }
+    }
+}
+
+fn to_request(head: RelayRequest, body: Bytes, arrived: Instant) -> CallerRequest {
+    let attempts = head
+        .headers
+        .iter()
+        .find(|field| headers::ATTEMPTS_LEFT == field.name.as_str());
+    CallerRequest {
+        allowance: headers::allowance_of(attempts.map(|field| field.value.as_slice())),
+        method: Method::from_bytes(head.method.as_bytes()).unwrap_or_default(),
+        path: head.path,
+        headers: headers::from_wire(&head.headers),
+        body,
+        agency: head.agency,
+        arrived,
+        deadline: arrived + head.time_left,
+    }
+}
+
+async fn send_end(
+    stream: &mut RelayStream,
+    attempt: AttemptId,
+    end: AttemptEnd,
+) -> Result<(), StreamError> {
+    match end {
+        AttemptEnd::Answered(answer) => send_answer(stream, attempt, answer).await,
+        AttemptEnd::Unknown => stream.send(&RelayMessage::Lost(attempt)).await,
+        AttemptEnd::NotRun(refusal) => {
+            let message = RelayMessage::Refused {
+                attempt,
+                reason: refusal.reason,
+                retry_after: refusal.retry_after,
+            };
+            stream.send(&message).await
+        }
+    }
+}
+
+async fn send_answer(
+    stream: &mut RelayStream,
+    attempt: AttemptId,
+    mut answer: Answer,
+) -> Result<(), StreamError> {
+    let head = RelayHead {
+        attempt,
+        status: answer.status.as_u16(),
+        headers: headers::to_wire(&answer.headers),
+    };
+    stream.send(&RelayMessage::Head(head)).await?;
+    loop {
+        let piece = tokio::select! {
+            piece = answer.body.next() => piece,
+            given_up = stream.receive() => return given_up.and(Err(StreamError::Ended)),
+        };
+        match piece {
+            Ok(Some(piece)) => stream.send_pieces(&piece, RelayMessage::Chunk).await?,
+            Ok(None) => return stream.send(&RelayMessage::End(attempt)).await,
+            // Closing the stream without `End` is what tells the peer of the cut.
+            Err(_) => return Err(StreamError::Ended),
+        }
+    }
+}
--- /dev/null
+++ b/bins/agent/tests/all/peers.rs
@@ -0,0 +1,111 @@
+//! Work that goes to a peer's gate.
+
+use std::time::Duration;
+
+use crate::rig::{RigOptions, TestRig, eventually};
+
+/// Waits until the first agent has heard of its peer.
+async fn acquainted(rig: &TestRig) {
+    eventually("the agents know each other", || {
+        rig.pairs.iter().all(|pair| pair.agent.peer_count() == 1)
+    })
+    .await;
+}
+
+// Symptom: a request is refused although a peer could run it. Sequence: the own backend server
+// sheds before the start, with proof. Cause: the proof is not used.
+#[tokio::test]
+async fn a_shed_request_is_tried_at_a_peer() {
+    let rig = TestRig::with_agents(2, RigOptions::default()).await;
+    acquainted(&rig).await;
+    let caller = rig.caller().await;
+    // The retry budget is a share of recent requests.
+    for _ in 0..20 {
+        assert_eq!(caller.get("/status/1").await.outcome(), "done");
+    }
+    rig.pairs[0].backend.record.lock().sheds = true;
+    let reply = caller.get("/status/5").await;
+    assert_eq!(reply.outcome(), "done");
+    assert_eq!(reply.header("lovagelatch-agent"), "agent-0");
+    assert_eq!(rig.pairs[1].backend.started("/status/5"), 1);
+    assert_eq!(rig.pairs[0].backend.started("/status/5"), 0);
+}
+
+// Symptom: requests on old flows fail, or run at the leaving server. Sequence: a backend server
+// drains while flows to its agent are open. Cause: the flow's agent knows only its own gate.
+#[tokio::test]
+async fn requests_on_old_flows_of_a_draining_server_run_at_a_peer() {
+    let rig = TestRig::with_agents(2, RigOptions::default()).await;
+    acquainted(&rig).await;
+    let caller = rig.caller().await;
+    assert_eq!(caller.get("/status/1").await.outcome(), "done");
+    let mut begun = Vec::new();
+    for _ in 0..5 {
+        let stream = caller.open("POST", "/status/2", &[]).await;
+        begun.push(stream.expect("a stream"));
+    }
+    rig.pairs[0].backend.record.lock().health = Some("draining");
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    for mut stream in begun {
+        stream.finish().await.expect("sent");
+        let head = stream.recv_response().await.expect("an answer");
+        assert_eq!(head.headers()["lovagelatch-outcome"], "done");
+    }
+    assert_eq!(rig.pairs[0].backend.started("/status/2"), 0);
+    assert_eq!(rig.pairs[1].backend.started("/status/2"), 5);
+}
+
+// Symptom: a retried filing runs twice after a planned stop. Sequence: a filing ran, its home
+// stops and hands its ledger over, the caller asks again. Cause: the successor knows nothing.
+#[tokio::test]
+async fn a_stopped_homes_filing_is_replayed_by_its_successor() {
+    let options = RigOptions {
+        limits: "drain_ms = 4000",
+        ..RigOptions::default()
+    };
+    let mut rig = TestRig::with_agents(2, options).await;
+    acquainted(&rig).await;
+    let caller = rig.caller().await;
+    let reply = caller.get("/.well-known/lovagelatch/ticket").await;
+    let key = reply.header("lovagelatch-ticket").to_owned();
+    let fields = [("idempotency-key", key.as_str())];
+    let first = caller.send("POST", "/claims", &fields, b"{}").await;
+    let first = first.expect("an answer");
+    assert_eq!(first.status, 201);
+    rig.pairs[0].agent.stop().await;
+    rig.gateway.forward_to(rig.pairs[1].address);
+    rig.kill(0);
+    let elsewhere = rig.caller().await;
+    let again = elsewhere.send("POST", "/claims", &fields, b"{}").await;
+    let again = again.expect("an answer");
+    assert_eq!(again.status, 201);
+    assert_eq!(again.body, first.body);
+    assert_eq!(rig.pairs[0].backend.started("/claims"), 0);
+}
+
+// Symptom: requests end unknown, or hang until their deadlines, while a zone is cut off.
+// Sequence: a peer that looks free is cut off; the gateway still takes streams to it. Cause: a
+// stream that opened is taken for a peer that has the request.
+#[tokio::test]
+async fn a_peer_that_is_cut_off_costs_a_request_a_moment_only() {
+    let options = RigOptions {
+        slots: 1,
+        ..RigOptions::default()
+    };
+    let rig = TestRig::with_agents(2, options).await;
+    acquainted(&rig).await;
+    let caller = rig.caller().await;
+    for _ in 0..20 {
+        assert_eq!(caller.get("/status/1").await.outcome(), "done");
+    }
+    rig.gateway.cut_streams(true);
+    let holds = caller.start("GET", "/late", &[], b"").await;
+    let backend = &rig.pairs[0].backend;
+    eventually("the slot is held", || backend.started("/late") == 1).await;
+    let start = std::time::Instant::now();
+    let reply = caller.get("/status/2").await;
+    assert_eq!(reply.outcome(), "done");
+    assert!(start.elapsed() < Duration::from_secs(2));
+    assert_eq!(rig.pairs[1].backend.started("/status/2"), 0);
+    drop(holds);
+}
--- /dev/null
+++ b/bins/agent/tests/all/rig/caller.rs
@@ -0,0 +1,168 @@
+//! A caller: an ordinary HTTP/3 client.
+
+use std::net::{SocketAddr, SocketAddrV4};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Buf, Bytes};
+use h3::client::SendRequest;
+use http::{HeaderMap, Request, StatusCode};
+use quinn::crypto::rustls::QuicClientConfig;
+use quinn::{ClientConfig, Connection, Endpoint, TransportConfig};
+use rustls_pki_types::CertificateDer;
+
+use super::{SERVICE, local};
+
+/// Longest a test waits for an answer.
+const WAIT: Duration = Duration::from_secs(10);
+
+type ClientStream = h3::client::RequestStream<h3_quinn::BidiStream<Bytes>, Bytes>;
+
+/// A flow.
+pub(crate) struct TestCaller {
+    pub(crate) connection: Connection,
+    sender: SendRequest<h3_quinn::OpenStreams, Bytes>,
+    _endpoint: Endpoint,
+}
+
+/// An answer.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    /// `None` when the stream was reset before its end.
+    pub(crate) body: Option<Vec<u8>>,
+}
+
+impl Reply {
+    pub(crate) fn header(&self, name: &str) -> &str {
+        let value = self.headers.get(name);
+        value.and_then(|value| value.to_str().ok()).unwrap_or("")
+    }
+
+    pub(crate) fn outcome(&self) -> &str {
+        self.header("lovagelatch-outcome")
+    }
+}
+
+impl TestCaller {
+    pub(crate) async fn connect(address: SocketAddrV4, certificate: &[u8]) -> Self {
+        let connection = Self::try_connect(address, certificate).await;
+        let (endpoint, connection) = connection.expect("the flow opens");
+        let made = h3::client::new(h3_quinn::Connection::new(connection.clone())).await;
+        let (mut driver, sender) = made.expect("HTTP/3");
+        tokio::spawn(async move {
+            std::future::poll_fn(|context| driver.poll_close(context)).await;
+        });
+        Self {
+            connection,
+            sender,
+            _endpoint: endpoint,
+        }
+    }
+
+    /// Opens only the QUIC connection.
+    pub(crate) async fn try_connect(
+        address: SocketAddrV4,
+        certificate: &[u8],
+    ) -> Result<(Endpoint, Connection), quinn::ConnectionError> {
+        let endpoint = Endpoint::client(SocketAddr::V4(local(0))).expect("a socket");
+        let config = client_config(certificate);
+        let name = format!("{SERVICE}.test");
+        let connecting = endpoint.connect_with(config, SocketAddr::V4(address), &name);
+        let connection = connecting.expect("a legal address").await?;
+        Ok((endpoint, connection))
+    }
+
+    pub(crate) async fn get(&self, path: &str) -> Reply {
+        self.send("GET", path, &[], b"").await.expect("an answer")
+    }
+
+    /// Sends a request and waits for its whole answer; `None` when the stream or the flow
+    /// ended before the head of the answer.
+    pub(crate) async fn send(
+        &self,
+        method: &str,
+        path: &str,
+        fields: &[(&str, &str)],
+        body: &[u8],
+    ) -> Option<Reply> {
+        let exchange = async {
+            let mut stream = self.start(method, path, fields, body).await?;
+            let head = stream.recv_response().await.ok()?;
+            let body = receive_body(&mut stream).await;
+            Some(Reply {
+                status: head.status(),
+                headers: head.headers().clone(),
+                body,
+            })
+        };
+        let answer = tokio::time::timeout(WAIT, exchange).await;
+        answer.expect("an answer in time")
+    }
+
+    /// Sends a request and returns its stream.
+    pub(crate) async fn start(
+        &self,
+        method: &str,
+        path: &str,
+        fields: &[(&str, &str)],
+        body: &[u8],
+    ) -> Option<ClientStream> {
+        let mut stream = self.open(method, path, fields).await?;
+        if !body.is_empty() {
+            stream.send_data(Bytes::copy_from_slice(body)).await.ok()?;
+        }
+        stream.finish().await.ok()?;
+        Some(stream)
+    }
+
+    /// Sends the head of a request only.
+    pub(crate) async fn open(
+        &self,
+        method: &str,
+        path: &str,
+        fields: &[(&str, &str)],
+    ) -> Option<ClientStream> {
+        let uri = format!("https://{SERVICE}.test{path}");
+        let mut request = Request::builder().method(method).uri(uri);
+        for (name, value) in fields {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(()).expect("a request");
+        let mut sender = self.sender.clone();
+        sender.send_request(request).await.ok()
+    }
+}
+
+async fn receive_body(stream: &mut ClientStream) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        match stream.recv_data().await {
+            Ok(Some(mut piece)) => {
+                body.extend_from_slice(&piece.copy_to_bytes(piece.remaining()));
+            }
+            Ok(None) => return Some(body),
+            Err(_) => return None,
+        }
+    }
+}
+
+fn client_config(certificate: &[u8]) -> ClientConfig {
+    let mut roots = rustls::RootCertStore::empty();
+    let certificate = CertificateDer::from(certificate.to_vec());
+    roots.add(certificate).expect("a certificate");
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let mut config = rustls::ClientConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .expect("TLS 1.3")
+        .with_root_certificates(roots)
+        .with_no_client_auth();
+    config.alpn_protocols = vec![b"h3".to_vec()];
+    let crypto = QuicClientConfig::try_from(config).expect("QUIC suites");
+    let mut config = ClientConfig::new(Arc::new(crypto));
+    let mut transport = TransportConfig::default();
+    transport.max_idle_timeout(Some(WAIT.try_into().expect("a timeout")));
+    config.transport_config(Arc::new(transport));
+    config
+}
--- /dev/null
+++ b/bins/balancer/src/lib.rs
@@ -0,0 +1,28 @@
+//! The balancer: reads callers' datagrams and forwards each to the agent that holds its flow.
+//!
+//! ```text
+//! fabric --> packet threads --forward frames--> agents
+//!                ^ keys, routing table (swapped whole)
+//!            control tasks <--membership--> other processes, platform
+//! ```
+//!
+//! Packet threads share nothing that is written for a packet: no flow table, no lock.
+
+mod batch;
+mod command;
+mod control;
+mod count;
+mod forward;
+mod ingress;
+mod notice;
+mod process;
+mod refresh;
+mod stop;
+mod threads;
+
+pub use batch::{BATCH_DATAGRAMS, ReceiveBatch, ReceivedDatagram, SendBatch, tell_destinations};
+pub use command::{CommandLine, command_line};
+pub use count::{PacketCounts, PacketMetrics, PacketOutcome};
+pub use forward::{ForwardPath, ForwardState, PacketForwarder};
+pub use ingress::{IngressError, PacketIngress, PacketOrigin};
+pub use process::{BalancerError, run_balancer};
--- /dev/null
+++ b/bins/balancer/src/refresh.rs
@@ -0,0 +1,104 @@
+//! Keeping keys and routing table new while packets flow.
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use arc_swap::ArcSwap;
+use lovagelatch_domain::{AgentAddress, Moment};
+use lovagelatch_fleet::FleetClient;
+use lovagelatch_keys::{FleetKeys, read_key_file};
+use lovagelatch_membership::FleetView;
+use lovagelatch_routing::{AbsenceBook, RoutingTable};
+use lovagelatch_telemetry::{Logger, info, warn};
+
+use crate::forward::ForwardState;
+
+/// How often the view is looked at. Comparing two pointers costs nothing, and a table is made
+/// only when they differ.
+const VIEW_PERIOD: Duration = Duration::from_millis(20);
+
+/// How often the key file is looked at.
+const KEY_PERIOD: Duration = Duration::from_secs(1);
+
+/// How often the agents that are gone are worked out again, since they become so by time alone.
+const ABSENCE_PERIOD: Duration = Duration::from_secs(1);
+
+/// Makes a new routing table whenever the view changes, for ever. An agent that is off the list
+/// for longer than twice `drain` is taken to be gone.
+pub(crate) async fn keep_table(fleet: FleetClient, state: Arc<ForwardState>, drain: Duration) {
+    let mut keeper = TableKeeper::new(drain);
+    loop {
+        keeper.step(&fleet.view(), fleet.now(), &state);
+        tokio::time::sleep(VIEW_PERIOD).await;
+    }
+}
+
+/// Follows the view.
+struct TableKeeper {
+    held: Arc<FleetView>,
+    absences: AbsenceBook,
+    gone: Vec<AgentAddress>,
+    looked: Moment,
+}
+
+impl TableKeeper {
+    fn new(drain: Duration) -> Self {
+        Self {
+            held: Arc::default(),
+            absences: AbsenceBook::new(2 * drain),
+            gone: Vec::new(),
+            looked: Moment::ZERO,
+        }
+    }
+
+    fn step(&mut self, view: &Arc<FleetView>, now: Moment, state: &ForwardState) {
+        let changed = !Arc::ptr_eq(view, &self.held);
+        if !changed && now.since(self.looked) < ABSENCE_PERIOD {
+            return;
+        }
+        self.looked = now;
+        self.absences.note(&self.held, view, now);
+        self.held = Arc::clone(view);
+        let gone: Vec<AgentAddress> = self.absences.gone(now).collect();
+        if changed || gone != self.gone {
+            self.gone = gone;
+            self.store(state);
+        }
+    }
+
+    fn store(&self, state: &ForwardState) {
+        let earlier = state.table.load_full();
+        let table = RoutingTable::from_view(&self.held, &earlier);
+        let table = table.with_gone(self.gone.iter().copied());
+        state.table.store(Arc::new(table));
+    }
+}
+
+/// Reads the key file again whenever it changes, for ever. A file that cannot be used leaves
+/// the keys as they are.
+pub(crate) async fn keep_keys(file: PathBuf, keys: Arc<ArcSwap<FleetKeys>>, log: Logger) {
+    let mut seen = modified(&file);
+    loop {
+        tokio::time::sleep(KEY_PERIOD).await;
+        let now = modified(&file);
+        if now == seen {
+            continue;
+        }
+        seen = now;
+        match read_key_file(&file) {
+            Ok(read) => {
+                let generations: Vec<_> = read.generations().map(|g| g.to_string()).collect();
+                info!(log, "keys in force"; "generations" => generations.join(" "));
+                keys.store(Arc::new(read));
+            }
+            Err(error) => warn!(log, "key file refused"; "error" => error.to_string()),
+        }
+    }
+}
+
+fn modified(file: &Path) -> Option<SystemTime> {
+    std::fs::metadata(file)
+        .and_then(|metadata| metadata.modified())
+        .ok()
+}
--- /dev/null
+++ b/bins/balancer/src/threads.rs
@@ -0,0 +1,81 @@
+//! The sockets of the packet path and the threads that serve them.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use lovagelatch_network::DatagramPath;
+use lovagelatch_settings::{BalancerSettings, IngressKind};
+use lovagelatch_telemetry::{Logger, error};
+use socket2::{Domain, Protocol, Socket, Type};
+
+use crate::batch::tell_destinations;
+use crate::count::PacketMetrics;
+use crate::forward::{ForwardPath, ForwardState, PacketForwarder};
+use crate::ingress::PacketIngress;
+use crate::process::BalancerError;
+
+/// Asked-for kernel buffer of the listening socket, in bytes: room for a burst while the packet
+/// threads are descheduled.
+const RECEIVE_BUFFER_BYTES: usize = 4 * 1024 * 1024;
+
+/// How long a packet thread waits for a packet before it looks whether to end.
+const RECEIVE_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Binds the listening address and starts the packet threads on it.
+pub(crate) fn start_threads(
+    settings: &BalancerSettings,
+    state: &Arc<ForwardState>,
+    metrics: &PacketMetrics,
+    log: &Logger,
+) -> Result<Vec<JoinHandle<()>>, BalancerError> {
+    let listen = Arc::new(open_listen(settings)?);
+    let address = match listen.local_addr()? {
+        SocketAddr::V4(address) => address,
+        SocketAddr::V6(_) => settings.listen,
+    };
+    let path = ForwardPath {
+        ingress: PacketIngress::new(settings.ingress, address),
+        path: DatagramPath::new(settings.common.gateway),
+        control: settings.common.control,
+    };
+    let mut threads = Vec::with_capacity(settings.common.threads);
+    for number in 0..settings.common.threads {
+        let out = open_out(settings)?;
+        let listen = Arc::clone(&listen);
+        let log = log.clone();
+        let (state, path, metrics) = (Arc::clone(state), path.clone(), metrics.clone());
+        // The buffers belong to the thread: its system calls hold pointers into them.
+        let body = move || {
+            let mut forwarder = PacketForwarder::new(state, path, metrics, log.clone());
+            if let Err(failure) = forwarder.run(&listen, &out) {
+                error!(log, "packet thread ended"; "error" => failure.to_string());
+            }
+        };
+        let thread = std::thread::Builder::new().name(format!("packets-{number}"));
+        threads.push(thread.spawn(body)?);
+    }
+    Ok(threads)
+}
+
+fn open_listen(settings: &BalancerSettings) -> Result<UdpSocket, BalancerError> {
+    let address = SocketAddr::V4(settings.listen);
+    let bind = |source| BalancerError::Bind { address, source };
+    let socket = Socket::new(Domain::IPV4, Type::DGRAM, Some(Protocol::UDP))?;
+    // The kernel gives what its limits allow.
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    socket.set_read_timeout(Some(RECEIVE_TIMEOUT))?;
+    socket.bind(&address.into()).map_err(bind)?;
+    let socket = UdpSocket::from(socket);
+    if settings.ingress == IngressKind::Direct {
+        tell_destinations(&socket)?;
+    }
+    Ok(socket)
+}
+
+/// A thread's own socket for sending, so that threads do not wait for one another.
+fn open_out(settings: &BalancerSettings) -> Result<UdpSocket, BalancerError> {
+    let address = SocketAddr::from((*settings.common.control.0.ip(), 0));
+    UdpSocket::bind(address).map_err(|source| BalancerError::Bind { address, source })
+}
--- /dev/null
+++ b/crates/fleet/src/clock.rs
@@ -0,0 +1,32 @@
+//! The process's clock, as the membership library sees it.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use lovagelatch_domain::Moment;
+
+/// Counts from the start of the client. It goes on while the process is stopped, so that a
+/// pause shows as a gap.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FleetClock {
+    start: Instant,
+    unix_start: Duration,
+}
+
+impl FleetClock {
+    pub(crate) fn new() -> Self {
+        let unix_start = SystemTime::now().duration_since(UNIX_EPOCH);
+        Self {
+            start: Instant::now(),
+            unix_start: unix_start.unwrap_or_default(),
+        }
+    }
+
+    pub(crate) fn now(&self) -> Moment {
+        Moment::ZERO + self.start.elapsed()
+    }
+
+    /// The time of day at `Moment::ZERO`.
+    pub(crate) fn unix_start(&self) -> Duration {
+        self.unix_start
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,7 +9,14 @@
 //! ```
 
 mod client;
+mod clock;
+mod exchange;
+mod inbox;
+mod notice;
 mod platform;
+mod traffic;
 
 pub use client::{FleetClient, FleetRole, FleetSetup};
+pub use lovagelatch_membership::FleetStatus;
 pub use platform::{PlatformError, PlatformReader, PublishedConfig};
+pub use traffic::TrafficKind;
--- /dev/null
+++ b/crates/ledger/src/adopted.rs
@@ -0,0 +1,69 @@
+//! What was taken over from a leaving peer: answers are replayed, nothing is run.
+
+use std::sync::Arc;
+
+use crate::answer::StoredAnswer;
+use crate::book::{BookEntry, EntryState, RequestBook, TicketKey};
+use crate::handover::{FinalState, HandoverEntry, HandoverState};
+use crate::ledger::LedgerVerdict;
+
+#[derive(Clone, Debug)]
+pub(crate) struct AdoptedBook {
+    pub(crate) book: RequestBook,
+    pub(crate) lifetime_seconds: u64,
+    /// Until when tickets of the closed ledger may be good, by this process's clock.
+    pub(crate) keep_until: u64,
+}
+
+impl AdoptedBook {
+    pub(crate) fn verdict(&self, key: TicketKey) -> LedgerVerdict {
+        if self.book.is_forgotten(key) {
+            return LedgerVerdict::Expired;
+        }
+        self.book
+            .get(key)
+            .map_or(LedgerVerdict::NeverRun, verdict_of)
+    }
+
+    pub(crate) fn merge(&mut self, entry: HandoverEntry) {
+        let key = TicketKey {
+            issued_seconds: entry.issued_seconds,
+            serial: entry.serial,
+        };
+        let known = self.book.get(key).is_some();
+        if known && entry.state == HandoverState::Unknown {
+            return;
+        }
+        self.book.insert(
+            key,
+            BookEntry {
+                attempt: None,
+                state: EntryState::Final(entry.state.into()),
+            },
+        );
+    }
+}
+
+pub(crate) fn entries_of(book: &RequestBook) -> Vec<HandoverEntry> {
+    let entries = book.iter().map(|(key, entry)| HandoverEntry {
+        issued_seconds: key.issued_seconds,
+        serial: key.serial,
+        state: match &entry.state {
+            EntryState::Final(FinalState::Done(answer)) => {
+                HandoverState::Done(StoredAnswer::clone(answer))
+            }
+            _ => HandoverState::Unknown,
+        },
+    });
+    entries.collect()
+}
+
+pub(crate) fn verdict_of(entry: &BookEntry) -> LedgerVerdict {
+    match (&entry.state, entry.attempt) {
+        (EntryState::Final(FinalState::Done(answer)), _) => {
+            LedgerVerdict::Replay(Arc::clone(answer))
+        }
+        (EntryState::Running, Some(attempt)) => LedgerVerdict::Join(attempt),
+        _ => LedgerVerdict::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/ledger/tests/all/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the once-only ledger.
+
+mod faults;
+mod handover;
+mod invariants;
+mod ledger;
+mod support;
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -2,7 +2,44 @@
 //!
 //! This library decides; it reads no clock, opens no socket and starts no thread. Messages and
 //! the time come in, messages to send and changes of the view come out.
+//!
+//! ```text
+//! platform --(few readers, drawn by lot)--> process <--heads, pulls--> process
+//!                                             |  heartbeats among ~6 agents of one service
+//!                                             v
+//!                                         FleetView
+//! ```
 
+mod action;
+mod budget;
+mod config;
+mod departure;
+mod list;
+mod lot;
+mod member;
+mod message;
+mod neighbour;
+mod ring;
+mod rumor;
+mod suspicion;
+mod table;
 mod view;
 
+pub use action::{MemberAction, MemberNotice, MemberSettings, PlatformCall};
+pub use budget::{PACKET_OVERHEAD_BYTES, SendBudget, SendUrgency};
+pub use config::{ConfigDelta, ConfigError, ConfigKeeper, ConfigSource, ConfigVerdict};
+pub use departure::DepartureBook;
+pub use list::{InstanceDuty, InstanceKey, ListDelta, ListKeeper, ListedInstance, ZoneId};
+pub use lot::{LOT_EPOCH, READERS_PER_ZONE, epoch_at, is_reader};
+pub use member::{FleetMember, FleetStatus, LaggingPeer, MEMBER_TICK, PAUSE_LIMIT};
+pub use message::{
+    AccusationEvent, AccusedSubject, DepartureEvent, GossipHead, MemberEvent, MemberMessage,
+    PeerHeartbeat, PullPart, PullRequest,
+};
+pub use neighbour::{DueWord, NeighbourWatch, SILENCE_LIMIT};
+pub use ring::ring_neighbours;
+pub use suspicion::{
+    ACCUSATION_LIFETIME, ACCUSERS_NEEDED, AccusationBook, AccusationVerdict, ZONE_ACCUSERS_NEEDED,
+};
+pub use table::{RowChange, TableDelta, TableError, TableHead, TableIndex, TableRow};
 pub use view::{FleetView, TargetStanding, ViewTarget};
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -73,11 +73,13 @@
     revision: ConfigRevision,
     list_revision: ListRevision,
     text: Arc<ServiceText>,
-    /// Invariant: holds every address of `text`.
-    addresses: HashMap<SocketAddrV4, AddressEntry>,
-    /// Invariant: sorted by the platform's numbers, so that equal views are equal everywhere.
-    targets: HashMap<ServiceId, Vec<ViewTarget>>,
-    balancers: Vec<BalancerRecord>,
+    /// Invariant: holds every address of `text`. Shared by views of one text.
+    addresses: Arc<HashMap<SocketAddrV4, AddressEntry>>,
+    /// Invariant: sorted by the platform's numbers, so that equal views are equal everywhere;
+    /// no list is empty. A service's targets are shared by all views in which they are equal,
+    /// so that a new view costs what changed and not what is listed.
+    targets: HashMap<ServiceId, Arc<Vec<ViewTarget>>>,
+    balancers: Arc<Vec<BalancerRecord>>,
 }
 
 impl FleetView {
@@ -89,25 +91,105 @@
             text,
             ..Self::default()
         };
-        view.addresses = addresses_of(&view.text);
+        view.addresses = Arc::new(addresses_of(&view.text));
         view.list_revision = list.revision;
-        view.balancers.clone_from(&list.balancers);
+        view.balancers = Arc::new(list.balancers.clone());
+        let mut targets: HashMap<ServiceId, Vec<ViewTarget>> = HashMap::new();
         for record in &list.targets {
-            let targets = view.targets.entry(record.service.id()).or_default();
+            let targets = targets.entry(record.service.id()).or_default();
             targets.push(ViewTarget::new(record));
         }
-        for targets in view.targets.values_mut() {
+        for (service, mut targets) in targets {
             targets.sort_by_key(|target| target.id);
+            view.targets.insert(service, Arc::new(targets));
         }
         view
     }
 
+    /// Replaces the configuration.
+    pub(crate) fn set_text(&mut self, revision: ConfigRevision, text: &Arc<ServiceText>) {
+        self.revision = revision;
+        self.text = Arc::clone(text);
+        self.addresses = Arc::new(addresses_of(text));
+    }
+
+    /// Sets the list's number.
+    pub(crate) fn set_list_revision(&mut self, revision: ListRevision) {
+        self.list_revision = revision;
+    }
+
+    /// Adds a target, or replaces the one with its number.
+    pub(crate) fn put_target(&mut self, service: ServiceId, target: ViewTarget) {
+        let targets = Arc::make_mut(self.targets.entry(service).or_default());
+        match targets.binary_search_by_key(&target.id, |held| held.id) {
+            Ok(position) => targets[position] = target,
+            Err(position) => targets.insert(position, target),
+        }
+    }
+
+    /// Takes a target out, if that service lists it at that address.
+    pub(crate) fn remove_target(&mut self, service: ServiceId, id: TargetId, agent: AgentAddress) {
+        let Some(held) = self.targets.get_mut(&service) else {
+            return;
+        };
+        let Ok(position) = held.binary_search_by_key(&id, |target| target.id) else {
+            return;
+        };
+        if held[position].agent != agent {
+            return;
+        }
+        let targets = Arc::make_mut(held);
+        targets.remove(position);
+        if targets.is_empty() {
+            self.targets.remove(&service);
+        }
+    }
+
+    /// Sets what is held of one target of a service; whether that changed anything.
+    pub(crate) fn set_standing(
+        &mut self,
+        service: ServiceId,
+        id: TargetId,
+        standing: TargetStanding,
+    ) -> bool {
+        let Some(held) = self.targets.get_mut(&service) else {
+            return false;
+        };
+        let Ok(position) = held.binary_search_by_key(&id, |target| target.id) else {
+            return false;
+        };
+        if held[position].standing == standing {
+            return false;
+        }
+        Arc::make_mut(held)[position].standing = standing;
+        true
+    }
+
+    /// Gives back what the lists of targets reserve beyond their length.
+    pub(crate) fn shrink(&mut self) {
+        for held in self.targets.values_mut() {
+            if let Some(targets) = Arc::get_mut(held) {
+                targets.shrink_to_fit();
+            }
+        }
+    }
+
+    /// Replaces the entry instances.
+    pub(crate) fn set_balancers(&mut self, balancers: Vec<BalancerRecord>) {
+        self.balancers = Arc::new(balancers);
+    }
+
     /// Changes what is held of one agent's target: its own word, or its peers'.
     #[must_use]
     pub fn with_standing(mut self, agent: AgentAddress, standing: TargetStanding) -> Self {
-        let targets = self.targets.values_mut().flatten();
-        for target in targets.filter(|target| target.agent == agent) {
-            target.standing = standing;
+        for held in self.targets.values_mut() {
+            let concerned = |target: &ViewTarget| target.agent == agent;
+            if held.iter().any(concerned) {
+                let targets = Arc::make_mut(held).iter_mut();
+                for target in targets.filter(|target| concerned(target)) {
+                    target.standing = standing;
+                }
+            }
         }
         self
     }
@@ -145,7 +227,9 @@
     /// The targets of a service in order of their numbers, whatever their standing.
     #[must_use]
     pub fn targets(&self, service: ServiceId) -> &[ViewTarget] {
-        self.targets.get(&service).map_or(&[], Vec::as_slice)
+        self.targets
+            .get(&service)
+            .map_or(&[], |held| held.as_slice())
     }
 
     /// The services that have listed targets.
--- /dev/null
+++ b/crates/membership/tests/all/faults.rs
@@ -0,0 +1,256 @@
+//! Every fault at every step of the way of a configuration.
+
+use std::time::Duration;
+
+use lovagelatch_capacity::{MemberRig, PlatformState, rig_address, rig_text};
+use lovagelatch_membership::FleetView;
+
+use crate::spread::{SECOND, settled_fleet};
+
+const INVALID: &str = "[service service-0]\naddress = nowhere\n";
+
+const SERVICES: u32 = 2;
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    PlatformDown,
+    PlatformStale,
+    LostFrames,
+    DoubledFrames,
+    LateFrames,
+    ZoneCutOff,
+    ZoneCutOneWay,
+    HalfCutFromPlatform,
+    MemberSleeps,
+    MemberRestarts,
+    ReadersKilled,
+}
+
+const FAULTS: [Fault; 11] = [
+    Fault::PlatformDown,
+    Fault::PlatformStale,
+    Fault::LostFrames,
+    Fault::DoubledFrames,
+    Fault::LateFrames,
+    Fault::ZoneCutOff,
+    Fault::ZoneCutOneWay,
+    Fault::HalfCutFromPlatform,
+    Fault::MemberSleeps,
+    Fault::MemberRestarts,
+    Fault::ReadersKilled,
+];
+
+/// What operators do meanwhile.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Publish,
+    PublishInvalid,
+    PublishTwice,
+    Nothing,
+}
+
+const STEPS: [Step; 5] = [
+    Step::Publish,
+    Step::PublishInvalid,
+    Step::PublishTwice,
+    Step::Nothing,
+    Step::Publish,
+];
+
+const STEP_TIME: Duration = Duration::from_secs(3);
+
+fn start_fault(rig: &mut MemberRig, fault: Fault) {
+    let zone = |name: &str| name.parse().unwrap();
+    match fault {
+        Fault::PlatformDown => rig.set_platform(PlatformState::Down),
+        Fault::PlatformStale => {
+            rig.set_platform(PlatformState::Stale(1));
+            // Some read it again, as after a pause, and are offered the old revision.
+            let now = rig.now;
+            for node in rig.nodes.iter_mut().step_by(3) {
+                node.member.refresh_soon(now);
+            }
+        }
+        Fault::LostFrames => rig.network.drop = 0.5,
+        Fault::DoubledFrames => rig.network.duplicate = 0.9,
+        Fault::LateFrames => rig.network.late = 0.7,
+        Fault::ZoneCutOff | Fault::ZoneCutOneWay => {
+            for other in ["zone-0", "zone-1", "zone-2"] {
+                rig.cuts.push((zone("zone-3"), zone(other)));
+                if matches!(fault, Fault::ZoneCutOff) {
+                    rig.cuts.push((zone(other), zone("zone-3")));
+                }
+            }
+            rig.platform_cuts.push(zone("zone-3"));
+        }
+        Fault::HalfCutFromPlatform => {
+            rig.platform_cuts = vec![zone("zone-0"), zone("zone-1")];
+            rig.answer_watches();
+        }
+        Fault::MemberSleeps => rig.nodes[2].paused = true,
+        Fault::MemberRestarts => {
+            let zone = rig.nodes[2].zone.clone();
+            rig.add_member(rig_address(2), zone, None);
+        }
+        Fault::ReadersKilled => {
+            let now = rig.now;
+            let readers = rig.nodes.iter_mut();
+            for node in readers
+                .filter(|node| node.member.status(now).reader)
+                .take(6)
+            {
+                node.running = false;
+            }
+        }
+    }
+}
+
+fn end_fault(rig: &mut MemberRig) {
+    rig.set_platform(PlatformState::Up);
+    rig.network = lovagelatch_capacity::RigNetwork::default();
+    rig.cuts.clear();
+    rig.platform_cuts.clear();
+    for node in &mut rig.nodes {
+        node.paused = false;
+    }
+}
+
+fn take_step(rig: &mut MemberRig, step: Step) {
+    let next = u32::try_from(rig.platform.texts.len()).unwrap();
+    match step {
+        Step::Publish => {
+            rig.publish(rig_text(SERVICES, 4, next));
+        }
+        Step::PublishInvalid => {
+            rig.publish(INVALID.to_owned());
+        }
+        Step::PublishTwice => {
+            rig.publish(rig_text(SERVICES, 4, next));
+            rig.publish(rig_text(SERVICES, 4, next + 1));
+        }
+        Step::Nothing => {}
+    }
+}
+
+/// The content that a view must have by its revision: an invalid text never comes into force.
+fn is_sound(view: &FleetView, texts: &[String]) -> bool {
+    let number = usize::try_from(view.revision().0).unwrap();
+    let Some(published) = number.checked_sub(1).and_then(|at| texts.get(at)) else {
+        return number == 0;
+    };
+    let Ok(parsed) = lovagelatch_settings::ServiceText::parse(published) else {
+        return false;
+    };
+    parsed.services.iter().all(|service| {
+        let held = view.text().service(service.name.as_str());
+        held.is_some_and(|held| held.once == service.once)
+    })
+}
+
+/// Lets time pass and checks that no view reverts or holds what was not accepted.
+fn run_checked(rig: &mut MemberRig, time: Duration, held: &mut [u64], restarted: Option<usize>) {
+    let steps = time.as_millis() / 200;
+    for _ in 0..steps {
+        rig.run(Duration::from_millis(200));
+        for (number, node) in rig.nodes.iter().enumerate() {
+            let view = node.member.view();
+            let revision = view.revision().0;
+            if revision == held[number] {
+                continue;
+            }
+            let fresh = restarted == Some(number) && revision == 0;
+            assert!(
+                revision >= held[number] || fresh,
+                "member {number} reverted"
+            );
+            assert!(is_sound(view, &rig.platform.texts), "member {number}");
+            held[number] = revision;
+        }
+    }
+}
+
+// Symptom: a balancer reverts to an older configuration, takes an invalid one, or stays behind
+// for good after a fault.
+// Sequence: five steps of an operator; the fault starts before one of them and ends after it.
+// Cause: any place that takes a lower revision, or that forgets to ask again.
+#[test]
+fn every_fault_at_every_step_converges_without_reverting() {
+    let mut failures = Vec::new();
+    for fault in FAULTS {
+        for faulty_step in 0..STEPS.len() {
+            let mut rig = settled_fleet(4, SERVICES, 7);
+            let mut held = vec![1; rig.nodes.len()];
+            let mut restarted = None;
+            for (number, step) in STEPS.into_iter().enumerate() {
+                if number == faulty_step {
+                    start_fault(&mut rig, fault);
+                    restarted = matches!(fault, Fault::MemberRestarts).then_some(2);
+                }
+                take_step(&mut rig, step);
+                run_checked(&mut rig, STEP_TIME, &mut held, restarted);
+                if number == faulty_step {
+                    end_fault(&mut rig);
+                }
+            }
+            run_checked(&mut rig, 12 * SECOND, &mut held, restarted);
+            let last = rig.platform.texts.len() as u64;
+            if rig.holding(last) != rig.running() {
+                failures.push((fault, faulty_step, rig.holding(last), rig.running()));
+            }
+        }
+    }
+    assert!(failures.is_empty(), "not converged: {failures:?}");
+}
+
+// Symptom: a process that was stopped accuses all its peers when it wakes.
+// Sequence: an agent is stopped for 20 s while its peers run on, then goes on.
+// Cause: it took its own gap for their silence.
+#[test]
+fn paused_member_accuses_nobody() {
+    let mut rig = settled_fleet(4, SERVICES, 7);
+    rig.nodes[6].paused = true;
+    rig.run(20 * SECOND);
+    rig.publish(rig_text(SERVICES, 4, 1));
+    rig.run(3 * SECOND);
+    rig.nodes[6].paused = false;
+    rig.run(10 * SECOND);
+    assert_eq!(rig.nodes[6].member.view().revision().0, 2);
+    for node in &rig.nodes {
+        let status = node.member.status(rig.now);
+        let own = rig.nodes[6].member.settings().own;
+        let others: Vec<_> = status
+            .suspected
+            .iter()
+            .filter(|&&agent| agent != own)
+            .collect();
+        assert!(others.is_empty(), "{others:?}");
+        assert!(status.lost_zones.is_empty());
+    }
+}
+
+// Symptom: the whole fleet takes another content under the same revision from one process.
+// Sequence: a member holds revision 1 with a content that the platform never published.
+// Cause: the digest was not compared, or a peer's word was taken over the platform's.
+#[test]
+fn other_content_under_the_same_revision_does_not_spread() {
+    let mut rig = settled_fleet(4, SERVICES, 7);
+    rig.platform.state = PlatformState::Down;
+    let odd = rig.add_member(rig_address(4_000), "zone-0".parse().unwrap(), None);
+    let now = rig.now;
+    let list = rig.platform.list.clone();
+    let member = &mut rig.nodes[odd].member;
+    member.accept_config(
+        lovagelatch_domain::ConfigRevision(1),
+        &rig_text(SERVICES, 4, 1),
+        now,
+    );
+    member.accept_instances(&list, now);
+    rig.run(10 * SECOND);
+    let texts = rig.platform.texts.clone();
+    let sound = rig
+        .nodes
+        .iter()
+        .filter(|node| is_sound(node.member.view(), &texts));
+    assert_eq!(sound.count(), rig.running() - 1);
+}
--- /dev/null
+++ b/crates/membership/tests/all/liveness.rs
@@ -0,0 +1,220 @@
+//! Suspicions, zones and departures.
+
+use std::time::Duration;
+
+use lovagelatch_capacity::{MemberRig, rig_address, rig_list, rig_text};
+use lovagelatch_domain::{AgentAddress, Incarnation, Moment, ServiceId, ZoneName};
+use lovagelatch_membership::{
+    ACCUSATION_LIFETIME, AccusationBook, AccusationEvent, AccusedSubject, DepartureBook,
+    DepartureEvent, MemberNotice, TargetStanding, ZoneId,
+};
+
+use crate::spread::{SECOND, settled_fleet};
+
+const NOW: Moment = Moment::from_millis(60_000);
+
+fn word(accuser: u32, service: u32, serial: u32, holds: bool) -> AccusationEvent {
+    AccusationEvent {
+        subject: AccusedSubject::Agent(rig_address(9)),
+        accuser: rig_address(accuser),
+        service: ServiceId(service),
+        serial,
+        holds,
+    }
+}
+
+struct AccusationCase {
+    name: &'static str,
+    words: Vec<AccusationEvent>,
+    suspected: bool,
+}
+
+#[test]
+fn suspicion_needs_two_accusers() {
+    let cases = [
+        AccusationCase {
+            name: "none",
+            words: vec![],
+            suspected: false,
+        },
+        AccusationCase {
+            name: "one",
+            words: vec![word(1, 1, 1, true)],
+            suspected: false,
+        },
+        AccusationCase {
+            name: "one, often",
+            words: vec![
+                word(1, 1, 1, true),
+                word(1, 1, 2, true),
+                word(1, 1, 3, true),
+            ],
+            suspected: false,
+        },
+        AccusationCase {
+            name: "two",
+            words: vec![word(1, 1, 1, true), word(2, 1, 1, true)],
+            suspected: true,
+        },
+        AccusationCase {
+            name: "two, one withdrawn",
+            words: vec![
+                word(1, 1, 1, true),
+                word(2, 1, 1, true),
+                word(2, 1, 2, false),
+            ],
+            suspected: false,
+        },
+        AccusationCase {
+            name: "withdrawn, then the earlier word late",
+            words: vec![
+                word(1, 1, 1, true),
+                word(2, 1, 2, false),
+                word(2, 1, 1, true),
+            ],
+            suspected: false,
+        },
+    ];
+    for case in cases {
+        let mut book = AccusationBook::default();
+        for event in &case.words {
+            book.note(event, NOW);
+        }
+        let subject = AccusedSubject::Agent(rig_address(9));
+        assert_eq!(
+            book.is_suspected(subject, NOW),
+            case.suspected,
+            "{}",
+            case.name
+        );
+        let later = NOW + ACCUSATION_LIFETIME;
+        assert!(!book.is_suspected(subject, later), "{} expires", case.name);
+    }
+}
+
+#[test]
+fn lost_zone_needs_accusers_of_two_services() {
+    let subject = AccusedSubject::Zone(ZoneId(5));
+    let about_zone = |accuser, service| AccusationEvent {
+        subject,
+        ..word(accuser, service, 1, true)
+    };
+    for (services, lost) in [([1, 1, 1], false), ([1, 1, 2], true)] {
+        let mut book = AccusationBook::default();
+        for (accuser, service) in (1..).zip(services) {
+            book.note(&about_zone(accuser, service), NOW);
+        }
+        assert_eq!(book.is_suspected(subject, NOW), lost, "{services:?}");
+    }
+}
+
+#[test]
+fn refuted_departure_stays_refuted() {
+    let event = |refuted| DepartureEvent {
+        agent: rig_address(1),
+        incarnation: Incarnation(7),
+        refuted,
+    };
+    for order in [[false, true], [true, false]] {
+        let mut book = DepartureBook::default();
+        for refuted in order {
+            book.note(event(refuted), NOW);
+        }
+        assert!(!book.is_leaving(rig_address(1)), "{order:?}");
+    }
+}
+
+fn suspected_by_all(rig: &MemberRig, agents: &[AgentAddress], standing: TargetStanding) -> bool {
+    let balancers = rig.nodes.iter().filter(|node| node.running);
+    let mut balancers = balancers.filter(|node| node.member.settings().service.is_none());
+    balancers.all(|node| {
+        let view = node.member.view();
+        let mut services = view.services();
+        services.all(|service| {
+            let targets = view.targets(service).iter();
+            let mut targets = targets.filter(|target| agents.contains(&target.agent));
+            targets.all(|target| target.standing == standing)
+        })
+    })
+}
+
+// Symptom: new flows go to a dead backend server until the list forgets it.
+// Sequence: an agent dies without a word; later it runs again.
+// Cause: nobody noticed its silence, or the suspicion never ended.
+#[test]
+fn dead_agent_is_suspected_until_it_is_back() {
+    let mut rig = settled_fleet(8, 4, 10);
+    let agent = rig.platform.list.targets[5].agent;
+    let number = rig.number_of(agent).unwrap();
+    rig.nodes[number].running = false;
+    let suspected = |rig: &MemberRig| suspected_by_all(rig, &[agent], TargetStanding::Suspected);
+    let known = rig.run_until(8 * SECOND, suspected);
+    println!("suspected by all balancers after {known:?}");
+    assert!(known.is_some());
+    rig.run(20 * SECOND);
+    assert!(suspected(&rig), "it is still dead");
+    rig.nodes[number].running = true;
+    let live = |rig: &MemberRig| suspected_by_all(rig, &[agent], TargetStanding::Live);
+    assert!(rig.run_until(20 * SECOND, live).is_some());
+}
+
+// Symptom: after the loss of a zone, control traffic of all others rises for minutes.
+// Sequence: every process of one of eight zones stops at once.
+// Cause: every agent was accused by every neighbour.
+#[test]
+fn lost_zone_is_one_event() {
+    let list = rig_list(16, 24, 10, 8);
+    let mut rig = MemberRig::new(list, rig_text(24, 2, 0), 3);
+    rig.run(10 * SECOND);
+    let zone: ZoneName = "zone-5".parse().unwrap();
+    let targets = rig.platform.list.targets.iter();
+    let lost = targets.filter(|target| target.zone == zone);
+    let lost: Vec<AgentAddress> = lost.map(|target| target.agent).collect();
+    for node in &mut rig.nodes {
+        node.running = node.zone != zone;
+    }
+    rig.reset_counts();
+    let known = rig.run_until(10 * SECOND, |rig| {
+        suspected_by_all(rig, &lost, TargetStanding::Suspected)
+    });
+    rig.run(10 * SECOND);
+    let both = &rig.rates()["both"];
+    let max = both[both.len() - 1];
+    println!(
+        "zone of {} known lost after {known:?}; at most {max:.0} B/s",
+        lost.len()
+    );
+    assert!(known.is_some());
+    assert!(max < 2_000.0, "{max}");
+    let notices = rig.nodes[0].notices.iter();
+    let single =
+        notices.filter(|(_, notice)| matches!(notice, MemberNotice::SuspicionChanged { .. }));
+    assert_eq!(single.count(), 0, "suspicions of single agents");
+}
+
+// Symptom: an agent whose own network failed accuses its whole service when it is back.
+// Sequence: one agent is cut off from everybody for 20 s.
+// Cause: it took its own isolation for the others' death.
+#[test]
+fn isolated_agent_accuses_nobody() {
+    let mut rig = settled_fleet(4, 2, 7);
+    let number = rig.nodes.len() - 1;
+    let alone: ZoneName = "alone".parse().unwrap();
+    rig.nodes[number].zone = alone.clone();
+    for other in 0..4 {
+        let other: ZoneName = format!("zone-{other}").parse().unwrap();
+        rig.cuts.push((alone.clone(), other.clone()));
+        rig.cuts.push((other, alone.clone()));
+    }
+    rig.run(20 * SECOND);
+    rig.cuts.clear();
+    rig.run(Duration::from_millis(1_500));
+    let own = rig.nodes[number].member.settings().own;
+    for node in &rig.nodes {
+        let status = node.member.status(rig.now);
+        assert!(
+            status.suspected.iter().all(|&agent| agent == own),
+            "{status:?}"
+        );
+    }
+}
--- /dev/null
+++ b/crates/membership/tests/all/spread.rs
@@ -0,0 +1,222 @@
+//! How configurations and departures spread through members in one process.
+
+use std::time::Duration;
+
+use lovagelatch_capacity::{MemberRig, PlatformState, rig_address, rig_list, rig_text};
+use lovagelatch_membership::TargetStanding;
+
+pub(crate) const SECOND: Duration = Duration::from_secs(1);
+
+/// Bytes that a node may send and receive a second for control.
+const BYTES_A_SECOND: f64 = 2_000.0;
+
+/// A fleet in four zones in which every member holds revision 1 and is ready.
+pub(crate) fn settled_fleet(balancers: u32, services: u32, targets: u32) -> MemberRig {
+    let list = rig_list(balancers, services, targets, 4);
+    let mut rig = MemberRig::new(list, rig_text(services, 4, 0), 1);
+    rig.run(8 * SECOND);
+    let ready = rig
+        .nodes
+        .iter()
+        .filter(|node| node.member.is_ready())
+        .count();
+    assert_eq!(ready, rig.running(), "ready members");
+    assert_eq!(
+        rig.holding(1),
+        rig.running(),
+        "members that hold revision 1"
+    );
+    rig
+}
+
+struct SpreadCase {
+    balancers: u32,
+    services: u32,
+    drop: f64,
+    limit: Duration,
+}
+
+// Symptom: an accepted change is in force late on some nodes, or costs more than the budget.
+// Sequence: ten changes, one each three seconds, at the rate of 29,000 a day.
+// Cause: heads or pulls that are lost, or sent to too few or too many.
+#[test]
+fn configuration_is_in_force_on_all_within_seconds() {
+    let cases = [
+        SpreadCase {
+            balancers: 3,
+            services: 2,
+            drop: 0.0,
+            limit: 2 * SECOND,
+        },
+        SpreadCase {
+            balancers: 40,
+            services: 16,
+            drop: 0.0,
+            limit: 3 * SECOND,
+        },
+        SpreadCase {
+            balancers: 40,
+            services: 16,
+            drop: 0.1,
+            limit: 5 * SECOND,
+        },
+    ];
+    for case in cases {
+        let mut rig = settled_fleet(case.balancers, case.services, 10);
+        rig.network.drop = case.drop;
+        rig.network.duplicate = case.drop;
+        rig.network.late = case.drop;
+        rig.reset_counts();
+        let members = rig.running();
+        let mut slowest = Duration::ZERO;
+        for change in 1..=10 {
+            let revision = rig.publish(rig_text(case.services, 4, change));
+            let taken = rig.run_until(9 * SECOND, |rig| rig.holding(revision) == members);
+            let taken = taken.expect("in force on all");
+            slowest = slowest.max(taken);
+            rig.run((3 * SECOND).saturating_sub(taken));
+        }
+        let both = &rig.rates()["both"];
+        let (p50, p99) = (both[both.len() / 2], both[both.len() * 99 / 100]);
+        let max = both[both.len() - 1];
+        println!(
+            "{members} members, {} lost: slowest {slowest:?}; sent and received \
+             p50 {p50:.0} p99 {p99:.0} max {max:.0} B/s",
+            case.drop
+        );
+        assert!(slowest <= case.limit, "{members} members: {slowest:?}");
+        assert!(max <= BYTES_A_SECOND, "{members} members: {max:.0} B/s");
+    }
+}
+
+// Symptom: the platform refuses reads once the fleet has grown.
+// Sequence: fleets of 50 and 200 members run for five minutes with changes.
+// Cause: every member watched the platform.
+#[test]
+fn platform_calls_do_not_grow_with_the_fleet() {
+    let calls = [(10, 4), (40, 16)].map(|(balancers, services)| {
+        let mut rig = settled_fleet(balancers, services, 10);
+        rig.reset_counts();
+        for change in 1..=20 {
+            rig.publish(rig_text(services, 4, change));
+            rig.run(6 * SECOND);
+        }
+        rig.platform.calls
+    });
+    println!("calls of 50 and of 200 members in 120 s: {calls:?}");
+    assert!(calls[1] * 10 <= calls[0] * 13, "{calls:?}");
+}
+
+// Symptom: new flows go to a backend server that is leaving until the list says so.
+// Sequence: an agent is told to leave; the platform's list lags by more than 30 s.
+// Cause: the departure was known from the list alone, or its word reached too few.
+#[test]
+fn departure_is_known_within_three_seconds() {
+    for drop in [0.0, 0.1] {
+        let mut rig = settled_fleet(40, 16, 10);
+        rig.network.drop = drop;
+        let target = rig.platform.list.targets[17].clone();
+        let number = rig.number_of(target.agent).unwrap();
+        let now = rig.now;
+        rig.nodes[number].member.set_leaving(now);
+        let known = rig.run_until(30 * SECOND, |rig| {
+            let concerned = rig.nodes.iter().filter(|node| {
+                let service = node.member.settings().service;
+                service.is_none() || service == Some(target.service.id())
+            });
+            let mut held =
+                concerned.flat_map(|node| node.member.view().targets(target.service.id()).iter());
+            held.all(|held| held.id != target.id || held.standing == TargetStanding::Leaving)
+        });
+        println!("departure known after {known:?} with {drop} lost");
+        assert!(known.is_some_and(|known| known < 3 * SECOND), "{known:?}");
+    }
+}
+
+// Symptom: a process replaced at the same address gets no new flows for a quarter of an hour.
+// Sequence: an agent leaves; a successor starts at its address; the list never changed.
+// Cause: the word about the predecessor was taken for the successor's.
+#[test]
+fn successor_at_the_same_address_is_live() {
+    let mut rig = settled_fleet(4, 2, 7);
+    let target = rig.platform.list.targets[3].clone();
+    let number = rig.number_of(target.agent).unwrap();
+    let now = rig.now;
+    rig.nodes[number].member.set_leaving(now);
+    rig.run(3 * SECOND);
+    rig.add_member(target.agent, target.zone.clone(), Some(target.service.id()));
+    let live = rig.run_until(10 * SECOND, |rig| {
+        rig.nodes.iter().all(|node| {
+            let view = node.member.view();
+            let mut targets = view.targets(target.service.id()).iter();
+            targets.all(|held| held.standing == TargetStanding::Live)
+        })
+    });
+    assert!(live.is_some());
+}
+
+struct JoinCase {
+    platform: PlatformState,
+    peers_run: bool,
+    revision: Option<u64>,
+}
+
+// Symptom: a fresh balancer serves an old configuration, or none although its peers know one.
+// Sequence: the fleet holds revision 3; the platform goes down or stale; a balancer restarts.
+// Cause: one source was believed alone.
+#[test]
+fn fresh_member_takes_the_highest_of_platform_and_peers() {
+    let cases = [
+        JoinCase {
+            platform: PlatformState::Up,
+            peers_run: true,
+            revision: Some(3),
+        },
+        JoinCase {
+            platform: PlatformState::Stale(1),
+            peers_run: true,
+            revision: Some(3),
+        },
+        JoinCase {
+            platform: PlatformState::Down,
+            peers_run: true,
+            revision: Some(3),
+        },
+        JoinCase {
+            platform: PlatformState::Up,
+            peers_run: false,
+            revision: Some(3),
+        },
+        JoinCase {
+            platform: PlatformState::Down,
+            peers_run: false,
+            revision: None,
+        },
+    ];
+    for case in cases {
+        let mut rig = settled_fleet(4, 2, 7);
+        rig.publish(rig_text(2, 4, 1));
+        rig.publish(rig_text(2, 4, 2));
+        rig.run(5 * SECOND);
+        assert_eq!(rig.holding(3), rig.running());
+        rig.set_platform(case.platform);
+        for node in &mut rig.nodes {
+            node.running = case.peers_run;
+        }
+        let balancer = rig.platform.list.balancers[0].clone();
+        let fresh = rig.add_member(rig_address(0), balancer.zone, None);
+        // What it holds at the moment at which it begins to serve.
+        rig.run_until(10 * SECOND, |rig| rig.nodes[fresh].member.is_ready());
+        let member = &rig.nodes[fresh].member;
+        let ready = member.is_ready().then(|| member.view().revision().0);
+        assert_eq!(
+            ready, case.revision,
+            "{:?}, peers {}",
+            case.platform, case.peers_run
+        );
+        rig.run(5 * SECOND);
+        if case.peers_run {
+            assert_eq!(rig.holding(3), rig.running(), "{:?}", case.platform);
+        }
+    }
+}
--- /dev/null
+++ b/crates/network/tests/all/main.rs
@@ -0,0 +1,5 @@
+//! Tests of how a process reaches others.
+
+mod header;
+mod path;
+mod stream;
--- /dev/null
+++ b/crates/placement/tests/all/gate.rs
@@ -0,0 +1,207 @@
+//! The gate: slots, deadlines, refusals.
+
+use lovagelatch_domain::{AttemptId, GateCondition, RefusalReason};
+use lovagelatch_placement::{GateAction, GateSettings, GateVerdict, RequestGate, SlotEnd};
+
+use crate::support::{at, millis, new_gate, request, request_of};
+
+fn reason_of(verdict: GateVerdict) -> Option<RefusalReason> {
+    match verdict {
+        GateVerdict::Refused { reason, .. } => Some(reason),
+        _ => None,
+    }
+}
+
+struct OfferCase {
+    name: &'static str,
+    /// Requests of the same kind offered before, all with a far deadline.
+    before: u128,
+    condition: GateCondition,
+    now: u64,
+    deadline: u64,
+    expected: Result<GateVerdict, RefusalReason>,
+}
+
+#[test]
+fn an_offer_is_started_queued_or_refused_by_what_can_be_met() {
+    let open = GateCondition::Open;
+    let warming = GateCondition::Warming {
+        remaining: millis(1_000),
+    };
+    let start = Ok(GateVerdict::Start);
+    let queued = Ok(GateVerdict::Queued);
+    #[rustfmt::skip]
+    let cases = [
+        OfferCase { name: "free slot", before: 0, condition: open, now: 0, deadline: 10, expected: start },
+        OfferCase { name: "deadline reached", before: 0, condition: open, now: 10, deadline: 10, expected: Err(RefusalReason::TooLate) },
+        OfferCase { name: "all slots used", before: 3, condition: open, now: 0, deadline: 5_000, expected: queued },
+        OfferCase { name: "wait beyond deadline", before: 60, condition: open, now: 0, deadline: 500, expected: Err(RefusalReason::TooLate) },
+        OfferCase { name: "queue limit", before: 3 + 64, condition: open, now: 0, deadline: 60_000, expected: Err(RefusalReason::Full) },
+        OfferCase { name: "leaving", before: 0, condition: GateCondition::Leaving, now: 0, deadline: 5_000, expected: Err(RefusalReason::Leaving) },
+        OfferCase { name: "warming, time enough", before: 0, condition: warming, now: 0, deadline: 5_000, expected: queued },
+        OfferCase { name: "warming, too short", before: 0, condition: warming, now: 0, deadline: 900, expected: Err(RefusalReason::Warming) },
+    ];
+    for case in cases {
+        let settings = GateSettings::new(3).with_queue_limit(64);
+        let mut gate = RequestGate::new(settings);
+        gate.set_condition(case.condition, at(0));
+        for number in 0..case.before {
+            gate.offer(request(number + 1, 0, 600_000), at(0));
+        }
+        let verdict = gate.offer(request(1_000, 0, case.deadline), at(case.now));
+        match case.expected {
+            Ok(expected) => assert_eq!(verdict, expected, "{}", case.name),
+            Err(reason) => assert_eq!(reason_of(verdict), Some(reason), "{}", case.name),
+        }
+    }
+}
+
+// Symptom: a caller that was told to wait gets "not run", although its request runs.
+// Sequence: a relay repeats its request frame after a broken stream; the gate, full, refuses
+// the copy. Cause: the copy was judged as a new request.
+#[test]
+fn a_repeated_attempt_is_never_refused() {
+    let mut gate = new_gate(1);
+    assert_eq!(gate.offer(request(1, 0, 500), at(0)), GateVerdict::Start);
+    assert_eq!(gate.offer(request(2, 0, 900), at(0)), GateVerdict::Queued);
+    for number in [1, 2] {
+        let verdict = gate.offer(request(number, 0, 500), at(490));
+        assert_eq!(verdict, GateVerdict::Duplicate, "attempt {number}");
+    }
+}
+
+// Symptom: a request runs although its caller was told minutes ago that it failed.
+// Sequence: the agent's process is stopped while a request waits, and wakes after the deadline;
+// the first thing it handles is the end of another request, which frees the slot.
+// Cause: the queue was served without a look at the deadlines.
+#[test]
+fn a_process_that_wakes_late_refuses_instead_of_starting() {
+    type Wake = fn(&mut RequestGate) -> Vec<GateAction>;
+    let wakes: [(&str, Wake); 3] = [
+        ("finish", |gate| {
+            gate.finish(AttemptId(1), SlotEnd::Served, at(90_000))
+                .to_vec()
+        }),
+        ("advance", |gate| gate.advance(at(90_000)).to_vec()),
+        ("condition", |gate| {
+            gate.set_condition(GateCondition::Open, at(90_000)).to_vec()
+        }),
+    ];
+    for (name, wake) in wakes {
+        let mut gate = new_gate(1);
+        gate.offer(request(1, 0, 2_000), at(0));
+        assert_eq!(gate.offer(request(2, 0, 2_000), at(0)), GateVerdict::Queued);
+        let actions = wake(&mut gate);
+        let refused = matches!(
+            actions[..],
+            [GateAction::Refuse {
+                attempt: AttemptId(2),
+                reason: RefusalReason::TooLate,
+                ..
+            }]
+        );
+        assert!(refused, "{name}: {actions:?}");
+    }
+}
+
+#[test]
+fn leaving_refuses_what_waits_and_lets_run_what_runs() {
+    let mut gate = new_gate(1);
+    gate.offer(request(1, 0, 5_000), at(0));
+    gate.offer(request(2, 0, 5_000), at(0));
+    let actions = gate.set_condition(GateCondition::Leaving, at(10));
+    let leaving = matches!(
+        actions[..],
+        [GateAction::Refuse {
+            attempt: AttemptId(2),
+            reason: RefusalReason::Leaving,
+            ..
+        }]
+    );
+    assert!(leaving, "{actions:?}");
+    assert_eq!(gate.report(at(10)).in_use, 1);
+    assert!(
+        gate.finish(AttemptId(1), SlotEnd::Served, at(50))
+            .is_empty()
+    );
+}
+
+#[test]
+fn a_withdrawn_request_never_starts() {
+    let mut gate = new_gate(1);
+    gate.offer(request(1, 0, 5_000), at(0));
+    gate.offer(request(2, 0, 5_000), at(0));
+    assert!(gate.withdraw(AttemptId(2), at(1)));
+    assert!(!gate.withdraw(AttemptId(2), at(1)), "it waits no more");
+    assert!(!gate.withdraw(AttemptId(1), at(1)), "it runs");
+    assert!(
+        gate.finish(AttemptId(1), SlotEnd::Served, at(50))
+            .is_empty()
+    );
+}
+
+#[test]
+fn warming_ends_with_the_word_of_the_server_not_with_the_forecast() {
+    let mut gate = new_gate(2);
+    let warming = GateCondition::Warming {
+        remaining: millis(500),
+    };
+    gate.set_condition(warming, at(0));
+    assert_eq!(gate.offer(request(1, 0, 9_000), at(0)), GateVerdict::Queued);
+    assert!(gate.advance(at(2_000)).is_empty());
+    let actions = gate.set_condition(GateCondition::Open, at(2_100));
+    assert_eq!(actions[..], [GateAction::Start(AttemptId(1))]);
+}
+
+// Symptom: refused callers come back in waves, each refused again.
+// Sequence: a full gate refuses fifty callers in one millisecond with the same advice.
+// Cause: the advice was worked out for each as if it were alone.
+#[test]
+fn refused_callers_are_told_to_come_back_at_the_rate_of_service() {
+    let mut gate = new_gate(2);
+    for number in 0..40 {
+        gate.offer(request(number, 0, 60_000), at(0));
+    }
+    let advice = (100..150).map(|number| {
+        let verdict = gate.offer(request(number, 0, 500), at(0));
+        let GateVerdict::Refused { retry_after, .. } = verdict else {
+            panic!("{number} was not refused: {verdict:?}");
+        };
+        retry_after
+    });
+    let advice: Vec<_> = advice.collect();
+    let (first, last) = (advice[0], advice[49]);
+    // Two slots serve one request per 50 ms, so the fiftieth has to wait 2.45 s longer.
+    assert!(last >= first + millis(2_300), "{first:?} to {last:?}");
+    assert!(last <= first + millis(2_600), "{first:?} to {last:?}");
+}
+
+#[test]
+fn one_extreme_request_does_not_throw_the_forecast_off() {
+    let mut gate = new_gate(1);
+    for number in 0..100 {
+        gate.offer(request(number, 0, 600_000), at(number as u64 * 100));
+        gate.finish(
+            AttemptId(number),
+            SlotEnd::Served,
+            at(number as u64 * 100 + 100),
+        );
+    }
+    let before = gate.report(at(10_000)).service_time;
+    gate.offer(request(200, 10_000, 900_000), at(10_000));
+    gate.finish(AttemptId(200), SlotEnd::Served, at(310_000));
+    let after = gate.report(at(310_000)).service_time;
+    assert!(after < before * 2, "{before:?} became {after:?}");
+}
+
+// Symptom: requests wait behind a server that hangs, until their deadlines.
+// Sequence: the server slows down by a factor of fifty; none of its answers shows that yet.
+// Cause: the forecast counted only finished requests.
+#[test]
+fn a_server_that_became_slow_shows_before_its_answers() {
+    let mut gate = new_gate(2);
+    gate.offer(request(1, 0, 60_000), at(0));
+    gate.offer(request(2, 0, 60_000), at(0));
+    let verdict = gate.offer(request_of("ludhiana", 3, 5_000, 6_000), at(5_000));
+    assert_eq!(reason_of(verdict), Some(RefusalReason::TooLate));
+}
--- /dev/null
+++ b/crates/placement/tests/all/limit.rs
@@ -0,0 +1,56 @@
+//! The server's own limit.
+
+use lovagelatch_domain::AttemptId;
+use lovagelatch_placement::{GateVerdict, SlotEnd};
+
+use crate::support::{at, new_gate, request};
+
+// Symptom: a server that refuses everything draws most of the load.
+// Sequence: it refuses each request in a millisecond, so its gate looks free again at once.
+// Cause: the gate trusted the listed slots.
+#[test]
+fn a_server_that_sheds_or_drops_gets_less_and_recovers() {
+    for end in [SlotEnd::Shed, SlotEnd::Lost] {
+        let mut gate = new_gate(3);
+        let mut started = 0;
+        for number in 0..1_000 {
+            let now = at(number as u64);
+            if gate.offer(request(number, number as u64, 1_000_000), now) == GateVerdict::Start {
+                started += 1;
+                gate.finish(AttemptId(number), end, now);
+            }
+            gate.withdraw(AttemptId(number), now);
+        }
+        assert!(
+            started <= 12,
+            "{end:?}: {started} of 1000 reached the server"
+        );
+        recovers(&mut gate);
+    }
+}
+
+/// Serves one request at a time until all three slots are back.
+fn recovers(gate: &mut lovagelatch_placement::RequestGate) {
+    for step in 0..20_u64 {
+        let now = 10_000 + step * 500;
+        let attempt = AttemptId(10_000 + u128::from(step));
+        gate.advance(at(now));
+        gate.offer(request(attempt.0, now, now + 60_000), at(now));
+        gate.finish(attempt, SlotEnd::Served, at(now + 100));
+    }
+    assert_eq!(gate.report(at(21_000)).slots, 3);
+}
+
+#[test]
+fn the_limit_shrinks_to_what_the_server_took() {
+    let mut gate = new_gate(7);
+    for number in 0..5 {
+        gate.offer(request(number, 0, 9_000), at(0));
+    }
+    gate.finish(AttemptId(4), SlotEnd::Shed, at(1));
+    assert_eq!(gate.report(at(1)).slots, 4);
+    assert_eq!(
+        gate.offer(request(10, 1, 9_000), at(1)),
+        GateVerdict::Queued
+    );
+}
--- /dev/null
+++ b/crates/placement/tests/all/main.rs
@@ -0,0 +1,11 @@
+//! Tests of the decisions under load.
+
+mod budget;
+mod fairness;
+mod gate;
+mod invariants;
+mod limit;
+mod placement;
+mod policy;
+mod subset;
+mod support;
--- /dev/null
+++ b/crates/routing/benches/decision.rs
@@ -0,0 +1,146 @@
+//! What a decision costs: one datagram from its bytes to the agent it goes to.
+//!
+//! `cargo bench -p lovagelatch-routing`
+
+use std::hint::black_box;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use criterion::{BenchmarkId, Criterion, Throughput, criterion_group, criterion_main};
+use lovagelatch_domain::{AgentAddress, ConfigRevision, ServiceId};
+use lovagelatch_keys::{FleetKeys, FlowToken, KeyGeneration, KeySecret};
+use lovagelatch_membership::TargetStanding;
+use lovagelatch_routing::{
+    FlowRouter, PacketView, RingTarget, RoutingTable, ServiceRing, TableBuilder,
+};
+
+const SERVICE: ServiceId = ServiceId(7);
+const ADDRESS: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(127, 20, 0, 1), 4433);
+/// Different packets in turn, so that no branch or cache line is always the same.
+const PACKETS: usize = 1_024;
+
+fn agent(number: u32) -> AgentAddress {
+    let address = Ipv4Addr::from(0x0a00_0000 + number);
+    AgentAddress(SocketAddrV4::new(address, 7_000))
+}
+
+fn targets(count: u32, equal: bool) -> Vec<RingTarget> {
+    (0..count)
+        .map(|number| RingTarget {
+            agent: agent(number),
+            slots: if equal { 3 } else { 1 + (number % 7) as u16 },
+            standing: TargetStanding::Live,
+        })
+        .collect()
+}
+
+fn table(targets: &[RingTarget]) -> RoutingTable {
+    TableBuilder::new(ConfigRevision(1), &RoutingTable::default())
+        .with_service(SERVICE, [ADDRESS], targets)
+        .build()
+        .with_gone([agent(u32::from(u16::MAX))])
+}
+
+fn keys() -> FleetKeys {
+    let secret = |number| KeySecret::from_bytes(KeyGeneration(number), [number; 32]);
+    FleetKeys::new(&[secret(2), secret(1)]).expect("two keys")
+}
+
+fn token_packets(keys: &FleetKeys) -> Vec<Vec<u8>> {
+    let packet = |serial| {
+        let token = FlowToken {
+            agent: agent(serial as u32 % 7),
+            service: SERVICE,
+            serial,
+        };
+        let mut packet = vec![0x40];
+        packet.extend_from_slice(&token.seal(keys));
+        packet.resize(1_200, 1);
+        packet
+    };
+    (0..PACKETS as u64).map(packet).collect()
+}
+
+fn initial_packets() -> Vec<Vec<u8>> {
+    let packet = |number: u64| {
+        let mut packet = vec![0xc0, 0, 0, 0, 1, 8];
+        packet.extend_from_slice(&number.wrapping_mul(0x9e37_79b9_7f4a_7c15).to_be_bytes());
+        packet.resize(1_200, 1);
+        packet
+    };
+    (0..PACKETS as u64).map(packet).collect()
+}
+
+fn bench_packets(bench: &mut Criterion) {
+    let keys = keys();
+    let router = FlowRouter::new();
+    let mut group = bench.benchmark_group("decision");
+    group.throughput(Throughput::Elements(1));
+    let mut measure = |name: &str, packets: &[Vec<u8>], table: &RoutingTable| {
+        let mut next = 0;
+        group.bench_function(name, |bencher| {
+            bencher.iter(|| {
+                next = (next + 1) % PACKETS;
+                let packet = PacketView::read(black_box(&packets[next]), ADDRESS, &keys);
+                packet.map(|packet| router.route(&packet, table))
+            });
+        });
+    };
+    let seven = table(&targets(7, true));
+    measure("open flow, 7 targets", &token_packets(&keys), &seven);
+    measure("new flow, 7 targets", &initial_packets(), &seven);
+    let unequal = table(&targets(7, false));
+    measure(
+        "new flow, 7 targets, unequal slots",
+        &initial_packets(),
+        &unequal,
+    );
+    let many = table(&targets(400, true));
+    measure("new flow, 400 targets", &initial_packets(), &many);
+    group.finish();
+}
+
+fn bench_rings(bench: &mut Criterion) {
+    let mut group = bench.benchmark_group("ring");
+    for count in [7, 12, 16, 32, 64, 400] {
+        for equal in [true, false] {
+            let slots = if equal { "equal" } else { "unequal" };
+            let targets = targets(count, equal);
+            let scanned = ServiceRing::without_buckets(SERVICE, &targets);
+            let mut key = 1_u64;
+            group.bench_function(
+                BenchmarkId::new(format!("scan, {slots} slots"), count),
+                |b| {
+                    b.iter(|| {
+                        key = key.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(1);
+                        scanned.pick(key)
+                    });
+                },
+            );
+        }
+    }
+    group.finish();
+    let mut group = bench.benchmark_group("table");
+    group.sample_size(10);
+    for count in [7, 13, 64, 400, 1_000] {
+        for equal in [true, false] {
+            let slots = if equal { "equal" } else { "unequal" };
+            let targets = targets(count, equal);
+            group.bench_function(
+                BenchmarkId::new(format!("build, {slots} slots"), count),
+                |b| {
+                    b.iter(|| ServiceRing::new(SERVICE, &targets));
+                },
+            );
+        }
+    }
+    group.finish();
+}
+
+criterion_group! {
+    name = benches;
+    config = Criterion::default()
+        .warm_up_time(std::time::Duration::from_millis(300))
+        .measurement_time(std::time::Duration::from_secs(1));
+    targets = bench_packets, bench_rings
+}
+criterion_main!(benches);
--- /dev/null
+++ b/crates/routing/tests/all/absence.rs
@@ -0,0 +1,118 @@
+//! Which agents are gone for good.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use lovagelatch_domain::{
+    AgentAddress, ConfigRevision, InstanceList, InstanceState, ListRevision, Moment,
+};
+use lovagelatch_membership::{FleetView, TargetStanding};
+use lovagelatch_routing::AbsenceBook;
+
+use crate::support::agent;
+use crate::view::record;
+
+const DRAIN_LIMIT: Duration = Duration::from_secs(30);
+
+/// What one view says of agent 1: its standing, or nothing when it is not listed.
+type Sight = Option<TargetStanding>;
+
+struct AbsenceCase {
+    name: &'static str,
+    /// Views with the second at which each arrived.
+    sights: Vec<(u64, Sight)>,
+    asked_at: u64,
+    gone: bool,
+}
+
+fn view(sight: Sight) -> FleetView {
+    let mut list = InstanceList {
+        revision: ListRevision(1),
+        targets: vec![record(2, "claims", InstanceState::Live)],
+        balancers: Vec::new(),
+    };
+    if sight.is_some() {
+        list.targets.push(record(1, "claims", InstanceState::Live));
+    }
+    let view = FleetView::new(ConfigRevision(1), Arc::default(), &list);
+    match sight {
+        Some(standing) => view.with_standing(agent(1), standing),
+        None => view,
+    }
+}
+
+fn cases() -> Vec<AbsenceCase> {
+    use TargetStanding::{Leaving, Live, Suspected};
+    let case = |name, sights: &[(u64, Sight)], asked_at, gone| AbsenceCase {
+        name,
+        sights: sights.to_vec(),
+        asked_at,
+        gone,
+    };
+    vec![
+        case("never seen", &[(0, None)], 100, false),
+        case(
+            "paused: suspected, but listed",
+            &[(0, Some(Suspected))],
+            900,
+            false,
+        ),
+        case(
+            "killed: suspected, then off the list",
+            &[(0, Some(Live)), (2, Some(Suspected)), (30, None)],
+            30,
+            true,
+        ),
+        case(
+            "drained: off the list while it still ends its flows",
+            &[(0, Some(Live)), (1, Some(Leaving)), (5, None)],
+            34,
+            false,
+        ),
+        case(
+            "drained: off the list for longer than any drain",
+            &[(0, Some(Live)), (1, Some(Leaving)), (5, None)],
+            36,
+            true,
+        ),
+        case(
+            "a successor at the same address",
+            &[(0, Some(Suspected)), (5, None), (9, Some(Live))],
+            90,
+            false,
+        ),
+        case(
+            "gone twice",
+            &[(0, Some(Suspected)), (5, None), (9, Some(Live)), (20, None)],
+            40,
+            false,
+        ),
+        case(
+            "forgotten after an hour",
+            &[(0, Some(Suspected)), (5, None), (4_000, None)],
+            4_000,
+            false,
+        ),
+    ]
+}
+
+/// Symptom: feeds of a draining agent are reset, or callers of a dead one wait for their idle
+/// timeout. Sequence: an instance leaves the list, before or after its agent ended. Cause: the
+/// list taken for proof that an agent is dead, or no proof of death at all.
+#[test]
+fn only_the_dead_are_gone() {
+    for case in cases() {
+        let mut book = AbsenceBook::new(DRAIN_LIMIT);
+        let mut held = FleetView::default();
+        for (second, sight) in case.sights {
+            let next = view(sight);
+            book.note(&held, &next, Moment::from_millis(second * 1_000));
+            held = next;
+        }
+        let gone: Vec<AgentAddress> = book
+            .gone(Moment::from_millis(case.asked_at * 1_000))
+            .collect();
+        assert_eq!(gone.contains(&agent(1)), case.gone, "{}", case.name);
+        assert!(!gone.contains(&agent(2)), "{}", case.name);
+    }
+}
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -5,13 +5,19 @@
 //!
 //! ```text
 //! holder                     gate
-//!   | -- Request ------------> |
-//!   | -- Body* , BodyEnd ----> |
+//!   | -- Request, Body* -----> |
+//!   | <- Ready                 |   the stream works; nothing runs yet
+//!   | -- BodyEnd ------------> |   from here on it may run
 //!   | <- Refused               |   not run: the holder may try another gate
 //!   | <- Head, Chunk*, End     |   the whole answer
 //!   | <- Lost                  |   it may have run: outcome unknown
 //!   | -- Cancel -------------> |   the caller gave up
 //! ```
+//!
+//! `BodyEnd` is the one step that hands a request over. A gateway takes every stream, also one
+//! whose far end is cut off, and a kept stream can go silent unnoticed; so the holder sends
+//! `BodyEnd` only after `Ready`, and a stream that brings no `Ready` proves that the request
+//! did not run.
 
 use std::time::Duration;
 
@@ -94,4 +100,6 @@
     End(AttemptId),
     /// The request may have run, but its answer is lost.
     Lost(AttemptId),
+    /// The request's head has arrived; it runs once its body is whole.
+    Ready(AttemptId),
 }
--- /dev/null
+++ b/crates/wire/tests/all/forward.rs
@@ -0,0 +1,113 @@
+//! Forward frames.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use lovagelatch_domain::{ConfigRevision, ServiceId};
+use lovagelatch_wire::{
+    ForwardHeader, FrameError, FrameKind, MAX_DATAGRAM_BYTES, open_forward, seal_forward,
+    seal_frame, seal_message,
+};
+use quickcheck::quickcheck;
+
+use crate::support::ring;
+
+/// An ordinary link's packet less its IPv4 and UDP headers, in bytes.
+const LINK_PAYLOAD_BYTES: usize = 1_500 - 20 - 8;
+
+fn header(caller: (u32, u16), service: u32, revision: u64, hops: u8) -> ForwardHeader {
+    ForwardHeader {
+        caller: SocketAddrV4::new(Ipv4Addr::from(caller.0), caller.1),
+        service_address: SocketAddrV4::new(Ipv4Addr::new(127, 20, 0, 1), 4433),
+        service: ServiceId(service),
+        revision: ConfigRevision(revision),
+        hops,
+    }
+}
+
+#[test]
+fn the_largest_datagram_fits_a_link() {
+    let header = ForwardHeader {
+        service_address: SocketAddrV4::new(Ipv4Addr::BROADCAST, u16::MAX),
+        ..header((u32::MAX, u16::MAX), u32::MAX, u64::MAX, u8::MAX)
+    };
+    let mut frame = Vec::new();
+    seal_forward(&header, &[0; MAX_DATAGRAM_BYTES], &ring(&[1]), &mut frame);
+    assert!(frame.len() <= LINK_PAYLOAD_BYTES, "{} bytes", frame.len());
+}
+
+#[test]
+fn sealing_into_a_buffer_with_room_does_not_move_it() {
+    let mut out = Vec::with_capacity(2_048);
+    out.extend_from_slice(b"before");
+    let place = out.as_ptr();
+    let keys = ring(&[1]);
+    seal_forward(&header((1, 2), 3, 4, 0), &[9; 1_200], &keys, &mut out);
+    assert_eq!(out.as_ptr(), place);
+    assert!(open_forward(&out[6..], &keys).is_ok());
+}
+
+#[test]
+fn other_frames_are_no_forward_frames() {
+    struct ForwardCase {
+        name: &'static str,
+        frame: Vec<u8>,
+        expected: FrameError,
+    }
+    let keys = ring(&[1]);
+    let mut short = Vec::new();
+    seal_frame(FrameKind::Forward, &keys, &mut short, |out| {
+        out.extend_from_slice(&[1, 2, 3]);
+    });
+    let mut long_number = Vec::new();
+    seal_frame(FrameKind::Forward, &keys, &mut long_number, |out| {
+        out.extend_from_slice(&[0xff; 40]);
+    });
+    let cases = [
+        ForwardCase {
+            name: "another kind",
+            frame: seal_message(FrameKind::Relay, &1_u8, &keys),
+            expected: FrameError::UnknownKind { kind: 3 },
+        },
+        ForwardCase {
+            name: "a cut header",
+            frame: short,
+            expected: FrameError::BadPayload,
+        },
+        ForwardCase {
+            name: "a number without end",
+            frame: long_number,
+            expected: FrameError::BadPayload,
+        },
+    ];
+    for case in cases {
+        let opened = open_forward(&case.frame, &keys);
+        assert_eq!(opened, Err(case.expected), "{}", case.name);
+    }
+}
+
+quickcheck! {
+    fn what_is_sealed_opens(caller: (u32, u16), ids: (u32, u64), hops: u8, datagram: Vec<u8>)
+        -> bool
+    {
+        let keys = ring(&[1]);
+        let header = header(caller, ids.0, ids.1, hops);
+        let mut frame = Vec::new();
+        seal_forward(&header, &datagram, &keys, &mut frame);
+        open_forward(&frame, &keys) == Ok((header, &datagram[..]))
+    }
+
+    fn any_bytes_are_refused(bytes: Vec<u8>) -> bool {
+        open_forward(&bytes, &ring(&[1])).is_err()
+    }
+
+    /// A process of the fleet itself may be of another build: its payload must not panic either.
+    fn any_sealed_payload_is_read_without_panic(payload: Vec<u8>) -> bool {
+        let keys = ring(&[1]);
+        let mut frame = Vec::new();
+        seal_frame(FrameKind::Forward, &keys, &mut frame, |out| out.extend_from_slice(&payload));
+        match open_forward(&frame, &keys) {
+            Ok((_, datagram)) => payload.ends_with(datagram),
+            Err(error) => error == FrameError::BadPayload,
+        }
+    }
+}
--- /dev/null
+++ b/standins/capacity/src/lib.rs
@@ -0,0 +1,11 @@
+//! Measures how the costs of the control plane grow with the fleet.
+//!
+//! [`MemberRig`] runs members of a fleet in one process over their real messages; the tests of
+//! the membership library use it too.
+
+mod rig;
+
+pub use rig::{
+    MemberRig, PlatformState, RigNetwork, RigNode, RigPlatform, RigTraffic, rig_address, rig_list,
+    rig_text, rig_text_range,
+};
--- /dev/null
+++ b/standins/experiments/src/overload.rs
@@ -0,0 +1,90 @@
+//! Goodput beyond capacity.
+
+use std::path::Path;
+use std::time::Duration;
+
+use crate::contest::{Contestant, run_all};
+use crate::law::{ArrivalLaw, SizeLaw};
+use crate::report::{GoalCheck, ReportError, draw_plot, lines_by_policy, write_results};
+use crate::scenario::{DEPLOYMENTS, Scenario};
+use crate::tally::RunResult;
+
+const LOADS: [f64; 5] = [0.8, 1.0, 1.2, 1.5, 2.0];
+const DEADLINES: [Duration; 2] = [Duration::from_secs(1), Duration::from_secs(5)];
+const LAG: Duration = Duration::from_secs(1);
+const REQUESTS: usize = 80_000;
+const LEAST_SHARE: f64 = 0.9;
+
+pub(crate) fn run(directory: &Path, seed: u64) -> Result<(), ReportError> {
+    let results = run_all(&jobs(seed));
+    let goals = check(&results);
+    write_results(directory, "overload", &goals, &results)?;
+    let lines = lines_by_policy(
+        &results,
+        |result| {
+            result.deployment == DEPLOYMENTS[0].name
+                && result.deadline_s < 2.0
+                && result.sizes == SizeLaw::Lognormal
+                && result.arrivals == ArrivalLaw::Poisson
+        },
+        |result| (result.load, result.goodput),
+    );
+    draw_plot(
+        &directory.join("overload-goodput.svg"),
+        "indus-claims, callers wait 1 s",
+        ("load", "done in time (requests/s)"),
+        &lines,
+    )
+}
+
+fn jobs(seed: u64) -> Vec<(Contestant, Scenario)> {
+    let mut jobs = Vec::new();
+    let laws = [
+        (SizeLaw::Lognormal, ArrivalLaw::Poisson),
+        (SizeLaw::Pareto, ArrivalLaw::Bursts),
+    ];
+    for deployment in &DEPLOYMENTS[..4] {
+        for deadline in DEADLINES {
+            for (sizes, arrivals) in laws {
+                for load in LOADS {
+                    let scenario = Scenario::new(*deployment, load, LAG)
+                        .with_deadline(deadline)
+                        .with_laws(sizes, arrivals)
+                        .with_requests(REQUESTS)
+                        .with_seed(seed);
+                    jobs.push((Contestant::Ours, scenario.clone()));
+                    jobs.push((Contestant::TwoChoices, scenario));
+                }
+            }
+        }
+    }
+    jobs
+}
+
+fn check(results: &[RunResult]) -> Vec<GoalCheck> {
+    let mut goals = Vec::new();
+    let ours = || {
+        results
+            .iter()
+            .filter(|result| result.policy == Contestant::Ours.name())
+    };
+    for double in ours().filter(|result| result.load >= 2.0) {
+        let single = ours().find(|one| {
+            one.deployment == double.deployment
+                && (one.load - 1.0).abs() < 1e-9
+                && (one.deadline_s - double.deadline_s).abs() < 1e-9
+                && one.sizes == double.sizes
+        });
+        let Some(single) = single else {
+            continue;
+        };
+        let case = format!(
+            "{} deadline {} s {:?} {:?}",
+            double.deployment, double.deadline_s, double.sizes, double.arrivals
+        );
+        let share = crate::tally::round(double.goodput / single.goodput.max(1e-9));
+        let goal = "goodput at 2x over goodput at 1x";
+        goals.push(GoalCheck::at_least(goal, case, share, LEAST_SHARE));
+    }
+    goals
+}
--- /dev/null
+++ b/standins/history/tests/all/main.rs
@@ -0,0 +1,8 @@
+//! Tests of histories and their checker.
+
+mod checker;
+mod content;
+mod fairness;
+mod feed;
+mod file;
+mod histories;
--- /dev/null
+++ b/standins/local/src/deployment.rs
@@ -0,0 +1,140 @@
+//! The two deployments, at the sizes of their users.
+
+use std::str::FromStr;
+use std::time::Duration;
+
+/// Mean time that a request holds a slot, in milliseconds.
+pub(crate) const MEAN_WORK_MS: f64 = 60.0;
+
+/// The share of all slots that callers keep busy when no rate is given.
+const DEFAULT_BUSY_SHARE: f64 = 0.35;
+
+/// Which deployment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum DeploymentName {
+    Indus,
+    Desai,
+}
+
+impl FromStr for DeploymentName {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "indus" => Ok(Self::Indus),
+            "desai" => Ok(Self::Desai),
+            _ => Err(format!(
+                "unknown deployment {text:?}; known are indus, desai"
+            )),
+        }
+    }
+}
+
+/// One service of a deployment.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct DeploymentService {
+    pub(crate) name: &'static str,
+    pub(crate) targets: usize,
+    /// An address for each, belonging to an agency or to none.
+    pub(crate) agencies: &'static [Option<&'static str>],
+    pub(crate) depends: Option<&'static str>,
+    pub(crate) status: bool,
+    pub(crate) download: Option<&'static str>,
+    pub(crate) filing: Option<&'static str>,
+    pub(crate) feed: bool,
+}
+
+/// A deployment.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Deployment {
+    pub(crate) name: &'static str,
+    pub(crate) zones: &'static [&'static str],
+    pub(crate) balancers: usize,
+    pub(crate) slots: u16,
+    pub(crate) zone_delay: Duration,
+    pub(crate) client_delay: Duration,
+    pub(crate) services: [DeploymentService; 2],
+}
+
+const INDUS: Deployment = Deployment {
+    name: "indus",
+    zones: &["lahore-a", "lahore-b", "lahore-c", "lahore-d"],
+    balancers: 4,
+    slots: 3,
+    zone_delay: Duration::from_micros(1_500),
+    client_delay: Duration::from_micros(1_000),
+    services: [
+        DeploymentService {
+            name: "claims",
+            targets: 7,
+            agencies: &[Some("ludhiana"), Some("amritsar"), Some("jalandhar")],
+            depends: Some("certificates"),
+            status: true,
+            download: None,
+            filing: Some("/claims"),
+            feed: true,
+        },
+        DeploymentService {
+            name: "certificates",
+            targets: 4,
+            agencies: &[Some("ludhiana"), Some("amritsar")],
+            depends: None,
+            status: false,
+            download: Some("/certificates"),
+            filing: None,
+            feed: false,
+        },
+    ],
+};
+
+const DESAI: Deployment = Deployment {
+    name: "desai",
+    zones: &["ahmedabad-1", "ahmedabad-2", "ahmedabad-3"],
+    balancers: 3,
+    slots: 7,
+    zone_delay: Duration::from_micros(1_500),
+    client_delay: Duration::from_micros(3_000),
+    services: [
+        DeploymentService {
+            name: "reports",
+            targets: 7,
+            agencies: &[None, None],
+            depends: Some("maps"),
+            status: true,
+            download: None,
+            filing: Some("/reports"),
+            feed: true,
+        },
+        DeploymentService {
+            name: "maps",
+            targets: 3,
+            agencies: &[None],
+            depends: None,
+            status: false,
+            download: Some("/maps"),
+            filing: None,
+            feed: false,
+        },
+    ],
+};
+
+impl Deployment {
+    pub(crate) fn new(name: DeploymentName) -> Self {
+        match name {
+            DeploymentName::Indus => INDUS,
+            DeploymentName::Desai => DESAI,
+        }
+    }
+
+    /// Requests a second that keep the usual share of slots busy.
+    pub(crate) fn default_rate(&self) -> f64 {
+        let targets: usize = self.services.iter().map(|service| service.targets).sum();
+        let slots = targets as f64 * f64::from(self.slots);
+        slots * DEFAULT_BUSY_SHARE * 1_000.0 / MEAN_WORK_MS
+    }
+
+    /// The zone of the instance with this number; they are dealt out in turn.
+    pub(crate) fn zone(&self, number: usize) -> &'static str {
+        self.zones[number % self.zones.len()]
+    }
+}
--- /dev/null
+++ b/standins/local/src/run.rs
@@ -0,0 +1,313 @@
+//! A whole run, from the first process to the verdict.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use lovagelatch_callers::{AddressPlan, CallerCounts, CallerPlan, ServicePlan};
+use lovagelatch_history::{
+    BackendHistory, RunFacts, RunReport, check_run, read_history, unix_millis,
+};
+use serde_json::json;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::Mutex;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+use crate::binaries::ProgramDirectory;
+use crate::config_watch::publish_and_measure;
+use crate::credentials::server_name;
+use crate::deployment::{Deployment, MEAN_WORK_MS};
+use crate::directory::{RunDirectory, file_error};
+use crate::error::LocalError;
+use crate::options::LocalOptions;
+use crate::process::LocalProcess;
+use crate::rig::LocalRig;
+use crate::script::run_fault;
+use crate::stop::stop_all;
+use crate::summary::{Narrator, RunAllowance, broken_counts, print_report};
+
+/// How long a caller waits for an answer, in milliseconds.
+const DEADLINE_MS: u64 = 8_000;
+
+/// How long after the last arrival callers may still wait for answers and retries.
+const CALLERS_GRACE: Duration = Duration::from_secs(75);
+
+/// How often the processes are looked at.
+const CHECK_PERIOD: Duration = Duration::from_millis(200);
+
+/// When a run without a fault of the configuration publishes a harmless change, as a share of
+/// its length, so that every run measures how long one takes.
+const CHANGE_SHARE: f64 = 0.4;
+
+type SharedRig = Arc<Mutex<LocalRig>>;
+
+/// Makes a run; true when nothing broke that its faults do not allow.
+pub(crate) async fn run(options: LocalOptions) -> Result<bool, LocalError> {
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(LocalError::Signals)?;
+    let mut terminate = signal(SignalKind::terminate()).map_err(LocalError::Signals)?;
+    let stopped = async {
+        tokio::select! {
+            _ = interrupt.recv() => {}
+            _ = terminate.recv() => {}
+        }
+    };
+    let programs = ProgramDirectory::prepare(!options.no_build)?;
+    let directory = RunDirectory::create(options.logs.as_deref())?;
+    let deployment = Deployment::new(options.deployment);
+    tokio::pin!(stopped);
+    let started = tokio::select! {
+        started = start(deployment, directory, programs, &options) => started?,
+        () = &mut stopped => return Err(LocalError::Interrupted),
+    };
+    let rig = Arc::new(Mutex::new(started));
+    if options.hold {
+        println!("{}", hold_line(&*rig.lock().await));
+        stopped.await;
+        stop_all(&mut *rig.lock().await).await;
+        return Ok(true);
+    }
+    let ran = tokio::select! {
+        ran = run_callers(&rig, &options) => ran,
+        () = &mut stopped => Err(LocalError::Interrupted),
+    };
+    let slow = stop_all(&mut *rig.lock().await).await;
+    let facts = ran?;
+    let mut rig = rig.lock().await;
+    for name in slow {
+        rig.findings
+            .push(format!("{name} did not stop in time after SIGTERM"));
+    }
+    judge(&mut rig, &facts, &options)
+}
+
+async fn start(
+    deployment: Deployment,
+    directory: RunDirectory,
+    programs: ProgramDirectory,
+    options: &LocalOptions,
+) -> Result<LocalRig, LocalError> {
+    let narrator = Narrator::new(options.quiet);
+    let mut rig = LocalRig::start(deployment, directory, programs, options.seed).await?;
+    let started = rig.start_all().await;
+    if started.is_err() {
+        rig.directory.keep();
+        eprintln!("logs: {}", rig.directory.logs.display());
+    }
+    started?;
+    let (targets, balancers) = (rig.targets.len(), rig.balancers.len());
+    narrator.say(&format!(
+        "{} is up: {balancers} balancers, {targets} targets",
+        deployment.name
+    ));
+    Ok(rig)
+}
+
+/// The line that tells other tools where the services are.
+fn hold_line(rig: &LocalRig) -> serde_json::Value {
+    let services: Vec<_> = rig
+        .addresses
+        .iter()
+        .map(|entry| {
+            json!({
+                "name": entry.service,
+                "address": entry.address.to_string(),
+                "agency": entry.agency,
+                "server_name": server_name(entry.service),
+                "ca": rig.credentials.authority,
+            })
+        })
+        .collect();
+    json!({ "services": services })
+}
+
+fn caller_plan(rig: &LocalRig, options: &LocalOptions) -> CallerPlan {
+    let deployment = &rig.deployment;
+    let services = deployment.services.iter().map(|service| {
+        let own = rig
+            .addresses
+            .iter()
+            .filter(|entry| entry.service == service.name);
+        ServicePlan {
+            name: service.name.to_owned(),
+            server_name: server_name(service.name),
+            ca: rig.credentials.authority.clone(),
+            addresses: own
+                .map(|entry| AddressPlan {
+                    address: entry.address,
+                    agency: entry.agency.map(str::to_owned),
+                })
+                .collect(),
+            share: service.targets as f64,
+            status: service.status,
+            download: service.download.map(str::to_owned),
+            filing: service.filing.map(str::to_owned),
+            feed: service.feed,
+        }
+    });
+    CallerPlan {
+        seed: options.seed,
+        seconds: options.seconds,
+        rate: options.rate.unwrap_or_else(|| deployment.default_rate()),
+        feeds: options.feeds,
+        mean_work_ms: MEAN_WORK_MS,
+        deadline_ms: DEADLINE_MS,
+        services: services.collect(),
+        history: rig.directory.logs.join("callers.jsonl"),
+    }
+}
+
+/// Runs callers and faults; returns what happened when.
+async fn run_callers(rig: &SharedRig, options: &LocalOptions) -> Result<RunFacts, LocalError> {
+    let narrator = Narrator::new(options.quiet);
+    let mut facts = RunFacts {
+        started_ms: unix_millis(),
+        ..RunFacts::default()
+    };
+    let (mut callers, lines) = {
+        let rig = rig.lock().await;
+        let plan = serde_json::to_string(&caller_plan(&rig, options))?;
+        let path = rig.directory.write("plan.json", &plan)?;
+        let program = rig.programs.program("lovagelatch-callers");
+        let arguments = ["--plan".to_owned(), path.display().to_string()];
+        LocalProcess::spawn("callers", &program, &arguments, &rig.directory.logs)?
+    };
+    let mut faults = start_faults(rig, options, narrator);
+    let progress = async {
+        let mut lines = lines;
+        while let Ok(Some(line)) = lines.next_line().await {
+            if let Ok(counts) = serde_json::from_str::<CallerCounts>(&line) {
+                narrator.say_counts(&counts);
+            }
+        }
+    };
+    let checks = async {
+        loop {
+            sleep(CHECK_PERIOD).await;
+            for end in rig.lock().await.check_processes() {
+                eprintln!("{end}");
+            }
+        }
+    };
+    let limit = Duration::from_secs_f64(options.seconds) + CALLERS_GRACE;
+    let ended = tokio::select! {
+        ended = timeout(limit, progress) => ended.is_ok(),
+        () = checks => true,
+    };
+    if !ended {
+        let finding = format!("callers did not end within {} s", limit.as_secs());
+        rig.lock().await.findings.push(finding);
+        callers.kill();
+    }
+    facts.ended_ms = unix_millis();
+    wait_for_callers(rig, &mut callers).await;
+    finish_faults(rig, &mut faults).await;
+    let rig = rig.lock().await;
+    facts.leaving.clone_from(&rig.leaving);
+    facts.unplanned_since_ms = unplanned_since(options, facts.started_ms);
+    let times: Option<Vec<f64>> = rig.config_times.iter().copied().collect();
+    facts.config_in_force_ms = times.and_then(|times| times.into_iter().reduce(f64::max));
+    Ok(facts)
+}
+
+async fn wait_for_callers(rig: &SharedRig, callers: &mut LocalProcess) {
+    let mut status = callers.exit_status();
+    for _ in 0..50 {
+        if status.is_some() {
+            break;
+        }
+        sleep(CHECK_PERIOD / 10).await;
+        status = callers.exit_status();
+    }
+    if !status.is_some_and(|status| status.success()) {
+        let finding = format!("callers ended badly ({status:?}): {}", callers.log_tail());
+        rig.lock().await.findings.push(finding);
+        callers.kill();
+    }
+}
+
+fn start_faults(
+    rig: &SharedRig,
+    options: &LocalOptions,
+    narrator: Narrator,
+) -> JoinSet<Result<(), LocalError>> {
+    let mut faults = JoinSet::new();
+    for fault in &options.fault {
+        let rig = Arc::clone(rig);
+        let (name, wait) = (fault.name, Duration::from_secs_f64(fault.second));
+        faults.spawn(async move {
+            sleep(wait).await;
+            run_fault(name, rig, narrator).await
+        });
+    }
+    if !options.fault.iter().any(|fault| fault.name.is_config()) {
+        let rig = Arc::clone(rig);
+        let wait = Duration::from_secs_f64(options.seconds * CHANGE_SHARE);
+        faults.spawn(async move {
+            sleep(wait).await;
+            let revision = publish_and_measure(&rig).await?;
+            narrator.say(&format!(
+                "revision {revision}, a harmless change, is in force"
+            ));
+            Ok(())
+        });
+    }
+    faults
+}
+
+/// Ends faults that outlast the callers, and notes those that failed.
+async fn finish_faults(rig: &SharedRig, faults: &mut JoinSet<Result<(), LocalError>>) {
+    while let Some(ended) = faults.try_join_next() {
+        if let Ok(Err(error)) = ended {
+            rig.lock()
+                .await
+                .findings
+                .push(format!("a fault failed: {error}"));
+        }
+    }
+    if !faults.is_empty() {
+        let finding = format!("{} faults were not over when callers ended", faults.len());
+        rig.lock().await.findings.push(finding);
+    }
+    faults.shutdown().await;
+}
+
+fn unplanned_since(options: &LocalOptions, started_ms: f64) -> Option<f64> {
+    let unplanned = options
+        .fault
+        .iter()
+        .filter(|fault| !fault.name.is_planned());
+    let seconds = unplanned.map(|fault| fault.second).reduce(f64::min)?;
+    Some(started_ms + seconds * 1_000.0)
+}
+
+/// Reads the histories, prints the report and says what broke.
+fn judge(rig: &mut LocalRig, facts: &RunFacts, options: &LocalOptions) -> Result<bool, LocalError> {
+    let callers = read_history(&rig.directory.logs.join("callers.jsonl"))?;
+    let mut backends = Vec::new();
+    for target in &rig.targets {
+        backends.extend(BackendHistory::new(read_history(&target.history)?));
+    }
+    let report = check_run(&callers, &backends, facts);
+    print_report(&report);
+    if let Some(path) = &options.report {
+        write_report(&report, path)?;
+    }
+    let unplanned = facts.unplanned_since_ms.is_some();
+    let mut broken = broken_counts(&report, RunAllowance { unplanned });
+    broken.append(&mut rig.findings);
+    for line in &broken {
+        println!("BROKEN: {line}");
+    }
+    if !broken.is_empty() {
+        rig.directory.keep();
+    }
+    if !broken.is_empty() || options.logs.is_some() {
+        println!("logs and histories: {}", rig.directory.logs.display());
+    }
+    Ok(broken.is_empty())
+}
+
+fn write_report(report: &RunReport, path: &std::path::Path) -> Result<(), LocalError> {
+    let text = serde_json::to_string_pretty(report)?;
+    std::fs::write(path, text).map_err(|error| file_error(path, error))
+}
--- /dev/null
+++ b/standins/platform/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the platform stand-in.
+
+mod state;
