--- a/crates/placement/src/evidence.rs
+++ b/crates/placement/src/evidence.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use lovagelatch_domain::{GateReport, Moment, RefusalReason};
+use lovagelatch_domain::{GateCondition, GateReport, Moment, RefusalReason};
 
 use crate::policy::ExchangeEnd;
 
@@ -101,6 +101,20 @@
         }
     }
 
+    /// The condition told last, with the moment it came. Heartbeats count at once here: a
+    /// condition changes seldom, and a gate that leaves or starts anew must not be taken for
+    /// open because of an answer from before.
+    pub(crate) fn condition(
+        &self,
+        report: &GateReport,
+        received: Moment,
+    ) -> (GateCondition, Moment) {
+        match self.seen {
+            Some((seen, at)) if at > received => (seen.condition, at),
+            _ => (report.condition, received),
+        }
+    }
+
     /// Mean measured time of an exchange, in seconds, when enough were measured.
     pub(crate) fn took(&self) -> Option<f64> {
         (self.times >= LEAST_TIMES).then_some(self.took)
@@ -139,10 +153,14 @@
     }
 
     fn note_refusal(&mut self, reason: RefusalReason, retry_after: Duration, now: Moment) {
-        // An agency's own share says nothing about the room that others find there.
-        if reason != RefusalReason::OverShare {
-            self.barred_until = now + retry_after.min(MOST_BARRED);
-        }
+        let barred = match reason {
+            // An agency's own share says nothing about the room that others find there.
+            RefusalReason::OverShare => return,
+            // Until its heartbeats say so as well.
+            RefusalReason::Leaving => MOST_BARRED,
+            _ => retry_after.min(MOST_BARRED),
+        };
+        self.barred_until = now + barred;
     }
 
     fn note_loss(&mut self, now: Moment) {
--- a/crates/placement/src/gate/forecast.rs
+++ b/crates/placement/src/gate/forecast.rs
@@ -9,6 +9,9 @@
 /// What remains of a setup that takes longer than announced, as a share of the announcement.
 const OVERDUE_SHARE: f64 = 0.1;
 
+/// The least speed that is forecast, in slots' worth of mean requests.
+const LEAST_SPEED: f64 = 0.01;
+
 impl RequestGate {
     /// Time a request waits behind `ahead` others. Counts on exponential remains of what runs.
     pub(super) fn wait_behind(&self, ahead: usize, now: Moment) -> Duration {
@@ -27,15 +30,18 @@
         Duration::from_secs_f64(self.service_seconds(now) / slots)
     }
 
-    /// The mean service time; more when every running request has already taken longer, which
-    /// shows a server that became slow before any of its answers does.
+    /// The service time that the gate works at now. A request that already ran longer than the
+    /// mean is taken to need as long again, as heavy-tailed laws have it. So a slot held by a
+    /// very long request counts for little, and a server that became slow shows before any of
+    /// its answers does.
     pub(super) fn service_seconds(&self, now: Moment) -> f64 {
         let mean = self.estimate.mean();
-        if self.running.len() < usize::from(self.settings.slots) {
-            return mean;
-        }
-        let youngest = self.running.iter().map(|one| now.since(one.started)).min();
-        youngest.map_or(mean, |age| age.as_secs_f64().max(mean))
+        let slots = f64::from(self.settings.slots);
+        let ages = self.running.iter().map(|one| now.since(one.started));
+        let slowed: f64 = ages
+            .map(|age| 1.0 - mean / age.as_secs_f64().max(mean))
+            .sum();
+        slots * mean / (slots - slowed).max(LEAST_SPEED)
     }
 
     pub(super) fn limit_left(&self, now: Moment) -> Duration {
--- a/crates/placement/src/peers.rs
+++ b/crates/placement/src/peers.rs
@@ -122,10 +122,11 @@
             candidates.push(weigh_own(own, &self.settings));
         }
         for peer in peers {
-            if peer.report.condition == GateCondition::Leaving || tried.contains(&peer.agent) {
+            let evidence = self.evidence.entry(peer.agent).or_default();
+            let (condition, _) = evidence.condition(&peer.report, peer.received);
+            if condition == GateCondition::Leaving || tried.contains(&peer.agent) {
                 continue;
             }
-            let evidence = self.evidence.entry(peer.agent).or_default();
             candidates.push(weigh_peer(peer, evidence, &crowd, &self.settings, now));
         }
         candidates
--- a/crates/placement/src/weigh.rs
+++ b/crates/placement/src/weigh.rs
@@ -103,8 +103,9 @@
     let own_part = f64::from(evidence.outstanding()) / slots;
     let backlog = expected.max(own_part) + trust * sent / slots;
     let queued = (backlog + 1.0 / slots - 1.0).max(0.0) * service;
+    let (condition, told) = evidence.condition(&peer.report, peer.received);
     let setup = if settings.counts_setup {
-        setup_of(&report, age)
+        setup_of(condition, now.since(told).as_secs_f64())
     } else {
         0.0
     };
@@ -137,8 +138,8 @@
     (took - usual - TIME_TOLERANCE * service).max(0.0) * evidence.freshness(now)
 }
 
-fn setup_of(report: &GateReport, age: f64) -> f64 {
-    match report.condition {
+fn setup_of(condition: GateCondition, age: f64) -> f64 {
+    match condition {
         GateCondition::Warming { remaining } => (remaining.as_secs_f64() - age).max(0.0),
         _ => 0.0,
     }
--- a/crates/placement/tests/all/limit.rs
+++ b/crates/placement/tests/all/limit.rs
@@ -54,3 +54,33 @@
         GateVerdict::Queued
     );
 }
+
+// Symptom: minutes after a server is well again it still gets one request at a time.
+// Sequence: a long outage has doubled the time between two tries to its longest.
+// Cause: answers did not shorten that time.
+#[test]
+fn answers_after_a_long_outage_bring_the_slots_back_soon() {
+    let mut gate = new_gate(3);
+    for step in 0..600 {
+        let (now, attempt) = (step * 100, AttemptId(u128::from(step)));
+        gate.offer(request(attempt.0, now, 1_000_000), at(now));
+        gate.finish(attempt, SlotEnd::Shed, at(now));
+        gate.withdraw(attempt, at(now));
+    }
+    let mut first_answer = None;
+    for step in 600..2_000 {
+        let (now, attempt) = (step * 100, AttemptId(u128::from(step)));
+        let verdict = gate.offer(request(attempt.0, now, 1_000_000), at(now));
+        if verdict == GateVerdict::Start {
+            gate.finish(attempt, SlotEnd::Served, at(now + 50));
+            first_answer.get_or_insert(now);
+        }
+        gate.withdraw(attempt, at(now));
+        if gate.report(at(now)).slots == 3 {
+            let first = first_answer.expect("the slots return after an answer");
+            assert!(now - first <= 6_000, "took {} ms", now - first);
+            return;
+        }
+    }
+    panic!("the slots never came back");
+}
--- a/crates/placement/tests/all/placement.rs
+++ b/crates/placement/tests/all/placement.rs
@@ -173,6 +173,60 @@
     );
 }
 
+// Symptom: requests queue at a target whose last answer showed a long queue.
+// Sequence: a heartbeat made before that answer comes after it and says "idle".
+// Cause: a heartbeat's time on the way is unknown, and the latest to come was believed.
+#[test]
+fn the_load_that_came_with_an_answer_outranks_a_heartbeat_just_after() {
+    let mut placement = new_placement();
+    let end = ExchangeEnd::Answered {
+        took: SERVICE,
+        report: Some(report(3, 12)),
+    };
+    placement.observed(agent(2), end, at(1_000));
+    let chosen = |placement: &mut PeerPlacement, received| {
+        let peers = [peer(2, report(0, 0), at(received))];
+        placement.choose(&report(3, 1), &peers, &[], TIME_LEFT, at(received))
+    };
+    assert_eq!(chosen(&mut placement, 1_100), PlacementChoice::Own);
+    assert_eq!(
+        chosen(&mut placement, 9_000),
+        PlacementChoice::Peer(agent(2))
+    );
+}
+
+// Symptom: requests go to a target that leaves, or wait for one that starts anew.
+// Sequence: an answer shows it open; then its heartbeat says that it leaves or warms, or the
+// other way round. Cause: the load of the answer outranks the heartbeat's, and took the
+// condition with it.
+#[test]
+fn the_condition_told_last_counts() {
+    let warming = GateCondition::Warming {
+        remaining: millis(4_000),
+    };
+    for closed in [GateCondition::Leaving, warming] {
+        let (open, closed) = (report(0, 0), with_condition(report(0, 0), closed));
+        #[rustfmt::skip]
+        let cases = [
+            ("heartbeat closes", (open, 1_000), (closed, 1_100), PlacementChoice::Own),
+            ("answer closes", (closed, 1_100), (open, 1_000), PlacementChoice::Own),
+            ("heartbeat opens", (closed, 1_000), (open, 1_100), PlacementChoice::Peer(agent(2))),
+            ("answer opens", (open, 1_100), (closed, 1_000), PlacementChoice::Peer(agent(2))),
+        ];
+        for (name, (answer, answered), (heartbeat, received), expected) in cases {
+            let mut placement = new_placement();
+            let end = ExchangeEnd::Answered {
+                took: SERVICE,
+                report: Some(answer),
+            };
+            placement.observed(agent(2), end, at(answered));
+            let peers = [peer(2, heartbeat, at(received))];
+            let choice = placement.choose(&report(3, 3), &peers, &[], TIME_LEFT, at(1_200));
+            assert_eq!(choice, expected, "{name}, {:?}", closed.condition);
+        }
+    }
+}
+
 #[test]
 fn equal_gates_get_equal_shares_although_the_own_one_is_nearest() {
     let mut placement = new_placement();
--- a/standins/experiments/src/report.rs
+++ b/standins/experiments/src/report.rs
@@ -74,7 +74,7 @@
         goals,
         results,
     };
-    let json = serde_json::to_string_pretty(&file)?;
+    let json = serde_json::to_string(&file)?;
     write_file(
         &directory.join(format!("{experiment}.json")),
         &(json + "\n"),
