--- a/bins/agent/src/backend/body.rs
+++ b/bins/agent/src/backend/body.rs
@@ -90,9 +90,16 @@
         if self.ended {
             return Ok(None);
         }
+        let piece = self.next_piece().await;
+        if piece.is_err() {
+            self.fail();
+        }
+        piece
+    }
+
+    async fn next_piece(&mut self) -> Result<Option<Bytes>, BodyCut> {
         loop {
-            let frame = self.next_frame().await?;
-            let Some(frame) = frame else {
+            let Some(frame) = self.next_frame().await? else {
                 return self.finish();
             };
             let Ok(data) = frame.into_data() else {
@@ -105,6 +112,14 @@
         }
     }
 
+    /// The backend server broke off: its connection is of no more use, and its gate shall know.
+    fn fail(&mut self) {
+        self.connection = None;
+        if let Some(slot) = self.slot.take() {
+            slot.finish(SlotEnd::Lost);
+        }
+    }
+
     async fn next_frame(&mut self) -> Result<Option<hyper::body::Frame<Bytes>>, BodyCut> {
         let frame = if self.quiet_allowed {
             self.incoming.frame().await
--- a/bins/agent/src/backend/control.rs
+++ b/bins/agent/src/backend/control.rs
@@ -41,14 +41,27 @@
     pub(crate) warming_ms: u64,
 }
 
+/// What the backend server said to a cancellation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CancelEnd {
+    /// The attempt never started and never will.
+    Cancelled,
+    /// It has started.
+    Refused,
+    /// Nothing that can be relied on.
+    NoAnswer,
+}
+
 impl BackendLink {
-    /// Asks the backend server to give an attempt up; `true` only when it confirmed that the
-    /// attempt never started and never will.
-    pub(crate) async fn cancel(&self, attempt: AttemptId) -> bool {
+    /// Asks the backend server to give an attempt up.
+    pub(crate) async fn cancel(&self, attempt: AttemptId) -> CancelEnd {
         let path = format!("/.well-known/lovagelatch/cancel/{attempt}");
         let asking = self.ask(Method::POST, &path);
-        let answer = tokio::time::timeout(CANCEL_WAIT, asking).await;
-        matches!(answer, Ok(Some((StatusCode::OK, _))))
+        match tokio::time::timeout(CANCEL_WAIT, asking).await {
+            Ok(Some((StatusCode::OK, _))) => CancelEnd::Cancelled,
+            Ok(Some(_)) => CancelEnd::Refused,
+            Ok(None) | Err(_) => CancelEnd::NoAnswer,
+        }
     }
 
     /// Asks the backend server how it is; `None` when it gave no readable answer.
--- a/bins/agent/src/backend/link.rs
+++ b/bins/agent/src/backend/link.rs
@@ -13,8 +13,10 @@
 
 use crate::backend::body::BackendBody;
 use crate::backend::connection::BackendConnection;
+use crate::backend::control::CancelEnd;
+use crate::backend::read_ahead::AheadRoom;
 use crate::exchange::{Answer, AnswerBody, CallerRequest, Refusal};
-use crate::gate::SlotGuard;
+use crate::gate::{SlotEnd, SlotGuard};
 use crate::headers;
 
 /// Connections kept for reuse.
@@ -32,6 +34,8 @@
 pub(crate) struct BackendLink {
     address: SocketAddrV4,
     idle: Mutex<Vec<BackendConnection>>,
+    /// Room for answers that wait for their callers.
+    pub(crate) room: AheadRoom,
 }
 
 /// How an exchange with the backend server ended.
@@ -61,6 +65,7 @@
         Self {
             address,
             idle: Mutex::default(),
+            room: AheadRoom::default(),
         }
     }
 
@@ -108,15 +113,24 @@
         }
     }
 
-    /// Cancels an attempt that nobody waits for, then gives its slot back.
+    /// Cancels an attempt whose caller left, then gives its slot back.
+    ///
+    /// A caller that leaves says nothing about the server. Counted as lost answers, a few of
+    /// them in a row would make the gate take the server for broken and close its slots to
+    /// everybody else; so only a server that does not answer the cancellation counts as such.
     pub(crate) fn cancel_later(self: &Arc<Self>, attempt: AttemptId, slot: Option<SlotGuard>) {
         let Ok(runtime) = tokio::runtime::Handle::try_current() else {
             return;
         };
         let link = Arc::clone(self);
         runtime.spawn(async move {
-            link.cancel(attempt).await;
-            drop(slot);
+            let end = match link.cancel(attempt).await {
+                CancelEnd::Cancelled | CancelEnd::Refused => SlotEnd::Served,
+                CancelEnd::NoAnswer => SlotEnd::Lost,
+            };
+            if let Some(slot) = slot {
+                slot.finish(end);
+            }
         });
     }
 
--- a/bins/agent/src/backend/mod.rs
+++ b/bins/agent/src/backend/mod.rs
@@ -8,7 +8,9 @@
 mod connection;
 mod control;
 mod link;
+mod read_ahead;
 
 pub(crate) use body::BackendBody;
-pub(crate) use control::{BackendState, CANCEL_WAIT};
+pub(crate) use control::{BackendState, CANCEL_WAIT, CancelEnd};
 pub(crate) use link::{BackendLink, ExchangeEnd, text_value};
+pub(crate) use read_ahead::AheadBody;
--- a/bins/agent/src/dispatch.rs
+++ b/bins/agent/src/dispatch.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 use crate::agent::Agent;
-use crate::backend::{BackendLink, ExchangeEnd};
+use crate::backend::{AheadBody, BackendLink, CancelEnd, ExchangeEnd};
 use crate::exchange::{Answer, AnswerBody, AttemptEnd, CallerRequest, Refusal};
 use crate::gate::{Admission, SlotEnd, SlotGuard};
 use crate::relay::{RelayEnd, RelayTerms, unreached};
@@ -150,7 +150,7 @@
         let cancelling = self.backend.cancel(handed.attempt);
         let cancelled = tokio::time::timeout(limit, cancelling).await;
         handed.close(SlotEnd::Lost);
-        if cancelled == Ok(true) {
+        if cancelled == Ok(CancelEnd::Cancelled) {
             AttemptEnd::NotRun(Refusal::new(RefusalReason::TooLate, UNREACHED_RETRY))
         } else {
             AttemptEnd::Unknown
@@ -229,12 +229,19 @@
         }
     }
 
-    /// From here on the answer's body holds the slot.
+    /// From here on the answer's body holds the slot. A feed has none and is passed on as it
+    /// comes.
     fn into_answer(mut self, mut answer: Answer) -> Answer {
         self.open = false;
         let slot = self.slot.take();
-        if let AnswerBody::Backend(body) = &mut answer.body {
+        let has_slot = slot.is_some();
+        if let AnswerBody::Backend(mut body) = answer.body {
             body.hold_slot(slot);
+            answer.body = if has_slot {
+                AnswerBody::Ahead(AheadBody::start(*body, &self.link.room))
+            } else {
+                AnswerBody::Backend(body)
+            };
         }
         answer
     }
--- a/bins/agent/src/exchange.rs
+++ b/bins/agent/src/exchange.rs
@@ -10,7 +10,7 @@
 use thiserror::Error;
 use tokio::time::Instant;
 
-use crate::backend::{BackendBody, CANCEL_WAIT};
+use crate::backend::{AheadBody, BackendBody, CANCEL_WAIT};
 use crate::relay::RelayBody;
 
 /// Longest silence within an answer that is no feed. Its sender is stuck or cut off then.
@@ -82,8 +82,10 @@
 pub(crate) enum AnswerBody {
     /// It is here.
     Whole(Option<Bytes>),
-    /// From the own backend server.
+    /// From the own backend server, as its caller reads.
     Backend(Box<BackendBody>),
+    /// From the own backend server, read ahead of its caller.
+    Ahead(AheadBody),
     /// From a peer's gate.
     Relay(Box<RelayBody>),
 }
@@ -102,6 +104,7 @@
         match self {
             Self::Whole(bytes) => Ok(bytes.take().filter(|bytes| !bytes.is_empty())),
             Self::Backend(body) => body.next().await,
+            Self::Ahead(body) => body.next().await,
             Self::Relay(body) => body.next().await,
         }
     }
--- a/bins/agent/src/gate.rs
+++ b/bins/agent/src/gate.rs
@@ -195,7 +195,9 @@
             let task = state.waiting.remove(&attempt);
             let heard = task.is_some_and(|task| task.send(turn).is_ok());
             if started && !heard {
-                let more = state.gate.finish(attempt, SlotEnd::Lost, self.clock.now());
+                let more = state
+                    .gate
+                    .finish(attempt, SlotEnd::Served, self.clock.now());
                 pending.extend(more);
             }
         }
@@ -228,7 +230,7 @@
         // The gate let it through while the task gave up. Without this the slot would stay in
         // use for ever, and the gate would serve one request fewer at a time from then on.
         if matches!(receiver.try_recv(), Ok(Turn::Start)) {
-            let actions = state.gate.finish(self.attempt, SlotEnd::Lost, now);
+            let actions = state.gate.finish(self.attempt, SlotEnd::Served, now);
             self.keeper.apply(&mut state, actions.into_iter());
         }
     }
--- a/bins/agent/src/packet/arrival.rs
+++ b/bins/agent/src/packet/arrival.rs
@@ -17,18 +17,18 @@
 const SHARE_FACTOR: f64 = 1.25;
 
 /// The decisions about arriving packets.
-pub(crate) struct ArrivalDesk {
-    router: FlowRouter,
+pub(crate) struct ArrivalRouter {
+    flows: FlowRouter,
     table: RoutingTable,
     /// What `table` was made from.
     view: Arc<FleetView>,
     openings: OpeningTable,
 }
 
-impl ArrivalDesk {
+impl ArrivalRouter {
     pub(crate) fn new() -> Self {
         Self {
-            router: FlowRouter::new(),
+            flows: FlowRouter::new(),
             table: RoutingTable::default(),
             view: Arc::default(),
             openings: OpeningTable::default(),
@@ -64,9 +64,7 @@
             holding,
         };
         let own = agent.address();
-        let decision = self
-            .router
-            .arrive(&arrival, own, agent.service, &self.table);
+        let decision = self.flows.arrive(&arrival, own, agent.service, &self.table);
         let decision = self.confirm(agent, opens, decision);
         if opens && known.is_none() {
             self.remember(packet.flow_key, decision, now);
--- a/bins/agent/src/packet/ingress.rs
+++ b/bins/agent/src/packet/ingress.rs
@@ -14,7 +14,7 @@
 
 use crate::agent::Agent;
 use crate::flow::accept_flows;
-use crate::packet::arrival::ArrivalDesk;
+use crate::packet::arrival::ArrivalRouter;
 use crate::packet::endpoint::PushResult;
 use crate::rate::LogLimiter;
 
@@ -35,7 +35,7 @@
     agent: Arc<Agent>,
     socket: Arc<UdpSocket>,
     refusals: LogLimiter,
-    desk: ArrivalDesk,
+    router: ArrivalRouter,
 }
 
 impl PacketIngress {
@@ -44,7 +44,7 @@
             agent,
             socket,
             refusals: LogLimiter::new(REFUSALS_LOGGED),
-            desk: ArrivalDesk::new(),
+            router: ArrivalRouter::new(),
         }
     }
 
@@ -106,7 +106,7 @@
             }
         };
         let opens = view.token.is_none();
-        match self.desk.decide(&self.agent, header, view) {
+        match self.router.decide(&self.agent, header, view) {
             // For a flow that QUIC does not know it sends a stateless reset by itself.
             ArrivalDecision::Accept | ArrivalDecision::Reset => self.push(header, packet),
             ArrivalDecision::HandOn { agent } => {
--- a/bins/agent/tests/all/leaving.rs
+++ b/bins/agent/tests/all/leaving.rs
@@ -8,6 +8,7 @@
     slots: 3,
     limits: "drain_ms = 6000",
     dependency: false,
+    direct: false,
 };
 
 // Symptom: a restart cuts a download. Sequence: the agent is told to stop while an answer is on
@@ -42,7 +43,8 @@
     rig.pairs[0].backend.record.lock().health = Some("draining");
     let mut told = false;
     for _ in 0..30 {
-        told = caller.open("GET", "/status/3", &[]).await.is_none();
+        let tried = caller.send("GET", "/status/3", &[], b"").await;
+        told = tried.is_none();
         if told {
             break;
         }
--- a/bins/agent/tests/all/main.rs
+++ b/bins/agent/tests/all/main.rs
@@ -2,6 +2,7 @@
 //! small backend server misbehaves on demand, a gateway stands between.
 
 mod dependency;
+mod direct;
 mod leaving;
 mod once;
 mod outcomes;
--- a/bins/agent/tests/all/outcomes.rs
+++ b/bins/agent/tests/all/outcomes.rs
@@ -166,6 +166,63 @@
     assert_eq!(reply.expect("an answer").outcome(), "done");
 }
 
+// Symptom: an agency's callers that give up early make everybody else wait. Sequence: several
+// callers in a row leave before their answers, the server is well. Cause: their answers count as
+// lost by the server, and the gate closes its slots.
+#[tokio::test]
+async fn callers_that_leave_do_not_close_the_gate() {
+    let rig = TestRig::new().await;
+    for _ in 0..6 {
+        let gone = rig.caller().await;
+        let _stream = gone.start("GET", "/late", &[], b"").await;
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        gone.connection.close(0_u32.into(), b"bye");
+        tokio::time::sleep(Duration::from_millis(30)).await;
+    }
+    let caller = rig.caller().await;
+    let start = Instant::now();
+    assert_eq!(caller.get("/status/1").await.outcome(), "done");
+    assert!(start.elapsed() < Duration::from_millis(300));
+}
+
+// Symptom: as above, with callers that leave in the middle of a long answer. Cause: the answer is
+// read on for nobody, and its slot stays in use.
+#[tokio::test]
+async fn a_caller_that_leaves_in_an_answer_gives_its_slot_back() {
+    let options = RigOptions {
+        slots: 1,
+        ..RigOptions::default()
+    };
+    let rig = TestRig::with_agents(1, options).await;
+    let gone = rig.caller().await;
+    let mut stream = gone.start("GET", "/endless", &[], b"").await.expect("sent");
+    stream.recv_response().await.expect("a head");
+    gone.connection.close(0_u32.into(), b"bye");
+    let caller = rig.caller().await;
+    let start = Instant::now();
+    assert_eq!(caller.get("/status/1").await.outcome(), "done");
+    assert!(start.elapsed() < Duration::from_secs(2));
+}
+
+// Symptom: nobody is served while some callers read slowly. Sequence: as many callers as there
+// are slots ask for a long answer and read nothing of it. Cause: the slots are held until the
+// answers are read.
+#[tokio::test]
+async fn callers_that_do_not_read_hold_no_slots() {
+    let rig = TestRig::new().await;
+    let slow = rig.caller().await;
+    let mut unread = Vec::new();
+    for _ in 0..3 {
+        let mut stream = slow.start("GET", "/big", &[], b"").await.expect("sent");
+        stream.recv_response().await.expect("a head");
+        unread.push(stream);
+    }
+    let caller = rig.caller().await;
+    let start = Instant::now();
+    assert_eq!(caller.get("/status/1").await.outcome(), "done");
+    assert!(start.elapsed() < Duration::from_millis(500));
+}
+
 #[tokio::test]
 async fn a_request_that_cannot_be_read_is_refused_not_run() {
     let options = RigOptions {
--- a/bins/agent/tests/all/packets.rs
+++ b/bins/agent/tests/all/packets.rs
@@ -2,10 +2,11 @@
 
 use std::time::{Duration, Instant};
 
-use lovagelatch_domain::ServiceId;
+use lovagelatch_domain::{AgentAddress, ServiceId};
+use lovagelatch_wire::open_forward;
 use tokio::net::UdpSocket;
 
-use crate::rig::{RigOptions, TestCaller, TestRig, local};
+use crate::rig::{RigOptions, TestCaller, TestRig, local, to_v4};
 
 // Symptom: an outage report reaches the map service. Sequence: an address passes from one
 // service to another, a balancer with the older view forwards by it. Cause: the agent trusts
@@ -13,11 +14,14 @@
 #[tokio::test]
 async fn a_frame_of_another_service_is_refused_unanswered() {
     let rig = TestRig::new().await;
+    rig.acquainted_with_config().await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let answers = rig.gateway.answers();
     rig.gateway.pretend_service(ServiceId(77));
     let opening = TestCaller::try_connect(rig.gateway.service_address, rig.certificate());
     let opened = tokio::time::timeout(Duration::from_millis(500), opening).await;
     assert!(opened.is_err(), "a flow of another service opened");
-    assert_eq!(rig.gateway.answers(), 0);
+    assert_eq!(rig.gateway.answers(), answers);
 }
 
 // Symptom: a feed stays silent for half a minute after its agent died. Sequence: an agent dies,
@@ -53,3 +57,72 @@
     }
     assert_eq!(caller.get("/status/1").await.outcome(), "done");
 }
+
+// Symptom: a leaving agent gets new flows for as long as some balancer has not heard of it, and
+// each ends with the agent. Sequence: an agent leaves, a balancer with an older view goes on
+// sending it new flows. Cause: the agent takes what it is sent.
+#[tokio::test]
+async fn a_leaving_agent_hands_new_flows_on_whole() {
+    let rig = TestRig::with_agents(2, RigOptions::default()).await;
+    rig.acquainted().await;
+    rig.pairs[0].backend.record.lock().health = Some("draining");
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    for _ in 0..5 {
+        let caller = rig.caller().await;
+        for _ in 0..3 {
+            let reply = caller.get("/status/1").await;
+            assert_eq!(reply.outcome(), "done");
+            assert_eq!(reply.header("lovagelatch-agent"), "agent-1");
+        }
+    }
+    assert_eq!(rig.pairs[0].backend.started("/status/1"), 0);
+}
+
+/// A first datagram of a handshake with a chosen connection ID.
+fn initial(id: [u8; 8]) -> Vec<u8> {
+    let mut datagram = vec![0xc3, 0, 0, 0, 1, 8];
+    datagram.extend_from_slice(&id);
+    datagram.resize(1_200, 0);
+    datagram
+}
+
+/// Whether a hand-on reaches the peer within a moment.
+async fn handed_on(peer: &UdpSocket, rig: &TestRig) -> bool {
+    let mut buffer = vec![0; 2_000];
+    let receiving = async {
+        loop {
+            let (length, _) = peer.recv_from(&mut buffer).await.expect("a datagram");
+            if let Ok((header, _)) = open_forward(&buffer[..length], &rig.keys()) {
+                return header.hops;
+            }
+        }
+    };
+    let received = tokio::time::timeout(Duration::from_millis(150), receiving).await;
+    assert!(matches!(received, Ok(1) | Err(_)), "{received:?}");
+    received.is_ok()
+}
+
+// Symptom: some handshakes never finish while load or conditions change. Sequence: the first
+// datagram of a handshake is kept, the next one is handed on, or the other way round. Cause: the
+// decision is taken anew for each datagram.
+#[tokio::test]
+async fn a_handshake_goes_where_its_first_datagram_went() {
+    let rig = TestRig::new().await;
+    rig.acquainted_with_config().await;
+    let peer = UdpSocket::bind(local(0)).await.expect("a socket");
+    rig.list_peer(AgentAddress(to_v4(peer.local_addr().expect("an address"))));
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    let (kept, moved) = (initial([1; 8]), initial([2; 8]));
+    rig.gateway.send_as_caller(&kept).await;
+    assert!(!handed_on(&peer, &rig).await);
+    rig.pairs[0].backend.record.lock().health = Some("draining");
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    rig.gateway.send_as_caller(&kept).await;
+    assert!(!handed_on(&peer, &rig).await, "the second half moved");
+    rig.gateway.send_as_caller(&moved).await;
+    assert!(handed_on(&peer, &rig).await, "a new flow was taken");
+    rig.pairs[0].backend.record.lock().health = Some("ready");
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    rig.gateway.send_as_caller(&moved).await;
+    assert!(handed_on(&peer, &rig).await, "the second half stayed");
+}
--- a/bins/agent/tests/all/peers.rs
+++ b/bins/agent/tests/all/peers.rs
@@ -4,30 +4,25 @@
 
 use crate::rig::{RigOptions, TestRig, eventually};
 
-/// Waits until the first agent has heard of its peer.
-async fn acquainted(rig: &TestRig) {
-    eventually("the agents know each other", || {
-        rig.pairs.iter().all(|pair| pair.agent.peer_count() == 1)
-    })
-    .await;
-}
-
 // Symptom: a request is refused although a peer could run it. Sequence: the own backend server
 // sheds before the start, with proof. Cause: the proof is not used.
 #[tokio::test]
 async fn a_shed_request_is_tried_at_a_peer() {
     let rig = TestRig::with_agents(2, RigOptions::default()).await;
-    acquainted(&rig).await;
+    rig.acquainted().await;
     let caller = rig.caller().await;
     // The retry budget is a share of recent requests.
     for _ in 0..20 {
         assert_eq!(caller.get("/status/1").await.outcome(), "done");
     }
     rig.pairs[0].backend.record.lock().sheds = true;
-    let reply = caller.get("/status/5").await;
-    assert_eq!(reply.outcome(), "done");
-    assert_eq!(reply.header("lovagelatch-agent"), "agent-0");
-    assert_eq!(rig.pairs[1].backend.started("/status/5"), 1);
+    for _ in 0..4 {
+        let reply = caller.get("/status/5").await;
+        assert_eq!(reply.outcome(), "done");
+        assert_eq!(reply.header("lovagelatch-agent"), "agent-0");
+    }
+    assert!(rig.pairs[0].backend.record.lock().shed > 0);
+    assert_eq!(rig.pairs[1].backend.started("/status/5"), 4);
     assert_eq!(rig.pairs[0].backend.started("/status/5"), 0);
 }
 
@@ -36,7 +31,7 @@
 #[tokio::test]
 async fn requests_on_old_flows_of_a_draining_server_run_at_a_peer() {
     let rig = TestRig::with_agents(2, RigOptions::default()).await;
-    acquainted(&rig).await;
+    rig.acquainted().await;
     let caller = rig.caller().await;
     assert_eq!(caller.get("/status/1").await.outcome(), "done");
     let mut begun = Vec::new();
@@ -64,7 +59,7 @@
         ..RigOptions::default()
     };
     let mut rig = TestRig::with_agents(2, options).await;
-    acquainted(&rig).await;
+    rig.acquainted().await;
     let caller = rig.caller().await;
     let reply = caller.get("/.well-known/lovagelatch/ticket").await;
     let key = reply.header("lovagelatch-ticket").to_owned();
@@ -93,7 +88,7 @@
         ..RigOptions::default()
     };
     let rig = TestRig::with_agents(2, options).await;
-    acquainted(&rig).await;
+    rig.acquainted().await;
     let caller = rig.caller().await;
     for _ in 0..20 {
         assert_eq!(caller.get("/status/1").await.outcome(), "done");
--- a/bins/agent/tests/all/rig/backend.rs
+++ b/bins/agent/tests/all/rig/backend.rs
@@ -27,6 +27,8 @@
     pub(crate) health: Option<&'static str>,
     /// Whether it refuses every request before its start.
     pub(crate) sheds: bool,
+    /// Requests that it refused so.
+    pub(crate) shed: usize,
     /// The body of the last request that started.
     pub(crate) last_body: Vec<u8>,
     /// The head of the last request that started.
@@ -142,6 +144,7 @@
     let attempt = format!("lovagelatch-attempt: {}\r\n", request.attempt);
     let sheds = record.lock().sheds;
     if sheds || request.path == "/shed" {
+        record.lock().shed += 1;
         let fields = format!("{attempt}lovagelatch-outcome: not-run\r\nretry-after: 2\r\n");
         return send(stream, "503 Service Unavailable", &fields, b"").await;
     }
@@ -174,6 +177,7 @@
             tokio::time::sleep(Duration::from_millis(600)).await;
             send(stream, "200 OK", &attempt, b"too late").await
         }
+        "/big" => send(stream, "200 OK", &attempt, &[b'x'; 200_000]).await,
         "/feed" => feed(stream, &attempt).await,
         "/claims" => {
             tokio::time::sleep(Duration::from_millis(150)).await;
--- a/bins/agent/tests/all/rig/caller.rs
+++ b/bins/agent/tests/all/rig/caller.rs
@@ -16,6 +16,9 @@
 /// Longest a test waits for an answer.
 const WAIT: Duration = Duration::from_secs(10);
 
+/// Bytes of an answer that a caller takes before it reads them.
+const STREAM_WINDOW: u32 = 32 * 1024;
+
 type ClientStream = h3::client::RequestStream<h3_quinn::BidiStream<Bytes>, Bytes>;
 
 /// A flow.
@@ -47,8 +50,18 @@
 
 impl TestCaller {
     pub(crate) async fn connect(address: SocketAddrV4, certificate: &[u8]) -> Self {
-        let connection = Self::try_connect(address, certificate).await;
-        let (endpoint, connection) = connection.expect("the flow opens");
+        let endpoint = Endpoint::client(SocketAddr::V4(local(0))).expect("a socket");
+        Self::connect_over(endpoint, address, certificate).await
+    }
+
+    /// Opens a flow over a socket that is given.
+    pub(crate) async fn connect_over(
+        endpoint: Endpoint,
+        address: SocketAddrV4,
+        certificate: &[u8],
+    ) -> Self {
+        let connection = open(&endpoint, address, certificate).await;
+        let connection = connection.expect("the flow opens");
         let made = h3::client::new(h3_quinn::Connection::new(connection.clone())).await;
         let (mut driver, sender) = made.expect("HTTP/3");
         tokio::spawn(async move {
@@ -67,10 +80,7 @@
         certificate: &[u8],
     ) -> Result<(Endpoint, Connection), quinn::ConnectionError> {
         let endpoint = Endpoint::client(SocketAddr::V4(local(0))).expect("a socket");
-        let config = client_config(certificate);
-        let name = format!("{SERVICE}.test");
-        let connecting = endpoint.connect_with(config, SocketAddr::V4(address), &name);
-        let connection = connecting.expect("a legal address").await?;
+        let connection = open(&endpoint, address, certificate).await?;
         Ok((endpoint, connection))
     }
 
@@ -135,6 +145,17 @@
     }
 }
 
+async fn open(
+    endpoint: &Endpoint,
+    address: SocketAddrV4,
+    certificate: &[u8],
+) -> Result<Connection, quinn::ConnectionError> {
+    let config = client_config(certificate);
+    let name = format!("{SERVICE}.test");
+    let connecting = endpoint.connect_with(config, SocketAddr::V4(address), &name);
+    connecting.expect("a legal address").await
+}
+
 async fn receive_body(stream: &mut ClientStream) -> Option<Vec<u8>> {
     let mut body = Vec::new();
     loop {
@@ -162,6 +183,7 @@
     let crypto = QuicClientConfig::try_from(config).expect("QUIC suites");
     let mut config = ClientConfig::new(Arc::new(crypto));
     let mut transport = TransportConfig::default();
+    transport.stream_receive_window(STREAM_WINDOW.into());
     transport.max_idle_timeout(Some(WAIT.try_into().expect("a timeout")));
     config.transport_config(Arc::new(transport));
     config
--- a/bins/agent/tests/all/rig/gateway.rs
+++ b/bins/agent/tests/all/rig/gateway.rs
@@ -83,6 +83,11 @@
         self.state.cut.send_replace(cut);
     }
 
+    /// Forwards a datagram as if a caller had sent it.
+    pub(crate) async fn send_as_caller(&self, datagram: &[u8]) {
+        forward(&self.state, local(9), datagram).await;
+    }
+
     /// Datagrams that agents sent to callers.
     pub(crate) fn answers(&self) -> u64 {
         self.state.answers.load(Ordering::Relaxed)
@@ -95,22 +100,26 @@
         let Ok((length, caller)) = state.service.recv_from(&mut buffer).await else {
             continue;
         };
-        let Some(agent) = *state.agent.lock() else {
-            continue;
-        };
-        let header = ForwardHeader {
-            caller: to_v4(caller),
-            service_address: state.service_address,
-            service: *state.service_id.lock(),
-            revision: ConfigRevision(1),
-            hops: 0,
-        };
-        let mut frame = Vec::new();
-        seal_forward(&header, &buffer[..length], &state.keys, &mut frame);
-        let _ = state.gateway.send_to(&frame, agent.0).await;
+        forward(&state, to_v4(caller), &buffer[..length]).await;
     }
 }
 
+async fn forward(state: &GatewayState, caller: SocketAddrV4, datagram: &[u8]) {
+    let Some(agent) = *state.agent.lock() else {
+        return;
+    };
+    let header = ForwardHeader {
+        caller,
+        service_address: state.service_address,
+        service: *state.service_id.lock(),
+        revision: ConfigRevision(1),
+        hops: 0,
+    };
+    let mut frame = Vec::new();
+    seal_forward(&header, datagram, &state.keys, &mut frame);
+    let _ = state.gateway.send_to(&frame, agent.0).await;
+}
+
 async fn carry_datagrams(state: Arc<GatewayState>) {
     let mut buffer = vec![0; 65_536];
     loop {
@@ -161,5 +170,5 @@
         _ = copying => return,
         () = is_cut => {}
     }
-    std::future::pending().await
+    std::future::pending::<()>().await;
 }
--- a/bins/agent/tests/all/rig/mod.rs
+++ b/bins/agent/tests/all/rig/mod.rs
@@ -49,6 +49,8 @@
     pub(crate) limits: &'static str,
     /// Whether the second agent serves a dependency of the first one's service.
     pub(crate) dependency: bool,
+    /// Whether the agents have no gateway.
+    pub(crate) direct: bool,
 }
 
 static FOLDERS: AtomicU32 = AtomicU32::new(0);
@@ -92,6 +94,14 @@
         TestCaller::connect(self.gateway.service_address, &self.certificate).await
     }
 
+    /// Waits until two agents of one service have heard of each other.
+    pub(crate) async fn acquainted(&self) {
+        eventually("the agents know each other", || {
+            self.pairs.iter().all(|pair| pair.agent.peer_count() == 1)
+        })
+        .await;
+    }
+
     /// Waits until the first agent's configuration is in force.
     pub(crate) async fn acquainted_with_config(&self) {
         self.caller().await;
@@ -104,6 +114,23 @@
         opened.map(drop)
     }
 
+    /// The address at which agents without a gateway are reached.
+    pub(crate) fn direct_address(&self) -> SocketAddrV4 {
+        direct_address(self.gateway.service_address)
+    }
+
+    pub(crate) fn keys(&self) -> FleetKeys {
+        read_keys(&self.folder)
+    }
+
+    /// Lists one more agent, which nothing runs behind.
+    pub(crate) fn list_peer(&self, peer: AgentAddress) {
+        let addresses = self.pairs.iter().map(|pair| pair.address).chain([peer]);
+        let records = addresses.zip(1..);
+        let records = records.map(|numbered| record_of(numbered, RigOptions::default()));
+        self.platform.set_targets(records.collect());
+    }
+
     pub(crate) fn certificate(&self) -> &[u8] {
         &self.certificate
     }
@@ -149,11 +176,18 @@
     parse_key_file(&text).expect("good keys")
 }
 
+/// A service address that no socket of the tests is bound to.
+fn direct_address(address: SocketAddrV4) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(127, 0, 0, 77), address.port())
+}
+
 fn service_text(address: SocketAddrV4) -> String {
     format!(
-        "[service {SERVICE}]\naddress = {address} ludhiana\nonce = POST /claims\n\
+        "[service {SERVICE}]\naddress = {address} ludhiana\naddress = {}\n\
+         once = POST /claims\n\
          depends = {DEPENDENCY}\n\
-         [service {DEPENDENCY}]\naddress = 127.0.0.9:1\nonce = POST /orders\n"
+         [service {DEPENDENCY}]\naddress = 127.0.0.9:1\nonce = POST /orders\n",
+        direct_address(address)
     )
 }
 
@@ -255,17 +289,21 @@
 ) -> String {
     let folder = folder.display();
     let service = service_of(options, index);
+    let network = match options.direct {
+        true => String::new(),
+        false => format!("[network]\ngateway = {}", gateway.address),
+    };
     let slots = if options.slots == 0 { 3 } else { options.slots };
     format!(
         "[process]\nname = agent-{index}\nzone = lahore-a\ncontrol = {address}\n\
          operations = 127.0.0.1:0\n\
          [platform]\naddress = {}\npoll_ms = 100\n\
          [keys]\nfile = {folder}/fleet.keys\n\
-         [network]\ngateway = {}\n\
+         {network}\n\
          [agent]\nservice = {service}\nbackend = {}\ngateway_listen = 127.0.0.1:0\n\
          certificate = {folder}/cert.pem\nprivate_key = {folder}/key.pem\nslots = {slots}\n\
          [limits]\nrequest_deadline_ms = 5000\n{}\n",
-        platform.address, gateway.address, backend.address, options.limits
+        platform.address, backend.address, options.limits
     )
 }
 
--- a/standins/backend/src/main.rs
+++ b/standins/backend/src/main.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bpaf::Bpaf;
-use lovagelatch_backend::{BackendError, BackendOptions, BackendServer};
+use lovagelatch_backend::{BackendError, BackendOptions, BackendServer, DependencyOptions};
 
 /// A stand-in for a backend server, for tests
 #[derive(Clone, Debug, Bpaf)]
@@ -29,6 +29,12 @@
     /// Where its history goes
     #[bpaf(argument("FILE"))]
     history: PathBuf,
+    /// Where the agent beside it takes calls to the service it depends on
+    #[bpaf(argument("IP:PORT"))]
+    gateway: Option<SocketAddrV4>,
+    /// The path of documents there, starting with the service
+    #[bpaf(argument("PATH"), fallback("/certificates/certificates".to_owned()))]
+    dependency: String,
 }
 
 #[tokio::main(flavor = "multi_thread", worker_threads = 2)]
@@ -41,6 +47,10 @@
         slots: line.slots,
         cold: Duration::from_millis(line.cold_ms),
         history: line.history,
+        dependency: line.gateway.map(|gateway| DependencyOptions {
+            gateway,
+            path: line.dependency,
+        }),
     })
     .await?;
     let address = server.address()?.to_string();
--- a/standins/backend/src/request.rs
+++ b/standins/backend/src/request.rs
@@ -4,6 +4,8 @@
 use http::request::Parts;
 use serde::Deserialize;
 
+use crate::dependency::ATTEMPTS_HEADER;
+
 /// How long a request holds a slot when it does not say, in milliseconds.
 const DEFAULT_WORK_MS: u32 = 50;
 
@@ -27,6 +29,8 @@
     pub(crate) request: Option<String>,
     pub(crate) filing: Option<String>,
     pub(crate) feed: bool,
+    /// What the request says of attempts left; given back with calls that it needs.
+    pub(crate) attempts_left: Option<String>,
 }
 
 impl RequestMarks {
@@ -38,6 +42,7 @@
         Self {
             attempt: text(ATTEMPT_HEADER),
             request: text(REQUEST_HEADER),
+            attempts_left: text(ATTEMPTS_HEADER),
             ..Self::default()
         }
     }
@@ -70,6 +75,11 @@
     work.min(MAX_WORK_MS)
 }
 
+/// Whether the request needs a document of the service's dependency.
+pub(crate) fn needs_dependency(parts: &Parts) -> bool {
+    query_number::<u8>(parts, "fetch") == Some(1)
+}
+
 pub(crate) fn download_bytes(parts: &Parts) -> usize {
     let bytes = query_number(parts, "bytes").unwrap_or(DEFAULT_BYTES);
     bytes.min(MAX_BYTES)
--- a/standins/backend/src/routes.rs
+++ b/standins/backend/src/routes.rs
@@ -12,7 +12,7 @@
 
 use crate::answer::{AnswerBody, empty_answer, json_answer, mark_answer, streamed_body};
 use crate::fault::FaultChange;
-use crate::request::{FilingBody, RequestMarks, download_bytes, work_ms};
+use crate::request::{FilingBody, RequestMarks, download_bytes, needs_dependency, work_ms};
 use crate::runs::RunTable;
 use crate::work::{RequestWorker, RunTask, body_channel, send_feed};
 
@@ -44,7 +44,10 @@
             (&Method::PUT, "admin") => return Some(self.put_fault(body).await),
             (&Method::POST, "claims" | "reports") => return self.file(&parts, body).await,
             (&Method::GET, "feed") => return Some(self.open_feed(&parts)),
-            (&Method::GET, "status") => RunTask::Status { id },
+            (&Method::GET, "status") => RunTask::Status {
+                id,
+                fetch: needs_dependency(&parts),
+            },
             (&Method::GET, "certificates" | "maps") => {
                 let bytes = download_bytes(&parts);
                 RunTask::Download { id, bytes }
--- a/standins/backend/src/runs.rs
+++ b/standins/backend/src/runs.rs
@@ -133,6 +133,12 @@
     }
 }
 
+impl RunGuard {
+    pub(crate) fn table(&self) -> &RunTable {
+        &self.table
+    }
+}
+
 impl Drop for RunGuard {
     fn drop(&mut self) {
         let held_ms = if self.feed {
--- a/standins/backend/src/server.rs
+++ b/standins/backend/src/server.rs
@@ -13,6 +13,7 @@
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::dependency::DependencyOptions;
 use crate::fault::FaultBoard;
 use crate::routes::RequestRouter;
 use crate::runs::RunTable;
@@ -33,6 +34,8 @@
     pub cold: Duration,
     /// Where its history goes.
     pub history: PathBuf,
+    /// The service it depends on, if there is one.
+    pub dependency: Option<DependencyOptions>,
 }
 
 /// Why a backend server did not start, or ended.
@@ -75,7 +78,12 @@
             slots: options.slots,
         });
         let faults = Arc::new(FaultBoard::new(options.cold));
-        let worker = Arc::new(RequestWorker::new(options.service, options.target, faults));
+        let worker = Arc::new(RequestWorker::new(
+            options.service,
+            options.target,
+            faults,
+            options.dependency,
+        ));
         let router = Arc::new(RequestRouter { runs, worker });
         Ok(Self { listener, router })
     }
--- a/standins/backend/src/work.rs
+++ b/standins/backend/src/work.rs
@@ -11,6 +11,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::answer::{AnswerBody, BodyPart, json_answer, mark_answer, streamed_body};
+use crate::dependency::{self, DependencyOptions};
 use crate::fault::{AnswerFault, FaultBoard};
 use crate::request::RequestMarks;
 use crate::runs::RunGuard;
@@ -34,7 +35,7 @@
 #[derive(Clone, Debug)]
 pub(crate) enum RunTask {
     Filing { filing: String },
-    Status { id: String },
+    Status { id: String, fetch: bool },
     Download { id: String, bytes: usize },
 }
 
@@ -52,15 +53,22 @@
     pub(crate) service: String,
     pub(crate) target: String,
     pub(crate) faults: Arc<FaultBoard>,
+    dependency: Option<DependencyOptions>,
     last: Mutex<Option<AnswerIdentity>>,
 }
 
 impl RequestWorker {
-    pub(crate) fn new(service: String, target: String, faults: Arc<FaultBoard>) -> Self {
+    pub(crate) fn new(
+        service: String,
+        target: String,
+        faults: Arc<FaultBoard>,
+        dependency: Option<DependencyOptions>,
+    ) -> Self {
         Self {
             service,
             target,
             faults,
+            dependency,
             last: Mutex::default(),
         }
     }
@@ -106,6 +114,9 @@
                 .await;
             return;
         }
+        if let RunTask::Status { id, fetch: true } = &identity.task {
+            self.call_dependency(&guard, &identity, id).await;
+        }
         tokio::time::sleep(work).await;
         drop(guard);
         if fault == AnswerFault::Late {
@@ -116,13 +127,22 @@
         let _ = sender.send(answer);
     }
 
+    /// The answer goes out either way; the history says how the call ended.
+    async fn call_dependency(&self, guard: &RunGuard, identity: &AnswerIdentity, id: &str) {
+        if let Some(options) = &self.dependency {
+            let attempts_left = identity.marks.attempts_left.as_deref();
+            let record = dependency::call(options, guard.run, id, attempts_left).await;
+            guard.table().write(&record);
+        }
+    }
+
     fn small_answer(&self, identity: &AnswerIdentity, fault: AnswerFault) -> Response<AnswerBody> {
         let (status, value) = match &identity.task {
             RunTask::Filing { filing } => (
                 StatusCode::CREATED,
                 json!({"filing": filing, "run": identity.run}),
             ),
-            RunTask::Status { id } | RunTask::Download { id, .. } => (
+            RunTask::Status { id, .. } | RunTask::Download { id, .. } => (
                 StatusCode::OK,
                 json!({"id": id, "service": self.service, "target": self.target}),
             ),
--- a/standins/backend/tests/all/running.rs
+++ b/standins/backend/tests/all/running.rs
@@ -38,6 +38,7 @@
             slots,
             cold,
             history: history.clone(),
+            dependency: None,
         })
         .await
         .expect("a free port");
--- a/standins/callers/src/arrivals.rs
+++ b/standins/callers/src/arrivals.rs
@@ -61,7 +61,8 @@
     let service: &ServicePlan = services
         .choose_weighted(random, |service| service.share)
         .ok()?;
-    let pool = pools.get(&service.name)?.choose(random)?;
+    let pools = pools.get(&service.name)?;
+    let pool = pools.choose_weighted(random, |pool| pool.weight).ok()?;
     let mean = context.plan.mean_work_ms;
     let request = draw_request(service, mean, number, now_ms(), random);
     let is_filing = request.kind == RequestKind::Filing;
--- a/standins/callers/src/feed.rs
+++ b/standins/callers/src/feed.rs
@@ -6,17 +6,18 @@
 
 use bytes::{Buf, Bytes};
 use h3::client::RequestStream;
+use h3::error::StreamError;
 use http::Method;
 use lovagelatch_history::{
     CallerRecord, FeedFlaw, FeedOrder, RequestEnd, RequestKind, SeenOutcome,
 };
 use serde::Deserialize;
+use thiserror::Error;
 
 use crate::context::{CallerContext, now_ms};
-use crate::exchange::{
-    AnswerCheck, ExchangeRequest, ExchangeScope, head_of, note_sent, outcome_of, retry_after, text,
-};
+use crate::exchange::{AnswerCheck, ExchangeRequest, ExchangeScope, head_of, note_sent};
 use crate::flow::CallerFlow;
+use crate::judge::{outcome_of, retry_after, text};
 use crate::pool::AddressPool;
 
 /// A feed without an event for so long is given up.
@@ -41,6 +42,15 @@
     feed: String,
 }
 
+/// Why a feed was not opened.
+#[derive(Debug, Error)]
+enum FeedError {
+    #[error("{0}")]
+    Head(#[from] http::Error),
+    #[error("{0}")]
+    Stream(#[from] StreamError),
+}
+
 /// Why a feed's stream ended.
 enum FeedStop {
     /// The run is over.
@@ -94,7 +104,10 @@
     let opened = tokio::time::timeout(HEAD_LIMIT, open(flow, scope, &request, &id)).await;
     let (mut end, stream, wait) = match opened {
         Ok(Ok(opened)) => opened,
-        Ok(Err(reason)) => (feed_end(SeenOutcome::Unknown, Some(reason)), None, None),
+        Ok(Err(error)) => {
+            let reason = error.to_string();
+            (feed_end(SeenOutcome::Unknown, Some(reason)), None, None)
+        }
         Err(_) => {
             let reason = "no head in time".to_owned();
             (feed_end(SeenOutcome::Unknown, Some(reason)), None, None)
@@ -150,23 +163,20 @@
     scope: ExchangeScope<'_>,
     request: &ExchangeRequest,
     id: &str,
-) -> Result<OpenedFeed, String> {
-    let head = head_of(scope, request, id, None).map_err(|error| error.to_string())?;
+) -> Result<OpenedFeed, FeedError> {
+    let head = head_of(scope, request, id, None)?;
     let mut sender = flow.sender();
     let sent = sender.send_request(head).await;
     let mut stream = match sent {
         Ok(stream) => stream,
-        Err(h3::error::StreamError::RemoteClosing { .. }) => {
+        Err(StreamError::RemoteClosing { .. }) => {
             let reason = "going away".to_owned();
             return Ok((feed_end(SeenOutcome::NotRun, Some(reason)), None, None));
         }
-        Err(error) => return Err(error.to_string()),
+        Err(error) => return Err(error.into()),
     };
-    stream.finish().await.map_err(|error| error.to_string())?;
-    let answer = stream
-        .recv_response()
-        .await
-        .map_err(|error| error.to_string())?;
+    stream.finish().await?;
+    let answer = stream.recv_response().await?;
     let headers = answer.headers();
     let mut end = feed_end(outcome_of(&answer), None);
     end.status = answer.status().as_u16();
--- a/standins/callers/src/flow.rs
+++ b/standins/callers/src/flow.rs
@@ -1,5 +1,6 @@
 //! One flow: a QUIC connection from a socket of its own.
 
+use std::io;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -10,6 +11,7 @@
 use h3_quinn::OpenStreams;
 use lovagelatch_history::{CallerRecord, FlowEnd};
 use quinn::{ConnectionError, VarInt};
+use thiserror::Error;
 
 use crate::context::{CallerContext, now_ms};
 
@@ -19,6 +21,21 @@
 /// HTTP/3's code for a close without error (RFC 9114, section 8.1).
 const H3_NO_ERROR: VarInt = VarInt::from_u32(0x100);
 
+/// Why a flow could not be opened.
+#[derive(Debug, Error)]
+pub(crate) enum OpenError {
+    #[error("no socket: {0}")]
+    Socket(#[from] io::Error),
+    #[error("{0}")]
+    Connect(#[from] quinn::ConnectError),
+    #[error("{0}")]
+    Connection(#[from] ConnectionError),
+    #[error("{0}")]
+    Http(#[from] h3::error::ConnectionError),
+    #[error("not open in time")]
+    Timeout,
+}
+
 /// Where a flow goes.
 #[derive(Clone, Debug)]
 pub(crate) struct FlowTarget {
@@ -65,28 +82,33 @@
             service: target.service.clone(),
             address: target.address.to_string(),
         });
-        let opened = tokio::time::timeout(OPEN_LIMIT, connect(target)).await;
-        let reason = match opened {
-            Ok(Ok(connected)) => match Self::start(context, number, connected).await {
-                Ok(flow) => return Some(flow),
-                Err(error) => error,
-            },
-            Ok(Err(error)) => error,
-            Err(_) => "not open in time".to_owned(),
-        };
-        note_end(context, number, FlowEnd::Unopened { reason });
-        None
+        match Self::try_open(context, target, number).await {
+            Ok(flow) => Some(flow),
+            Err(error) => {
+                let reason = error.to_string();
+                note_end(context, number, FlowEnd::Unopened { reason });
+                None
+            }
+        }
+    }
+
+    async fn try_open(
+        context: &Arc<CallerContext>,
+        target: &FlowTarget,
+        number: u64,
+    ) -> Result<Arc<Self>, OpenError> {
+        let connected = tokio::time::timeout(OPEN_LIMIT, connect(target)).await;
+        let connected = connected.map_err(|_| OpenError::Timeout)??;
+        Self::start(context, number, connected).await
     }
 
     async fn start(
         context: &Arc<CallerContext>,
         number: u64,
         (endpoint, connection): (quinn::Endpoint, quinn::Connection),
-    ) -> Result<Arc<Self>, String> {
+    ) -> Result<Arc<Self>, OpenError> {
         let quic = h3_quinn::Connection::new(connection.clone());
-        let (mut driver, sender) = h3::client::new(quic)
-            .await
-            .map_err(|error| error.to_string())?;
+        let (mut driver, sender) = h3::client::new(quic).await?;
         context.counters.flows.fetch_add(1, Ordering::Relaxed);
         let flow = Arc::new(Self {
             number,
@@ -133,7 +155,7 @@
     }
 
     /// Goes on from a new address, as a phone does that changes networks.
-    pub(crate) fn move_address(&self) -> std::io::Result<()> {
+    pub(crate) fn move_address(&self) -> io::Result<()> {
         let socket = std::net::UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
         self.endpoint.rebind(socket)
     }
@@ -162,17 +184,15 @@
     }
 }
 
-async fn connect(target: &FlowTarget) -> Result<(quinn::Endpoint, quinn::Connection), String> {
+async fn connect(target: &FlowTarget) -> Result<(quinn::Endpoint, quinn::Connection), OpenError> {
     let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    let endpoint = quinn::Endpoint::client(any_port).map_err(|error| error.to_string())?;
-    let connecting = endpoint
-        .connect_with(
-            target.client.clone(),
-            SocketAddr::V4(target.address),
-            &target.server_name,
-        )
-        .map_err(|error| error.to_string())?;
-    let connection = connecting.await.map_err(|error| error.to_string())?;
+    let endpoint = quinn::Endpoint::client(any_port)?;
+    let connecting = endpoint.connect_with(
+        target.client.clone(),
+        SocketAddr::V4(target.address),
+        &target.server_name,
+    )?;
+    let connection = connecting.await?;
     Ok((endpoint, connection))
 }
 
--- a/standins/callers/src/lib.rs
+++ b/standins/callers/src/lib.rs
@@ -17,6 +17,7 @@
 mod exchange;
 mod feed;
 mod flow;
+mod judge;
 mod operation;
 mod plan;
 mod pool;
--- a/standins/callers/src/main.rs
+++ b/standins/callers/src/main.rs
@@ -1,10 +1,14 @@
 //! Starts the callers.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
 use lovagelatch_callers::{CallerCounts, CallerPlan, run_callers};
+use thiserror::Error;
+
+/// Exit code for a plan that could not be read.
+const BAD_PLAN: u8 = 2;
 
 /// Callers for tests: HTTP/3 clients that ask, hold feeds and write down what they saw
 #[derive(Clone, Debug, Bpaf)]
@@ -15,18 +19,27 @@
     plan: PathBuf,
 }
 
+/// Why a plan could not be read.
+#[derive(Debug, Error)]
+enum PlanError {
+    #[error("{0}")]
+    File(#[from] std::io::Error),
+    #[error("{0}")]
+    Json(#[from] serde_json::Error),
+}
+
+fn read_plan(path: &Path) -> Result<CallerPlan, PlanError> {
+    Ok(serde_json::from_slice(&std::fs::read(path)?)?)
+}
+
 #[tokio::main(flavor = "multi_thread", worker_threads = 4)]
 async fn main() -> ExitCode {
     let path = command_line().run().plan;
-    let text = std::fs::read(&path).map_err(|error| error.to_string());
-    let plan = text.and_then(|text| {
-        serde_json::from_slice::<CallerPlan>(&text).map_err(|error| error.to_string())
-    });
-    let plan = match plan {
+    let plan = match read_plan(&path) {
         Ok(plan) => plan,
         Err(error) => {
             eprintln!("{}: {error}", path.display());
-            return ExitCode::from(2);
+            return ExitCode::from(BAD_PLAN);
         }
     };
     match run_callers(plan, tell).await {
--- a/standins/callers/src/operation.rs
+++ b/standins/callers/src/operation.rs
@@ -30,6 +30,9 @@
 const CONCURRENT_SHARE: f64 = 0.1;
 const WITHOUT_TICKET_SHARE: f64 = 0.05;
 
+/// The share of statuses that need the service's dependency.
+const DEPENDENT_SHARE: f64 = 0.1;
+
 /// Flows of a filing that is tried over several at once.
 const CONCURRENT_FLOWS: usize = 3;
 
@@ -92,7 +95,9 @@
             )
         }
         _ => {
-            let path = format!("/status/{name}?work_ms={work_ms}");
+            let needs = service.depends && random.random_bool(DEPENDENT_SHARE);
+            let fetch = if needs { "&fetch=1" } else { "" };
+            let path = format!("/status/{name}?work_ms={work_ms}{fetch}");
             (RequestKind::Status, path, AnswerCheck::Status(name))
         }
     };
--- a/standins/callers/src/plan.rs
+++ b/standins/callers/src/plan.rs
@@ -6,12 +6,14 @@
 use serde::{Deserialize, Serialize};
 
 /// One address of a service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AddressPlan {
     /// Where callers send.
     pub address: SocketAddrV4,
     /// The agency whose callers use it.
     pub agency: Option<String>,
+    /// Its share of the service's arrivals, relative to the other addresses.
+    pub weight: f64,
 }
 
 /// What callers do with one service.
@@ -29,6 +31,8 @@
     pub share: f64,
     /// Whether statuses are read.
     pub status: bool,
+    /// Whether some statuses need the service's dependency.
+    pub depends: bool,
     /// The path under which downloads are, if there are any.
     pub download: Option<String>,
     /// The path that filings go to, if there are any.
--- a/standins/callers/src/pool.rs
+++ b/standins/callers/src/pool.rs
@@ -8,6 +8,7 @@
 
 use crate::context::CallerContext;
 use crate::flow::{CallerFlow, FlowTarget};
+use crate::plan::AddressPlan;
 
 /// Flows that are kept open to one address.
 const KEPT_FLOWS: usize = 4;
@@ -22,15 +23,17 @@
 pub(crate) struct AddressPool {
     pub(crate) target: FlowTarget,
     pub(crate) agency: Option<String>,
+    pub(crate) weight: f64,
     flows: Mutex<Vec<Arc<CallerFlow>>>,
     tickets: Mutex<Vec<String>>,
 }
 
 impl AddressPool {
-    pub(crate) fn new(target: FlowTarget, agency: Option<String>) -> Self {
+    pub(crate) fn new(target: FlowTarget, address: &AddressPlan) -> Self {
         Self {
             target,
-            agency,
+            agency: address.agency.clone(),
+            weight: address.weight,
             flows: Mutex::default(),
             tickets: Mutex::default(),
         }
--- a/standins/callers/src/run.rs
+++ b/standins/callers/src/run.rs
@@ -71,7 +71,7 @@
                 address: address.address,
                 client: client.clone(),
             };
-            Arc::new(AddressPool::new(target, address.agency.clone()))
+            Arc::new(AddressPool::new(target, address))
         });
         pools.insert(service.name.clone(), addresses.collect());
     }
--- a/standins/callers/tests/all/server.rs
+++ b/standins/callers/tests/all/server.rs
@@ -85,6 +85,7 @@
             addresses: vec![AddressPlan {
                 address,
                 agency: None,
+                weight: 1.0,
             }],
             ..service
         }],
@@ -108,6 +109,7 @@
         addresses: Vec::new(),
         share: 1.0,
         status: false,
+        depends: false,
         download: None,
         filing: None,
         feed: false,
--- a/standins/history/src/backend.rs
+++ b/standins/history/src/backend.rs
@@ -55,6 +55,17 @@
         /// The caller's id of the request.
         request: Option<String>,
     },
+    /// It called a service it depends on, through the agent beside it.
+    Called {
+        /// When the call ended.
+        time_ms: f64,
+        /// The run that needed it.
+        run: u64,
+        /// The outcome that the answer bore; `None` when none came.
+        outcome: Option<String>,
+        /// Whether the answer was whole and the right one; `None` when it was no success.
+        right: Option<bool>,
+    },
     /// An attempt was cancelled before it started; it never will.
     Cancelled {
         /// When.
--- a/standins/history/src/lib.rs
+++ b/standins/history/src/lib.rs
@@ -15,6 +15,7 @@
 mod check;
 mod clock;
 mod content;
+mod facts;
 mod fairness;
 mod feed;
 mod file;
@@ -25,9 +26,10 @@
 pub use caller::{
     AnswerFlaw, CallerRecord, FeedFlaw, FlowEnd, RequestEnd, RequestKind, SeenOutcome,
 };
-pub use check::{LEAVING_GRACE_MS, RunFacts, TargetLeaving, check_run};
+pub use check::check_run;
 pub use clock::unix_millis;
 pub use content::{content_for, content_matches};
+pub use facts::{LEAVING_GRACE_MS, RunFacts, TargetLeaving};
 pub use feed::FeedOrder;
 pub use file::{HistoryError, HistoryWriter, read_history};
 pub use report::{LatencySummary, RunReport};
--- a/standins/history/src/report.rs
+++ b/standins/history/src/report.rs
@@ -37,7 +37,8 @@
     pub not_run_but_ran: u64,
     /// Requests that reached another service's backend server, or whose answer came from one.
     pub wrong_service: u64,
-    /// Answers and feed events that belonged to another request.
+    /// Answers and feed events that belonged to another request, to a caller's or to a backend
+    /// server's that called a service it depends on.
     pub crossed: u64,
     /// Answers that were short although they seemed whole, answers that broke off although
     /// nothing unplanned had happened, and events missing from open feeds.
--- a/standins/history/tests/all/checker.rs
+++ b/standins/history/tests/all/checker.rs
@@ -1,8 +1,8 @@
 //! The checker finds each broken promise, and nothing in clean histories.
 
 use lovagelatch_history::{
-    AnswerFlaw, CallerRecord, FeedFlaw, FlowEnd, LEAVING_GRACE_MS, RequestEnd, RunReport,
-    SeenOutcome, TargetLeaving,
+    AnswerFlaw, BackendRecord, CallerRecord, FeedFlaw, FlowEnd, LEAVING_GRACE_MS, RequestEnd,
+    RunReport, SeenOutcome, TargetLeaving,
 };
 
 use crate::histories::{SmallHistory, TARGET, end};
@@ -61,6 +61,16 @@
     history
 }
 
+fn called(mut history: SmallHistory, right: Option<bool>) -> SmallHistory {
+    history.backend.push(BackendRecord::Called {
+        time_ms: 30.0,
+        run: 1,
+        outcome: None,
+        right,
+    });
+    history
+}
+
 fn leaving(mut history: SmallHistory, time_ms: f64) -> SmallHistory {
     history.facts.leaving.push(TargetLeaving {
         target: TARGET.to_owned(),
@@ -129,6 +139,11 @@
                 .ended(5_000.0, "a", Done),
             expected: &[],
         },
+        CheckerCase {
+            name: "calls to a dependency, answered rightly and refused",
+            history: called(called(new(), Some(true)), None),
+            expected: &[],
+        },
         CheckerCase {
             name: "an answer that broke off after an unplanned fault",
             history: unplanned(new().sent("a", None).started(20.0, "a", None), 25.0).ended_with(
@@ -279,6 +294,11 @@
             ),
             expected: &[("cut", 1), ("unknown", 1)],
         },
+        CheckerCase {
+            name: "a dependency's answer to another call",
+            history: called(new(), Some(false)),
+            expected: &[("crossed", 1)],
+        },
         CheckerCase {
             name: "an event lost from a feed",
             history: feed_flawed(new(), FeedFlaw::Lost),
@@ -303,7 +323,7 @@
     let late = 100.0 + LEAVING_GRACE_MS + 1.0;
     let told_itself = || {
         let mut history = new();
-        let leaving = lovagelatch_history::BackendRecord::Leaving { time_ms: 100.0 };
+        let leaving = BackendRecord::Leaving { time_ms: 100.0 };
         history.backend.push(leaving);
         history
     };
--- a/standins/local/src/deployment.rs
+++ b/standins/local/src/deployment.rs
@@ -3,6 +3,8 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+use thiserror::Error;
+
 /// Mean time that a request holds a slot, in milliseconds.
 pub(crate) const MEAN_WORK_MS: f64 = 60.0;
 
@@ -16,16 +18,19 @@
     Desai,
 }
 
+/// A deployment that does not exist.
+#[derive(Debug, Error)]
+#[error("unknown deployment {0:?}; known are indus, desai")]
+pub(crate) struct UnknownDeployment(String);
+
 impl FromStr for DeploymentName {
-    type Err = String;
+    type Err = UnknownDeployment;
 
-    fn from_str(text: &str) -> Result<Self, String> {
+    fn from_str(text: &str) -> Result<Self, UnknownDeployment> {
         match text {
             "indus" => Ok(Self::Indus),
             "desai" => Ok(Self::Desai),
-            _ => Err(format!(
-                "unknown deployment {text:?}; known are indus, desai"
-            )),
+            _ => Err(UnknownDeployment(text.to_owned())),
         }
     }
 }
--- a/standins/local/src/error.rs
+++ b/standins/local/src/error.rs
@@ -6,6 +6,24 @@
 use lovagelatch_history::HistoryError;
 use thiserror::Error;
 
+/// Why a small HTTP request failed.
+#[derive(Debug, Error)]
+pub(crate) enum HttpFailure {
+    #[error("no answer in time")]
+    Timeout,
+    #[error("not connected: {0}")]
+    Connect(#[from] io::Error),
+    #[error("broke off: {0}")]
+    Broken(#[from] hyper::Error),
+    #[error("not a request: {0}")]
+    Request(#[from] http::Error),
+    #[error("answered {status} {said}")]
+    Refused {
+        status: http::StatusCode,
+        said: String,
+    },
+}
+
 /// Why a run could not be made.
 #[derive(Debug, Error)]
 pub(crate) enum LocalError {
@@ -27,7 +45,7 @@
     Http {
         address: std::net::SocketAddrV4,
         path: String,
-        reason: String,
+        reason: HttpFailure,
     },
     #[error("JSON: {0}")]
     Json(#[from] serde_json::Error),
--- a/standins/local/src/http_client.rs
+++ b/standins/local/src/http_client.rs
@@ -11,7 +11,7 @@
 use serde_json::Value;
 use tokio::net::TcpStream;
 
-use crate::error::LocalError;
+use crate::error::{HttpFailure, LocalError};
 
 /// Longest that a request may take.
 const LIMIT: Duration = Duration::from_secs(3);
@@ -52,20 +52,20 @@
     path: &str,
     body: Bytes,
 ) -> Result<Bytes, LocalError> {
-    let failed = |reason: String| LocalError::Http {
+    let failed = |reason: HttpFailure| LocalError::Http {
         address,
         path: path.to_owned(),
         reason,
     };
     let sent = tokio::time::timeout(LIMIT, send(address, method, path, body)).await;
     let (status, body) = sent
-        .map_err(|_| failed("no answer in time".to_owned()))?
-        .map_err(|error| failed(error.to_string()))?;
+        .map_err(|_| failed(HttpFailure::Timeout))?
+        .map_err(failed)?;
     if status.is_success() {
         Ok(body)
     } else {
         let said = String::from_utf8_lossy(&body).into_owned();
-        Err(failed(format!("{status} {said}")))
+        Err(failed(HttpFailure::Refused { status, said }))
     }
 }
 
@@ -74,7 +74,7 @@
     method: Method,
     path: &str,
     body: Bytes,
-) -> Result<(StatusCode, Bytes), Box<dyn std::error::Error + Send + Sync>> {
+) -> Result<(StatusCode, Bytes), HttpFailure> {
     let stream = TcpStream::connect(address).await?;
     let (mut sender, connection) =
         hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
--- a/standins/local/src/main.rs
+++ b/standins/local/src/main.rs
@@ -13,6 +13,7 @@
 //! ```
 
 mod binaries;
+mod caller_plan;
 mod config_watch;
 mod credentials;
 mod deployment;
@@ -28,6 +29,7 @@
 mod rig;
 mod run;
 mod script;
+mod spawn;
 mod stop;
 mod summary;
 mod target;
--- a/standins/local/src/options.rs
+++ b/standins/local/src/options.rs
@@ -5,6 +5,7 @@
 use std::str::FromStr;
 
 use bpaf::{Args, Bpaf, ParseFailure};
+use thiserror::Error;
 
 use crate::deployment::DeploymentName;
 use crate::fault::{FAULTS, FaultName};
@@ -23,21 +24,29 @@
     pub(crate) second: f64,
 }
 
+/// Why a fault was not understood.
+#[derive(Debug, Error)]
+pub(crate) enum FaultArgumentError {
+    #[error("{0:?} is not NAME@SECOND")]
+    NoSecond(String),
+    #[error("unknown fault {0:?}; known are {known}", known = FAULTS.map(|fault| fault.text).join(", "))]
+    Unknown(String),
+    #[error("{0:?} is not a number of seconds")]
+    BadSecond(String),
+}
+
 impl FromStr for PlannedFault {
-    type Err = String;
+    type Err = FaultArgumentError;
 
-    fn from_str(text: &str) -> Result<Self, String> {
-        let (name, second) = text
-            .split_once('@')
-            .ok_or_else(|| format!("{text:?} is not NAME@SECOND"))?;
-        let known = || FAULTS.map(|fault| fault.text).join(", ");
-        let name = FaultName::find(name)
-            .ok_or_else(|| format!("unknown fault {name:?}; known are {}", known()))?;
-        let second = second
-            .parse()
-            .ok()
+    fn from_str(text: &str) -> Result<Self, FaultArgumentError> {
+        let parts = text.split_once('@');
+        let (name, second) = parts.ok_or_else(|| FaultArgumentError::NoSecond(text.to_owned()))?;
+        let found = FaultName::find(name);
+        let name = found.ok_or_else(|| FaultArgumentError::Unknown(name.to_owned()))?;
+        let parsed = second.parse().ok();
+        let second = parsed
             .filter(|second| (0.0..=MAX_SECONDS).contains(second))
-            .ok_or_else(|| format!("{second:?} is not a number of seconds"))?;
+            .ok_or_else(|| FaultArgumentError::BadSecond(second.to_owned()))?;
         Ok(Self { name, second })
     }
 }
@@ -66,6 +75,9 @@
     /// Feeds held open over the whole run
     #[bpaf(argument("N"), fallback(40))]
     pub(crate) feeds: u32,
+    /// How many times as much the first address of each service is asked as the others
+    #[bpaf(argument("N"), fallback(1.0), guard(is_rush, "from 1 to 100"))]
+    pub(crate) rush: f64,
     /// A fault and when it happens; may be given several times
     #[bpaf(argument("NAME@SECOND"), many)]
     pub(crate) fault: Vec<PlannedFault>,
@@ -85,6 +97,10 @@
     (1.0..=MAX_SECONDS).contains(seconds)
 }
 
+fn is_rush(rush: &f64) -> bool {
+    (1.0..=100.0).contains(rush)
+}
+
 fn is_rate(rate: &f64) -> bool {
     (0.1..=5_000.0).contains(rate)
 }
--- a/standins/local/src/rig.rs
+++ b/standins/local/src/rig.rs
@@ -1,31 +1,21 @@
 //! A running deployment: starting its processes.
 
 use std::net::{Ipv4Addr, SocketAddrV4};
-use std::time::Duration;
 
 use lovagelatch_domain::InstanceState;
 use lovagelatch_history::TargetLeaving;
 use serde_json::Value;
-use tokio::time::Instant;
 
 use crate::binaries::ProgramDirectory;
 use crate::credentials::RunCredentials;
-use crate::deployment::{Deployment, DeploymentService};
+use crate::deployment::Deployment;
 use crate::directory::RunDirectory;
 use crate::error::LocalError;
-use crate::fleet_files::{
-    AgentFields, CallerAddress, CommonFields, agent_settings, balancer_settings,
-};
-use crate::http_client;
+use crate::fleet_files::CallerAddress;
 use crate::ports::PortPool;
 use crate::process::LocalProcess;
-use crate::target::{BalancerPlan, LocalBalancer, LocalTarget, ProcessAddresses, TargetPlan};
-
-/// Longest wait for a process of the system to be ready.
-const READY_LIMIT: Duration = Duration::from_secs(20);
-
-/// How often a process is asked whether it is ready.
-const READY_PERIOD: Duration = Duration::from_millis(30);
+use crate::spawn::wait_ready;
+use crate::target::{BalancerPlan, LocalBalancer, LocalTarget};
 
 /// A running deployment.
 #[derive(Debug)]
@@ -41,10 +31,10 @@
     pub(crate) platform_address: SocketAddrV4,
     pub(crate) fabric: LocalProcess,
     pub(crate) fabric_admin: SocketAddrV4,
-    gateway: SocketAddrV4,
-    ports: PortPool,
-    next_target: u32,
-    next_balancer: usize,
+    pub(crate) gateway: SocketAddrV4,
+    pub(crate) ports: PortPool,
+    pub(crate) next_target: u32,
+    pub(crate) next_balancer: usize,
     /// Texts published so far.
     pub(crate) changes: u64,
     /// First words of leaving.
@@ -56,7 +46,7 @@
 }
 
 /// Where a stand-in says that it listens.
-fn ready_address(ready: &Value, field: &str) -> Option<SocketAddrV4> {
+pub(crate) fn ready_address(ready: &Value, field: &str) -> Option<SocketAddrV4> {
     ready.get(field)?.as_str()?.parse().ok()
 }
 
@@ -174,143 +164,6 @@
         Ok(())
     }
 
-    fn reserve_addresses(&mut self) -> Result<ProcessAddresses, LocalError> {
-        Ok(ProcessAddresses {
-            control: self.ports.reserve(Ipv4Addr::LOCALHOST)?,
-            operations: self.ports.reserve(Ipv4Addr::LOCALHOST)?,
-            listen: self.ports.reserve(Ipv4Addr::LOCALHOST)?,
-        })
-    }
-
-    fn release_addresses(&mut self, addresses: &ProcessAddresses) {
-        self.ports.release(addresses.control);
-        self.ports.release(addresses.operations);
-        self.ports.release(addresses.listen);
-    }
-
-    /// Decides on a new target of a service.
-    pub(crate) fn plan_target(
-        &mut self,
-        service: &DeploymentService,
-    ) -> Result<TargetPlan, LocalError> {
-        self.next_target += 1;
-        let number = self.next_target;
-        let position = usize::try_from(number).unwrap_or(0);
-        Ok(TargetPlan {
-            name: format!("{}-{number}", service.name),
-            number,
-            service: service.name,
-            zone: self.deployment.zone(position),
-            slots: self.deployment.slots,
-            addresses: self.reserve_addresses()?,
-        })
-    }
-
-    /// Decides on a new balancer.
-    pub(crate) fn plan_balancer(&mut self) -> Result<BalancerPlan, LocalError> {
-        self.next_balancer += 1;
-        Ok(BalancerPlan {
-            name: format!("balancer-{}", self.next_balancer),
-            zone: self.deployment.zone(self.next_balancer),
-            addresses: self.reserve_addresses()?,
-        })
-    }
-
-    /// Starts a target's backend server, then its agent.
-    async fn spawn_target(
-        &mut self,
-        plan: TargetPlan,
-        cold_ms: u64,
-    ) -> Result<LocalTarget, LocalError> {
-        let logs = self.directory.logs.clone();
-        let history = logs.join(format!("{}.jsonl", plan.name));
-        let arguments = [
-            "--listen=127.0.0.1:0".to_owned(),
-            format!("--service={}", plan.service),
-            format!("--target={}", plan.name),
-            format!("--slots={}", plan.slots),
-            format!("--cold-ms={cold_ms}"),
-            format!("--history={}", history.display()),
-        ];
-        let name = format!("backend-{}", plan.name);
-        let program = self.programs.program("lovagelatch-backend");
-        let (backend, ready) =
-            LocalProcess::spawn_ready(&name, &program, &arguments, &logs).await?;
-        let backend_address =
-            ready_address(&ready, "address").ok_or_else(|| backend.not_ready())?;
-        let name = format!("agent-{}", plan.name);
-        let fields = AgentFields {
-            service: plan.service,
-            backend: backend_address,
-            gateway_listen: plan.addresses.listen,
-            certificate: &self.credentials.services[plan.service],
-            slots: plan.slots,
-        };
-        let common = self.common_fields(&name, plan.zone, &plan.addresses);
-        let settings = agent_settings(common, fields);
-        let agent =
-            self.spawn_with_settings(&name, "lovagelatch-agent", &settings, &plan.addresses)?;
-        Ok(LocalTarget {
-            plan,
-            state: InstanceState::Live,
-            listed: false,
-            agent,
-            backend,
-            backend_address,
-            history,
-        })
-    }
-
-    fn spawn_balancer(&mut self, plan: BalancerPlan) -> Result<LocalBalancer, LocalError> {
-        let common = self.common_fields(&plan.name, plan.zone, &plan.addresses);
-        let settings = balancer_settings(common, plan.addresses.listen);
-        let process = self.spawn_with_settings(
-            &plan.name,
-            "lovagelatch-balancer",
-            &settings,
-            &plan.addresses,
-        )?;
-        Ok(LocalBalancer {
-            plan,
-            listed: false,
-            process,
-        })
-    }
-
-    fn common_fields<'a>(
-        &'a self,
-        name: &'a str,
-        zone: &'a str,
-        addresses: &ProcessAddresses,
-    ) -> CommonFields<'a> {
-        CommonFields {
-            name,
-            zone,
-            control: addresses.control,
-            operations: addresses.operations,
-            platform: self.platform_address,
-            gateway: self.gateway,
-            keys: &self.credentials.fleet_keys,
-        }
-    }
-
-    fn spawn_with_settings(
-        &mut self,
-        name: &str,
-        program: &str,
-        settings: &str,
-        addresses: &ProcessAddresses,
-    ) -> Result<LocalProcess, LocalError> {
-        let path = self.directory.write(&format!("{name}.ini"), settings)?;
-        let program = self.programs.program(program);
-        let arguments = ["--settings".to_owned(), path.display().to_string()];
-        self.release_addresses(addresses);
-        let logs = &self.directory.logs;
-        let (process, mut lines) = LocalProcess::spawn(name, &program, &arguments, logs)?;
-        tokio::spawn(async move { while let Ok(Some(_)) = lines.next_line().await {} });
-        Ok(process)
-    }
-
     /// Starts a new target of a service, waits until it is ready, and lists it.
     pub(crate) async fn add_target(
         &mut self,
@@ -383,21 +236,3 @@
         ends
     }
 }
-
-/// Waits until a process says on its operations address that it is ready.
-async fn wait_ready(
-    process: &mut LocalProcess,
-    operations: SocketAddrV4,
-) -> Result<(), LocalError> {
-    let deadline = Instant::now() + READY_LIMIT;
-    while http_client::get(operations, "/health").await.is_err() {
-        if process.exit_status().is_some() {
-            return Err(process.ended_early());
-        }
-        if Instant::now() > deadline {
-            return Err(process.not_ready());
-        }
-        tokio::time::sleep(READY_PERIOD).await;
-    }
-    Ok(())
-}
--- a/standins/local/src/run.rs
+++ b/standins/local/src/run.rs
@@ -3,20 +3,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lovagelatch_callers::{AddressPlan, CallerCounts, CallerPlan, ServicePlan};
+use lovagelatch_callers::CallerCounts;
 use lovagelatch_history::{
     BackendHistory, RunFacts, RunReport, check_run, read_history, unix_millis,
 };
-use serde_json::json;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Mutex;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
 use crate::binaries::ProgramDirectory;
+use crate::caller_plan::{caller_plan, hold_line};
 use crate::config_watch::publish_and_measure;
-use crate::credentials::server_name;
-use crate::deployment::{Deployment, MEAN_WORK_MS};
+use crate::deployment::Deployment;
 use crate::directory::{RunDirectory, file_error};
 use crate::error::LocalError;
 use crate::options::LocalOptions;
@@ -26,9 +25,6 @@
 use crate::stop::stop_all;
 use crate::summary::{Narrator, RunAllowance, broken_counts, print_report};
 
-/// How long a caller waits for an answer, in milliseconds.
-const DEADLINE_MS: u64 = 8_000;
-
 /// How long after the last arrival callers may still wait for answers and retries.
 const CALLERS_GRACE: Duration = Duration::from_secs(75);
 
@@ -102,60 +98,6 @@
     Ok(rig)
 }
 
-/// The line that tells other tools where the services are.
-fn hold_line(rig: &LocalRig) -> serde_json::Value {
-    let services: Vec<_> = rig
-        .addresses
-        .iter()
-        .map(|entry| {
-            json!({
-                "name": entry.service,
-                "address": entry.address.to_string(),
-                "agency": entry.agency,
-                "server_name": server_name(entry.service),
-                "ca": rig.credentials.authority,
-            })
-        })
-        .collect();
-    json!({ "services": services })
-}
-
-fn caller_plan(rig: &LocalRig, options: &LocalOptions) -> CallerPlan {
-    let deployment = &rig.deployment;
-    let services = deployment.services.iter().map(|service| {
-        let own = rig
-            .addresses
-            .iter()
-            .filter(|entry| entry.service == service.name);
-        ServicePlan {
-            name: service.name.to_owned(),
-            server_name: server_name(service.name),
-            ca: rig.credentials.authority.clone(),
-            addresses: own
-                .map(|entry| AddressPlan {
-                    address: entry.address,
-                    agency: entry.agency.map(str::to_owned),
-                })
-                .collect(),
-            share: service.targets as f64,
-            status: service.status,
-            download: service.download.map(str::to_owned),
-            filing: service.filing.map(str::to_owned),
-            feed: service.feed,
-        }
-    });
-    CallerPlan {
-        seed: options.seed,
-        seconds: options.seconds,
-        rate: options.rate.unwrap_or_else(|| deployment.default_rate()),
-        feeds: options.feeds,
-        mean_work_ms: MEAN_WORK_MS,
-        deadline_ms: DEADLINE_MS,
-        services: services.collect(),
-        history: rig.directory.logs.join("callers.jsonl"),
-    }
-}
-
 /// Runs callers and faults; returns what happened when.
 async fn run_callers(rig: &SharedRig, options: &LocalOptions) -> Result<RunFacts, LocalError> {
     let narrator = Narrator::new(options.quiet);
--- /dev/null
+++ b/standins/local/src/script/answers.rs
@@ -0,0 +1,52 @@
+//! Faults of what backend servers answer.
+
+use lovagelatch_backend::FaultChange;
+use tokio::time::sleep;
+
+use super::{FAULT_TIME, FaultScript};
+use crate::error::LocalError;
+use crate::http_client;
+
+/// How far a lagging health endpoint lags, in milliseconds.
+const HEALTH_LAG_MS: u64 = 2_000;
+
+impl FaultScript {
+    pub(super) async fn fault_backends(&self, change: FaultChange) -> Result<(), LocalError> {
+        let backends: Vec<_> = {
+            let rig = self.rig.lock().await;
+            let running = rig.targets.iter().filter(|target| !target.backend.may_end);
+            running.map(|target| target.backend_address).collect()
+        };
+        for backend in backends {
+            http_client::put_json(backend, "/admin/fault", &change).await?;
+        }
+        Ok(())
+    }
+
+    pub(super) async fn crossed_answers(&self) -> Result<(), LocalError> {
+        let change = |on: bool| FaultChange {
+            crossed_answers: Some(on),
+            ..FaultChange::default()
+        };
+        self.fault_backends(change(true)).await?;
+        self.say("backend servers cross, delay and cut some answers");
+        sleep(FAULT_TIME).await;
+        self.fault_backends(change(false)).await?;
+        self.say("backend servers answer properly again");
+        Ok(())
+    }
+
+    pub(super) async fn load_misleads(&self) -> Result<(), LocalError> {
+        let change = |on: bool| FaultChange {
+            load_misleads: Some(on),
+            health_lag_ms: Some(if on { HEALTH_LAG_MS } else { 0 }),
+            ..FaultChange::default()
+        };
+        self.fault_backends(change(true)).await?;
+        self.say("health and load of all backend servers mislead");
+        sleep(FAULT_TIME).await;
+        self.fault_backends(change(false)).await?;
+        self.say("health and load are right again");
+        Ok(())
+    }
+}
