--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,17 +4,21 @@
 //! write instead, because an operator who mends a text from a phone should not have to send it
 //! five times to hear of five faults.
 
+mod block;
 mod document;
 mod fault;
 mod plan;
 mod process;
+mod reader;
 mod text;
+mod text_reader;
 
+pub use block::AddressBlock;
 pub use document::MAX_SETTINGS_BYTES;
 pub use fault::{FaultList, SettingFault, TextFault, TextFaultKind};
 pub use plan::{PlanChange, PlanRisk, TextPlan};
 pub use process::{
-    AddressBlock, AgentSettings, BalancerSettings, CommonSettings, FieldName, IngressKind,
-    LimitSettings, read_settings,
+    AgentSettings, BalancerSettings, CommonSettings, IngressKind, LimitSettings, read_settings,
 };
+pub use reader::FieldName;
 pub use text::{MAX_TEXT_BYTES, OnceRoute, ServiceAddress, ServiceEntry, ServiceText};
--- a/standins/fabric/tests/all/network.rs
+++ b/standins/fabric/tests/all/network.rs
@@ -9,6 +9,8 @@
 
 use crate::support::{RunningFabric, address, assert_silent, bind, free_service, ipv4, receive};
 
+const START_ATTEMPTS: usize = 5;
+
 /// A fabric with one service, one balancer and one agent in another zone.
 struct NetworkRig {
     fabric: RunningFabric,
@@ -21,14 +23,18 @@
     fn new() -> Self {
         let (balancer, agent) = (bind(), bind());
         let mut topology = FabricTopology {
-            services: vec![free_service()],
             balancers: vec![address(&balancer)],
             ..FabricTopology::default()
         };
         topology.zones.insert(address(&balancer), "a".to_owned());
         topology.zones.insert(address(&agent), "b".to_owned());
         let fabric = RunningFabric::start();
-        fabric.set_topology(&topology);
+        // Another test may be given a free port before the fabric binds it.
+        let bound = (0..START_ATTEMPTS).any(|_| {
+            topology.services = vec![free_service()];
+            fabric.try_topology(&topology)
+        });
+        assert!(bound, "no free port");
         Self {
             fabric,
             topology,
--- a/standins/fabric/tests/all/support.rs
+++ b/standins/fabric/tests/all/support.rs
@@ -47,8 +47,15 @@
     }
 
     pub(crate) fn set_topology(&self, topology: &FabricTopology) {
+        assert!(self.try_topology(topology), "a service address is taken");
+    }
+
+    /// `false` when a service address was taken meanwhile.
+    pub(crate) fn try_topology(&self, topology: &FabricTopology) -> bool {
         let body = serde_json::to_string(topology).expect("JSON");
-        assert_eq!(self.request("PUT", "/admin/topology", &body).0, 204);
+        let (status, _) = self.request("PUT", "/admin/topology", &body);
+        assert!(status == 204 || status == 409, "status {status}");
+        status == 204
     }
 
     pub(crate) fn set_plan(&self, plan: &FaultPlan) {
