Take seeds from the settings, so that an unlisted process joins while the platform is down

Cause: a process at an address that was never listed knows nobody, and nobody knows it, until the platform answers. Ruled out: broadcasting, which reaches no other network.

--- a/bins/lovagelatch/src/command.rs
+++ b/bins/lovagelatch/src/command.rs
@@ -44,12 +44,23 @@
         #[bpaf(positional("IP:PORT"))]
         instances: Vec<SocketAddrV4>,
     },
-    /// Ask a balancer why a new flow goes where it goes
+    /// Ask an instance why new work goes where it goes
     #[bpaf(command)]
-    Explain {
+    Explain(#[bpaf(external(explain_command))] ExplainCommand),
+    /// Make or rotate the fleet key file
+    #[bpaf(command)]
+    Keys(#[bpaf(external(key_command))] KeyCommand),
+}
+
+/// What to explain.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) enum ExplainCommand {
+    /// Why a new flow goes to the agent that it goes to
+    #[bpaf(command)]
+    Flow {
         /// Print JSON
         json: bool,
-        /// The balancer's operations address
+        /// A balancer's or an agent's operations address
         #[bpaf(argument("IP:PORT"))]
         instance: SocketAddrV4,
         /// The service address that the caller sends to
@@ -59,9 +70,15 @@
         #[bpaf(argument("HEX"))]
         flow_key: Option<String>,
     },
-    /// Make or rotate the fleet key file
+    /// What a request that comes now would cost at each gate
     #[bpaf(command)]
-    Keys(#[bpaf(external(key_command))] KeyCommand),
+    Request {
+        /// Print JSON
+        json: bool,
+        /// The operations address of the agent that holds the flow
+        #[bpaf(argument("IP:PORT"))]
+        instance: SocketAddrV4,
+    },
 }
 
 /// What to do with the key file.
--- a/bins/lovagelatch/src/main.rs
+++ b/bins/lovagelatch/src/main.rs
@@ -46,12 +46,7 @@
             platform,
             instances,
         } => status::run(*platform, instances, *json),
-        OperatorCommand::Explain {
-            json,
-            instance,
-            address,
-            flow_key,
-        } => explain::run(*instance, *address, flow_key.as_deref(), *json),
+        OperatorCommand::Explain(command) => explain::run(command),
         OperatorCommand::Keys(command) => keys::run(command),
     }
 }
--- a/bins/lovagelatch/tests/all/instances.rs
+++ b/bins/lovagelatch/tests/all/instances.rs
@@ -74,15 +74,10 @@
         {"target":1,"agent":"127.0.0.1:2","zone":"b","slots":3,"standing":"live"}]}"#,
     )
     .to_string();
-    let output = run(&[
-        "explain",
-        "--instance",
-        &instance,
-        "--address",
-        "127.20.0.1:4433",
-        "--flow-key",
-        "ab",
-    ]);
+    let address = "127.20.0.1:4433";
+    let mut arguments = vec!["explain", "flow", "--instance", &instance];
+    arguments.extend(["--address", address, "--flow-key", "ab"]);
+    let output = run(&arguments);
     let said = stdout(&output);
     assert_eq!(output.status.code(), Some(0), "{said}{}", stderr(&output));
     assert!(
@@ -95,3 +90,23 @@
         .unwrap_or_default();
     assert!(first.contains("127.0.0.1:1"), "{said}");
 }
+
+#[test]
+fn explain_lists_what_a_request_would_cost() {
+    let instance = answer_once(
+        r#"[{"agent":"127.0.0.1:7","wait":{"secs":0,"nanos":0},"cost":{"secs":0,"nanos":1500000}},
+        {"agent":"127.0.0.1:8","wait":{"secs":1,"nanos":0},"cost":{"secs":1,"nanos":0}}]"#,
+    )
+    .to_string();
+    let output = run(&["explain", "request", "--instance", &instance]);
+    let said = stdout(&output);
+    assert_eq!(output.status.code(), Some(0), "{said}{}", stderr(&output));
+    let first = said
+        .lines()
+        .find(|line| line.starts_with("1 "))
+        .unwrap_or_default();
+    assert!(
+        first.contains("127.0.0.1:7") && first.contains("1.5 ms"),
+        "{said}"
+    );
+}
--- a/crates/fleet/src/client.rs
+++ b/crates/fleet/src/client.rs
@@ -66,7 +66,9 @@
         let clock = FleetClock::new();
         let settings = &setup.settings;
         let (ready, ready_receiver) = watch::channel(false);
-        let member = FleetMember::new(member_settings(&setup, &clock), rand::random(), clock.now());
+        let mut member =
+            FleetMember::new(member_settings(&setup, &clock), rand::random(), clock.now());
+        member.add_seeds(&settings.seeds.0);
         let (inbox, datagrams) = FleetInbox::new();
         let shared = Arc::new(FleetShared {
             member: Mutex::new(member),
--- a/crates/fleet/tests/all/fake.rs
+++ b/crates/fleet/tests/all/fake.rs
@@ -134,12 +134,27 @@
         platform: SocketAddrV4,
         zone: &str,
         service: Option<&str>,
+    ) -> FleetClient {
+        self.start_with_seeds(platform, zone, service, "")
+    }
+
+    /// Starts a process that knows some peers from its settings.
+    pub(crate) fn start_with_seeds(
+        self,
+        platform: SocketAddrV4,
+        zone: &str,
+        service: Option<&str>,
+        seeds: &str,
     ) -> FleetClient {
         let address = self.address;
+        let network = match seeds {
+            "" => String::new(),
+            seeds => format!("[network]\nseeds = {seeds}\n"),
+        };
         let text = format!(
             "[process]\nname = test\nzone = {zone}\ncontrol = {address}\noperations = {address}\n\
              [platform]\naddress = {platform}\npoll_ms = 200\n[keys]\nfile = unused\n\
-             [balancer]\nlisten = {address}\n"
+             {network}[balancer]\nlisten = {address}\n"
         );
         let settings = BalancerSettings::parse(&text).unwrap().common;
         let role = service.map_or(FleetRole::Balancer, |name| {
--- a/crates/fleet/tests/all/spread.rs
+++ b/crates/fleet/tests/all/spread.rs
@@ -120,6 +120,22 @@
     }
 }
 
+// Symptom: a balancer that was replaced while the platform is down never serves.
+// Sequence: the platform goes down, a process starts at an address that was never listed.
+// Cause: it knows nobody to ask, and nobody knows it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unlisted_process_joins_through_its_seeds() {
+    let fleet = SmallFleet::start().await;
+    fleet.platform.change(|data| data.down = true);
+    let seeds = format!("{}", fleet.spare.address);
+    let peer = fleet.spare.start(fleet.platform.address, "north", None);
+    let unlisted = ControlSockets::bind().await;
+    let mut fresh = unlisted.start_with_seeds(fleet.platform.address, "south", None, &seeds);
+    let ready = tokio::time::timeout(2 * LIMIT, fresh.ready()).await;
+    assert!(ready.is_ok(), "peer holds {}", peer.view().revision());
+    assert_eq!(fresh.view().targets(claims()).len(), 3);
+}
+
 // Symptom: a backend server that is leaving gets new flows until the platform lists it so.
 // Sequence: an agent is told to leave; the platform's list does not change.
 // Cause: balancers knew of a departure from the list alone.
--- a/crates/operations/src/lib.rs
+++ b/crates/operations/src/lib.rs
@@ -4,7 +4,8 @@
 //! |---|---|
 //! | `/health` | 200 while serving, 503 while starting or leaving; the state as JSON |
 //! | `/status` | [`ProcessStatus`] as JSON |
-//! | `/explain?address=IP:PORT&key=HEX` | [`FlowExplanation`] as JSON |
+//! | `/explain/flow?address=IP:PORT&key=HEX` | [`FlowExplanation`] as JSON |
+//! | `/explain/request` | an agent's [`GateCost`](lovagelatch_placement::GateCost)s as JSON, the least first |
 //! | `/metrics` | all metrics as Prometheus text |
 //! | `/` | the phone page: the fleet as this instance knows it, and a check of a text |
 //!
--- a/crates/operations/src/server.rs
+++ b/crates/operations/src/server.rs
@@ -6,6 +6,7 @@
 
 use lovagelatch_domain::GateReport;
 use lovagelatch_fleet::FleetClient;
+use lovagelatch_placement::GateCost;
 use lovagelatch_settings::AddressBlock;
 use lovagelatch_telemetry::MetricsRegistry;
 use rocket::data::{Data, ToByteUnit};
@@ -36,6 +37,7 @@
 
 type CounterReader = Arc<dyn Fn() -> BTreeMap<String, u64> + Send + Sync>;
 type GateReader = Arc<dyn Fn() -> Option<GateReport> + Send + Sync>;
+type CostReader = Arc<dyn Fn() -> Vec<GateCost> + Send + Sync>;
 
 /// Serves health, status, metrics and the phone page. The readers it holds are called once a
 /// request of an operator, never on the path of a caller's packet.
@@ -47,6 +49,7 @@
     operators: AddressBlock,
     counters: CounterReader,
     gate: GateReader,
+    costs: Option<CostReader>,
 }
 
 impl OperationsServer {
@@ -66,6 +69,7 @@
             operators: AddressBlock::LOOPBACK,
             counters: Arc::new(BTreeMap::new),
             gate: Arc::new(|| None),
+            costs: None,
         }
     }
 
@@ -96,6 +100,13 @@
         self
     }
 
+    /// Where the costs of a request at each gate come from, in an agent.
+    #[must_use]
+    pub fn with_costs(mut self, costs: impl Fn() -> Vec<GateCost> + Send + Sync + 'static) -> Self {
+        self.costs = Some(Arc::new(costs));
+        self
+    }
+
     /// Serves until the runtime ends.
     ///
     /// # Errors
@@ -116,7 +127,15 @@
             .merge(("log_level", "off"))
             .merge(("shutdown.ctrlc", false))
             .merge(("shutdown.signals", Vec::<String>::new()));
-        let routes = routes![health, status, metrics, explain, page, check_text];
+        let routes = routes![
+            health,
+            status,
+            metrics,
+            explain_flow,
+            explain_request,
+            page,
+            check_text
+        ];
         rocket::custom(settings).manage(self).mount("/", routes)
     }
 
@@ -155,8 +174,15 @@
     }
 }
 
-#[get("/explain?<address>&<key>")]
-fn explain(
+/// Only an agent decides where a request goes, so only an agent explains it.
+#[get("/explain/request")]
+fn explain_request(server: &State<OperationsServer>) -> Result<Json<Vec<GateCost>>, Status> {
+    let costs = server.costs.as_ref().ok_or(Status::NotFound)?;
+    Ok(Json(costs()))
+}
+
+#[get("/explain/flow?<address>&<key>")]
+fn explain_flow(
     server: &State<OperationsServer>,
     address: &str,
     key: Option<&str>,
--- a/crates/operations/tests/all/main.rs
+++ b/crates/operations/tests/all/main.rs
@@ -32,6 +32,7 @@
         platform_poll: Duration::from_secs(1),
         key_file: "none".into(),
         gateway: None,
+        seeds: Default::default(),
         limits: LimitSettings {
             drain: Duration::from_secs(1),
             request_deadline: Duration::from_secs(1),
@@ -115,7 +116,7 @@
         metrics.contains("lovagelatch_test_events_total"),
         "{metrics}"
     );
-    let path = "/explain?address=127.20.0.1:4433&key=00ff";
+    let path = "/explain/flow?address=127.20.0.1:4433&key=00ff";
     let explanation = client
         .get(path)
         .dispatch()
@@ -124,9 +125,13 @@
         .await
         .unwrap();
     assert!(explanation.contains("\"service\":null"), "{explanation}");
+    assert_eq!(
+        client.get("/explain/request").dispatch().await.status(),
+        Status::NotFound
+    );
     for bad in [
-        "/explain?address=nowhere",
-        "/explain?address=127.20.0.1:4433&key=xyz",
+        "/explain/flow?address=nowhere",
+        "/explain/flow?address=127.20.0.1:4433&key=xyz",
     ] {
         assert_eq!(
             client.get(bad).dispatch().await.status(),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -18,7 +18,8 @@
 pub use fault::{FaultList, SettingFault, TextFault, TextFaultKind};
 pub use plan::{PlanChange, PlanRisk, TextPlan};
 pub use process::{
-    AgentSettings, BalancerSettings, CommonSettings, IngressKind, LimitSettings, read_settings,
+    AgentSettings, BalancerSettings, CommonSettings, IngressKind, LimitSettings, SeedList,
+    read_settings,
 };
 pub use reader::FieldName;
 pub use text::{MAX_TEXT_BYTES, OnceRoute, ServiceAddress, ServiceEntry, ServiceText};
--- a/crates/settings/src/plan.rs
+++ b/crates/settings/src/plan.rs
@@ -130,8 +130,7 @@
                 "new flows to it are refused; open flows stay until they end"
             }
             Self::AddressMoved { .. } => {
-                "new flows go to the other service; packets of open flows are refused, since an \
-                 address leads to one service only"
+                "new flows go to the other service; open flows stay with the old one until they end"
             }
             Self::AgencyChanged { .. } => "new flows count against the other agency's share",
             Self::DependencyAdded { .. } => "its backend servers may call it",
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -18,6 +18,7 @@
 //!
 //! [network]
 //! gateway = 127.0.0.1:6100      ; optional: UDP and TCP leave through it, behind PROXY v2
+//! seeds = 127.0.0.1:7102        ; optional: peers to ask while the platform is down
 //!
 //! [balancer]
 //! ingress = proxy-v2            ; or: direct
@@ -35,12 +36,13 @@
 //! drain_ms = 30000
 //! ```
 
-use std::net::SocketAddrV4;
+use std::net::{AddrParseError, SocketAddrV4};
 use std::path::PathBuf;
 use std::str::FromStr;
 use std::time::Duration;
 
 use lovagelatch_domain::{AgentAddress, ServiceName, ZoneName};
+use smallvec::SmallVec;
 
 use crate::block::AddressBlock;
 use crate::fault::{FaultList, SettingFault};
@@ -91,10 +93,27 @@
     /// Where UDP and TCP to other processes and callers leave, behind PROXY v2; `None` sends
     /// them directly.
     pub gateway: Option<SocketAddrV4>,
+    /// Peers to ask at the start while the platform gives no instance list.
+    pub seeds: SeedList,
     /// Limits.
     pub limits: LimitSettings,
 }
 
+/// Addresses of peers, written one after the other.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SeedList(pub SmallVec<[AgentAddress; 4]>);
+
+impl FromStr for SeedList {
+    type Err = AddrParseError;
+
+    fn from_str(text: &str) -> Result<Self, AddrParseError> {
+        let separators = |c: char| c == ',' || c.is_whitespace();
+        let words = text.split(separators).filter(|word| !word.is_empty());
+        let seeds: Result<_, _> = words.map(|word| word.parse().map(AgentAddress)).collect();
+        Ok(Self(seeds?))
+    }
+}
+
 /// Limits that end what would otherwise wait for ever.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LimitSettings {
@@ -249,6 +268,7 @@
         let platform_poll = self.millis("platform", "poll_ms", "1000");
         let key_file = self.value("keys", "file", "a path", None);
         let gateway = self.optional("network", "gateway", "an address IP:PORT");
+        let seeds = self.optional("network", "seeds", "a list of addresses IP:PORT");
         let limits = self.limits();
         Some(CommonSettings {
             name: name?,
@@ -261,6 +281,7 @@
             platform_poll: platform_poll?,
             key_file: key_file?,
             gateway,
+            seeds: seeds.unwrap_or_default(),
             limits: limits?,
         })
     }
--- a/crates/settings/tests/all/process.rs
+++ b/crates/settings/tests/all/process.rs
@@ -73,6 +73,12 @@
         to: "zone = lahore-a\nthreads = 0",
         faults: &["line 4: [process] threads: must be at least 1"],
     },
+    FaultCase {
+        name: "a seed without a port",
+        from: "[keys]",
+        to: "[network]\nseeds = 127.0.0.1:1, 127.0.0.2\n[keys]",
+        faults: &["line 9: [network] seeds: \"127.0.0.1:1, 127.0.0.2\" is not a list"],
+    },
     FaultCase {
         name: "unknown ingress",
         from: "proxy-v2",
