Never take a successor's word that a filing did not run

Causes: a cancellation was taken for proof whoever confirmed it, also a restarted backend server that never saw the attempt; a ticket whose key generation was dropped, or of a service whose address moved, was answered 'not run'. In both cases a caller would file anew and it would run twice.

Now a confirmation counts only while the connection that carried the request is whole, and a ticket that cannot be judged ends unknown. Ruled out: a start number in the backend server's answers (every server would have to give it).

--- a/bins/agent/src/agent.rs
+++ b/bins/agent/src/agent.rs
@@ -8,7 +8,7 @@
 use lovagelatch_fleet::FleetClient;
 use lovagelatch_keys::FleetKeys;
 use lovagelatch_network::DatagramPath;
-use lovagelatch_placement::{PeerPlacement, RetryBudget};
+use lovagelatch_placement::AgencyBudgets;
 use lovagelatch_settings::AgentSettings;
 use lovagelatch_telemetry::Logger;
 use parking_lot::Mutex;
@@ -21,6 +21,7 @@
 use crate::once::OnceLedger;
 use crate::packet::EndpointSet;
 use crate::path::plain_path;
+use crate::placement::PlacementDesk;
 use crate::relay::RelayPool;
 
 /// The agent's state.
@@ -35,8 +36,8 @@
     pub(crate) datagrams: DatagramPath,
     pub(crate) endpoints: EndpointSet,
     pub(crate) gate: GateKeeper,
-    pub(crate) placement: Mutex<PeerPlacement>,
-    pub(crate) budget: Mutex<RetryBudget>,
+    pub(crate) placement: Arc<PlacementDesk>,
+    pub(crate) budgets: Mutex<AgencyBudgets>,
     pub(crate) backend: Arc<BackendLink>,
     pub(crate) relays: Arc<RelayPool>,
     pub(crate) once: OnceLedger,
--- a/bins/agent/src/assembly.rs
+++ b/bins/agent/src/assembly.rs
@@ -9,9 +9,7 @@
 use lovagelatch_ledger::LedgerSettings;
 use lovagelatch_network::{DatagramPath, StreamPath};
 use lovagelatch_operations::{OperationsServer, ProcessIdentity};
-use lovagelatch_placement::{
-    BudgetSettings, GateSettings, PeerPlacement, PlacementSettings, RetryBudget,
-};
+use lovagelatch_placement::{AgencyBudgets, BudgetSettings, GateSettings, PlacementSettings};
 use lovagelatch_settings::AgentSettings;
 use lovagelatch_telemetry::{Logger, MetricsRegistry};
 use parking_lot::Mutex;
@@ -26,6 +24,7 @@
 use crate::metrics::AgentMetrics;
 use crate::once::OnceLedger;
 use crate::packet::{EndpointSet, EndpointSetup, TlsFiles, TokenIssuer, load_server_crypto};
+use crate::placement::PlacementDesk;
 use crate::process::AgentError;
 use crate::relay::RelayPool;
 
@@ -63,6 +62,7 @@
     let streams = StreamPath::new(common.control.0, common.gateway);
     let placement =
         PlacementSettings::new(common.control, common.zone.clone()).with_seed(rand::rng().random());
+    let placement = Arc::new(PlacementDesk::new(placement, parts.fleet.clone()));
     let lifetime = common.limits.ticket_lifetime;
     let ledger = LedgerSettings::new(common.control, parts.incarnation, lifetime);
     Ok(Agent {
@@ -71,10 +71,14 @@
         datagrams,
         endpoints: EndpointSet::new(setup, load_server_crypto(&files)?),
         gate: GateKeeper::new(GateSettings::new(settings.slots), clock),
-        placement: Mutex::new(PeerPlacement::new(placement)),
-        budget: Mutex::new(RetryBudget::new(BudgetSettings::new())),
+        budgets: Mutex::new(AgencyBudgets::new(BudgetSettings::new())),
         backend: Arc::new(BackendLink::new(settings.backend)),
-        relays: Arc::new(RelayPool::new(streams, Arc::clone(keys))),
+        relays: Arc::new(RelayPool::new(
+            streams,
+            Arc::clone(keys),
+            Arc::clone(&placement),
+        )),
+        placement,
         once: OnceLedger::new(ledger),
         drain: DrainSwitch::new(),
         keys: parts.keys,
@@ -100,6 +104,7 @@
 ) -> OperationsServer {
     let counted = Arc::clone(agent);
     let gated = Arc::clone(agent);
+    let weighed = Arc::clone(agent);
     OperationsServer::new(
         agent.settings.common.operations,
         identity.clone(),
@@ -109,4 +114,8 @@
     .with_operators(agent.settings.common.operators)
     .with_counters(move || counted.counters())
     .with_gate(move || Some(gated.gate.report()))
+    .with_costs(move || {
+        let peers = weighed.fleet.peer_reports();
+        weighed.placement.costs(&weighed.gate.report(), &peers)
+    })
 }
--- a/bins/agent/src/backend/body.rs
+++ b/bins/agent/src/backend/body.rs
@@ -160,7 +160,7 @@
         drop(self.connection.take());
         let slot = self.slot.take();
         if slot.is_some() {
-            self.link.cancel_later(self.attempt, slot);
+            self.link.cancel_later(self.attempt, slot, None);
         }
     }
 }
--- a/bins/agent/src/backend/control.rs
+++ b/bins/agent/src/backend/control.rs
@@ -6,6 +6,7 @@
 use http::{Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use lovagelatch_domain::AttemptId;
+use lovagelatch_placement::HealthWord;
 use serde::{Deserialize, Serialize};
 
 use crate::backend::connection::BackendConnection;
@@ -20,8 +21,7 @@
 /// Control answers are short.
 const MAX_ANSWER_BYTES: usize = 16 * 1024;
 
-/// What a backend server says of itself. It lags and misleads: only `Draining` is acted on at
-/// once, since a backend server that says it leaves gains nothing by saying so falsely.
+/// What a backend server says of itself. It lags and misleads.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub(crate) enum BackendState {
@@ -41,6 +41,16 @@
     pub(crate) warming_ms: u64,
 }
 
+impl BackendHealth {
+    pub(crate) fn word(self) -> HealthWord {
+        match self.state {
+            BackendState::Ready => HealthWord::Ready,
+            BackendState::Warming => HealthWord::Warming(Duration::from_millis(self.warming_ms)),
+            BackendState::Draining => HealthWord::Draining,
+        }
+    }
+}
+
 /// What the backend server said to a cancellation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CancelEnd {
--- a/bins/agent/src/backend/link.rs
+++ b/bins/agent/src/backend/link.rs
@@ -118,18 +118,24 @@
     /// A caller that leaves says nothing about the server. Counted as lost answers, a few of
     /// them in a row would make the gate take the server for broken and close its slots to
     /// everybody else; so only a server that does not answer the cancellation counts as such.
-    pub(crate) fn cancel_later(self: &Arc<Self>, attempt: AttemptId, slot: Option<SlotGuard>) {
+    /// `end` says how the slot ended where that is known already.
+    pub(crate) fn cancel_later(
+        self: &Arc<Self>,
+        attempt: AttemptId,
+        slot: Option<SlotGuard>,
+        end: Option<SlotEnd>,
+    ) {
         let Ok(runtime) = tokio::runtime::Handle::try_current() else {
             return;
         };
         let link = Arc::clone(self);
         runtime.spawn(async move {
-            let end = match link.cancel(attempt).await {
-                CancelEnd::Cancelled | CancelEnd::Refused => SlotEnd::Served,
+            let cancelled = match link.cancel(attempt).await {
+                CancelEnd::Cancelled | CancelEnd::Refused => SlotEnd::Abandoned,
                 CancelEnd::NoAnswer => SlotEnd::Lost,
             };
             if let Some(slot) = slot {
-                slot.finish(end);
+                slot.finish(end.unwrap_or(cancelled));
             }
         });
     }
@@ -179,7 +185,9 @@
         let not_run = outcome.is_some_and(|value| value.as_bytes() == b"not-run");
         if head.status == StatusCode::SERVICE_UNAVAILABLE && not_run {
             let retry_after = retry_after_of(&head.headers);
-            return ExchangeEnd::Shed(Refusal::new(RefusalReason::Shed, retry_after));
+            let refusal = Refusal::new(RefusalReason::Shed, retry_after)
+                .with_returned(headers::returned_by(&head.headers));
+            return ExchangeEnd::Shed(refusal);
         }
         let head_only = request.method == Method::HEAD;
         let body = BackendBody::new(
--- a/bins/agent/src/backend/mod.rs
+++ b/bins/agent/src/backend/mod.rs
@@ -11,6 +11,6 @@
 mod read_ahead;
 
 pub(crate) use body::BackendBody;
-pub(crate) use control::{BackendState, CANCEL_WAIT, CancelEnd};
+pub(crate) use control::{CANCEL_WAIT, CancelEnd};
 pub(crate) use link::{BackendLink, ExchangeEnd, text_value};
 pub(crate) use read_ahead::AheadBody;
--- a/bins/agent/src/dispatch.rs
+++ b/bins/agent/src/dispatch.rs
@@ -1,6 +1,7 @@
 //! Running a request: at the own gate or at a peer's, and once more elsewhere when a gate has
 //! proved that it did not run.
 
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,6 +22,10 @@
 /// Gates that one request is offered to at most, as an expectation for its list of them.
 const MAX_GATES: usize = 4;
 
+/// How long the end of a dead backend server's connection may take to be noticed. It is on this
+/// instance, so its death is known as soon as the runtime has turned once.
+const CLOSE_NOTICE: Duration = Duration::from_millis(5);
+
 /// When to come back to a backend server that cannot be reached.
 const UNREACHED_RETRY: Duration = Duration::from_secs(1);
 
@@ -32,7 +37,7 @@
         request: &CallerRequest,
         attempt: AttemptId,
     ) -> AttemptEnd {
-        self.budget.lock().note_request(self.clock.now());
+        self.note_request(request);
         let mut request = request.clone();
         let mut tried: SmallVec<[AgentAddress; MAX_GATES]> = SmallVec::new();
         loop {
@@ -53,22 +58,37 @@
             info!(self.log, "gate refused"; "decision" => DecisionKind::RequestRefused,
                 "attempt" => attempt.to_string(), "gate" => gate.to_string(),
                 "reason" => format!("{:?}", refusal.reason));
-            match self.retry_allowance(&request) {
+            match self.retry_allowance(&request, refusal) {
                 Some(allowance) => request.allowance = allowance,
                 None => return AttemptEnd::NotRun(refusal),
             }
         }
     }
 
-    /// The allowance of one more attempt, if it may be made: time is left, the request has an
-    /// attempt left, and the agent's budget pays for it.
-    pub(crate) fn retry_allowance(&self, request: &CallerRequest) -> Option<AttemptAllowance> {
+    /// The allowance of one more attempt, if it may be made: time is left, neither the request
+    /// nor what refused it has used up its attempts, and the agency's budget pays for it.
+    pub(crate) fn retry_allowance(
+        &self,
+        request: &CallerRequest,
+        refusal: Refusal,
+    ) -> Option<AttemptAllowance> {
         if request.is_late() {
             return None;
         }
-        let allowance = request.allowance.retry()?;
-        let paid = self.budget.lock().try_spend(self.clock.now());
-        paid.then_some(allowance)
+        let allowance = request.allowance;
+        let left = refusal
+            .returned
+            .map_or(allowance, |returned| allowance.after(returned));
+        let left = left.retry()?;
+        let agency = request.agency.as_ref();
+        let paid = self.budgets.lock().try_spend(agency, self.clock.now());
+        paid.then_some(left)
+    }
+
+    /// Counts a request's first attempt, by which its agency saves for further ones.
+    pub(crate) fn note_request(&self, request: &CallerRequest) {
+        let agency = request.agency.as_ref();
+        self.budgets.lock().note_request(agency, self.clock.now());
     }
 
     fn choose(&self, request: &CallerRequest, tried: &[AgentAddress]) -> PlacementChoice {
@@ -80,11 +100,8 @@
         if untried && (feed_here || peers.is_empty()) {
             return PlacementChoice::Own;
         }
-        let time_left = request.time_left();
-        let now = self.fleet.now();
         self.placement
-            .lock()
-            .choose(&own, &peers, tried, time_left, now)
+            .choose(&own, &peers, tried, request.time_left())
     }
 
     /// Runs the request through the own gate.
@@ -115,7 +132,7 @@
         attempt: AttemptId,
         slot: Option<SlotGuard>,
     ) -> AttemptEnd {
-        let mut handed = HandedOver {
+        let handed = HandedOver {
             link: Arc::clone(&self.backend),
             attempt,
             slot,
@@ -124,33 +141,64 @@
         let kept = request.cancel_reserve();
         let limit = request.deadline - kept;
         let exchange = self.backend.exchange(request, attempt);
-        match tokio::time::timeout_at(limit, exchange).await {
-            Ok(ExchangeEnd::Answered(answer)) => AttemptEnd::Answered(handed.into_answer(answer)),
-            Ok(ExchangeEnd::NotHandedOver) => {
+        tokio::pin!(exchange);
+        match tokio::time::timeout_at(limit, &mut exchange).await {
+            Ok(end) => self.settle(handed, end),
+            Err(_) => self.cancel_in_flight(handed, exchange, kept).await,
+        }
+    }
+
+    fn settle(&self, mut handed: HandedOver, end: ExchangeEnd) -> AttemptEnd {
+        match end {
+            ExchangeEnd::Answered(answer) => AttemptEnd::Answered(handed.into_answer(answer)),
+            ExchangeEnd::NotHandedOver => {
                 handed.close(SlotEnd::Lost);
                 let refusal = Refusal::new(RefusalReason::NoTarget, UNREACHED_RETRY);
                 AttemptEnd::NotRun(refusal)
             }
-            Ok(ExchangeEnd::Shed(refusal)) => {
+            ExchangeEnd::Shed(refusal) => {
                 handed.close(SlotEnd::Shed);
                 AttemptEnd::NotRun(refusal)
             }
-            Ok(ExchangeEnd::Lost(reason)) => {
+            ExchangeEnd::Lost(reason) => {
                 self.metrics.answers_discarded.add(1, &[]);
-                info!(self.log, "answer lost"; "attempt" => attempt.to_string(),
+                info!(self.log, "answer lost"; "attempt" => handed.attempt.to_string(),
                     "reason" => format!("{reason:?}"));
-                self.give_up(handed, kept).await
+                handed.abandon(SlotEnd::Lost);
+                AttemptEnd::Unknown
             }
-            Err(_) => self.give_up(handed, kept).await,
         }
     }
 
-    /// Asks the backend server to cancel; only its confirmation makes the attempt not run.
-    async fn give_up(&self, mut handed: HandedOver, limit: Duration) -> AttemptEnd {
-        let cancelling = self.backend.cancel(handed.attempt);
-        let cancelled = tokio::time::timeout(limit, cancelling).await;
-        handed.close(SlotEnd::Lost);
-        if cancelled == Ok(CancelEnd::Cancelled) {
+    /// Asks the backend server to cancel a request whose deadline has come; only its
+    /// confirmation makes the attempt not run.
+    ///
+    /// A confirmation counts only while the connection that carried the request is whole. A
+    /// server that started the request and died may have a successor at its address, which
+    /// never heard of the attempt and confirms that it did not start. The death closes the
+    /// connection, and the exchange then ends by itself.
+    async fn cancel_in_flight(
+        &self,
+        mut handed: HandedOver,
+        mut exchange: Pin<&mut impl Future<Output = ExchangeEnd>>,
+        limit: Duration,
+    ) -> AttemptEnd {
+        let cancelling = tokio::time::timeout(limit, self.backend.cancel(handed.attempt));
+        let cancelled = tokio::select! {
+            biased;
+            end = &mut exchange => return self.settle(handed, end),
+            cancelled = cancelling => cancelled.unwrap_or(CancelEnd::NoAnswer),
+        };
+        if cancelled == CancelEnd::Cancelled
+            && let Ok(end) = tokio::time::timeout(CLOSE_NOTICE, &mut exchange).await
+        {
+            return self.settle(handed, end);
+        }
+        handed.close(match cancelled {
+            CancelEnd::Cancelled | CancelEnd::Refused => SlotEnd::Abandoned,
+            CancelEnd::NoAnswer => SlotEnd::Lost,
+        });
+        if cancelled == CancelEnd::Cancelled {
             AttemptEnd::NotRun(Refusal::new(RefusalReason::TooLate, UNREACHED_RETRY))
         } else {
             AttemptEnd::Unknown
@@ -206,8 +254,7 @@
     }
 
     fn observe(&self, peer: AgentAddress, end: PeerEnd) {
-        let now = self.fleet.now();
-        self.placement.lock().observed(peer, end, now);
+        self.placement.observed(peer, end);
     }
 }
 
@@ -229,6 +276,14 @@
         }
     }
 
+    /// Its end is not known: the backend server is asked to cancel it, and the slot is given back
+    /// once that is answered, as `end`.
+    fn abandon(mut self, end: SlotEnd) {
+        self.open = false;
+        self.link
+            .cancel_later(self.attempt, self.slot.take(), Some(end));
+    }
+
     /// From here on the answer's body holds the slot. A feed has none and is passed on as it
     /// comes.
     fn into_answer(mut self, mut answer: Answer) -> Answer {
@@ -250,7 +305,7 @@
 impl Drop for HandedOver {
     fn drop(&mut self) {
         if self.open {
-            self.link.cancel_later(self.attempt, self.slot.take());
+            self.link.cancel_later(self.attempt, self.slot.take(), None);
         }
     }
 }
@@ -264,15 +319,13 @@
 
 impl<'a> SentNote<'a> {
     fn new(agent: &'a Agent, peer: AgentAddress) -> Self {
-        let now = agent.fleet.now();
-        agent.placement.lock().sent(peer, now);
+        agent.placement.sent(peer);
         Self { agent, peer }
     }
 }
 
 impl Drop for SentNote<'_> {
     fn drop(&mut self) {
-        let now = self.agent.fleet.now();
-        self.agent.placement.lock().ended(self.peer, now);
+        self.agent.placement.ended(self.peer);
     }
 }
--- a/bins/agent/src/exchange.rs
+++ b/bins/agent/src/exchange.rs
@@ -128,6 +128,8 @@
     pub(crate) reason: RefusalReason,
     /// When to come back.
     pub(crate) retry_after: Duration,
+    /// The attempts that a dependency left, if it was one that refused.
+    pub(crate) returned: Option<AttemptAllowance>,
 }
 
 impl Refusal {
@@ -135,8 +137,16 @@
         Self {
             reason,
             retry_after,
+            returned: None,
         }
     }
+
+    /// Sets the attempts that came back from further down.
+    #[must_use]
+    pub(crate) fn with_returned(mut self, returned: Option<AttemptAllowance>) -> Self {
+        self.returned = returned;
+        self
+    }
 }
 
 /// How one attempt ended, or that its answer has started.
--- a/bins/agent/src/gate.rs
+++ b/bins/agent/src/gate.rs
@@ -10,7 +10,9 @@
 
 use lovagelatch_domain::{AttemptId, GateCondition, GateReport, RefusalReason};
 pub(crate) use lovagelatch_placement::SlotEnd;
-use lovagelatch_placement::{GateAction, GateRequest, GateSettings, GateVerdict, RequestGate};
+use lovagelatch_placement::{
+    GateAction, GateRequest, GateSettings, GateVerdict, RequestEvidence, RequestGate,
+};
 use parking_lot::Mutex;
 use tokio::sync::{Notify, oneshot};
 use tokio::time::Instant;
@@ -32,6 +34,8 @@
     gate: RequestGate,
     /// Invariant: one entry for each queued attempt whose task still waits.
     waiting: HashMap<AttemptId, oneshot::Sender<Turn>>,
+    /// How the newest requests ended, as evidence of whether the backend server works.
+    evidence: RequestEvidence,
 }
 
 /// The gate, shared by all tasks.
@@ -62,6 +66,7 @@
         let state = GateState {
             gate: RequestGate::new(settings),
             waiting: HashMap::new(),
+            evidence: RequestEvidence::default(),
         };
         Self {
             state: Arc::new(Mutex::new(state)),
@@ -137,6 +142,11 @@
         self.changed.notify_one();
     }
 
+    /// What own requests showed of the backend server lately.
+    pub(crate) fn evidence(&self) -> RequestEvidence {
+        self.state.lock().evidence
+    }
+
     pub(crate) fn report(&self) -> GateReport {
         self.state.lock().gate.report(self.clock.now())
     }
@@ -172,7 +182,9 @@
 
     fn finish(&self, attempt: AttemptId, end: SlotEnd) {
         let mut state = self.state.lock();
-        let actions = state.gate.finish(attempt, end, self.clock.now());
+        let now = self.clock.now();
+        state.evidence.note(end, now);
+        let actions = state.gate.finish(attempt, end, now);
         self.apply(&mut state, actions.into_iter());
         drop(state);
         self.changed.notify_one();
@@ -197,7 +209,7 @@
             if started && !heard {
                 let more = state
                     .gate
-                    .finish(attempt, SlotEnd::Served, self.clock.now());
+                    .finish(attempt, SlotEnd::Abandoned, self.clock.now());
                 pending.extend(more);
             }
         }
@@ -230,7 +242,7 @@
         // The gate let it through while the task gave up. Without this the slot would stay in
         // use for ever, and the gate would serve one request fewer at a time from then on.
         if matches!(receiver.try_recv(), Ok(Turn::Start)) {
-            let actions = state.gate.finish(self.attempt, SlotEnd::Served, now);
+            let actions = state.gate.finish(self.attempt, SlotEnd::Abandoned, now);
             self.keeper.apply(&mut state, actions.into_iter());
         }
     }
--- a/bins/agent/src/gateway/call.rs
+++ b/bins/agent/src/gateway/call.rs
@@ -45,7 +45,7 @@
             service,
             mut request,
         } = call;
-        self.budget.lock().note_request(self.clock.now());
+        self.note_request(&request);
         let mut refusal = unreached();
         for target in self.live_targets(&service) {
             info!(self.log, "call relayed"; "decision" => DecisionKind::RequestRelayed,
@@ -57,7 +57,7 @@
                 RelayEnd::Ended(end) => return end,
                 RelayEnd::NotHandedOver => {}
             }
-            match self.retry_allowance(&request) {
+            match self.retry_allowance(&request, refusal) {
                 Some(allowance) => request.allowance = allowance,
                 None => break,
             }
--- a/bins/agent/src/gateway/handler.rs
+++ b/bins/agent/src/gateway/handler.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue};
 use lovagelatch_domain::ServiceName;
+use lovagelatch_placement::AttemptAllowance;
 use rocket::data::ToByteUnit;
 use rocket::fairing::AdHoc;
 use rocket::figment::Figment;
@@ -19,7 +20,7 @@
 use tokio_util::io::StreamReader;
 
 use crate::agent::Agent;
-use crate::exchange::{Answer, AnswerBody, AttemptEnd, CallerRequest};
+use crate::exchange::{Answer, AnswerBody, AttemptEnd, CallerRequest, Refusal};
 use crate::gateway::call::DependencyCall;
 use crate::headers;
 use crate::reply::ReplyTerms;
@@ -138,11 +139,20 @@
             Ok(body) => whole_body(&terms.done(&answer), body),
             Err(_) => lost(),
         },
-        AttemptEnd::NotRun(refusal) => head_only(&terms.not_run(refusal)),
+        AttemptEnd::NotRun(refusal) => head_only(&refused(&terms, refusal)),
         AttemptEnd::Unknown => lost(),
     }
 }
 
+/// A refusal on its way back. This agent is the link next to it and has decided whether to try
+/// again; were the links above to do so too, their shares would multiply.
+fn refused(terms: &ReplyTerms, refusal: Refusal) -> http::Response<()> {
+    let mut head = terms.not_run(refusal);
+    let none = HeaderValue::from(u16::from(AttemptAllowance::none().left()));
+    head.headers_mut().insert(headers::ATTEMPTS_LEFT, none);
+    head
+}
+
 /// Whether the backend server would see that a streamed answer is cut.
 ///
 /// The server library ends a body that breaks off as if it were whole, unless its length was
--- a/bins/agent/src/headers.rs
+++ b/bins/agent/src/headers.rs
@@ -79,6 +79,15 @@
     allowance.unwrap_or_else(|| AttemptAllowance::new().retry().unwrap_or_default())
 }
 
+/// The attempts that a refusal brings back from further down, if it names any. An unreadable
+/// number counts as none left.
+pub(crate) fn returned_by(headers: &HeaderMap) -> Option<AttemptAllowance> {
+    let value = headers.get(ATTEMPTS_LEFT)?;
+    let text = value.to_str().ok();
+    let allowance = text.and_then(|text| AttemptAllowance::from_header(text).ok());
+    Some(allowance.unwrap_or_else(AttemptAllowance::none))
+}
+
 /// A field that holds a number.
 pub(crate) fn number_of(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
     headers.get(name)?.to_str().ok()?.trim().parse().ok()
--- a/bins/agent/src/lib.rs
+++ b/bins/agent/src/lib.rs
@@ -36,6 +36,7 @@
 mod once;
 mod packet;
 mod path;
+mod placement;
 mod process;
 mod rate;
 mod relay;
--- a/bins/agent/src/once/filing.rs
+++ b/bins/agent/src/once/filing.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::StatusCode;
 use lovagelatch_domain::{AgentAddress, AttemptId, RefusalReason};
-use lovagelatch_keys::RequestTicket;
+use lovagelatch_keys::{RequestTicket, TicketError};
 use lovagelatch_ledger::{AnswerHeader, StoredAnswer};
 use lovagelatch_membership::TargetStanding;
 use lovagelatch_telemetry::{DecisionKind, info};
@@ -39,12 +39,20 @@
         request: CallerRequest,
         attempt: AttemptId,
     ) -> AttemptEnd {
-        let ticket = key.and_then(|key| RequestTicket::open(key, &self.keys.load()).ok());
-        let ticket = ticket.filter(|ticket| ticket.service == self.service);
-        let (Some(key), Some(ticket)) = (key, ticket) else {
-            let refusal = Refusal::new(RefusalReason::TicketNeeded, Duration::ZERO);
+        let refusal = Refusal::new(RefusalReason::TicketNeeded, Duration::ZERO);
+        let Some(key) = key else {
             return AttemptEnd::NotRun(refusal);
         };
+        let ticket = match RequestTicket::open(key, &self.keys.load()) {
+            Ok(ticket) if ticket.service == self.service => ticket,
+            // No agent made it, so nothing can have run under it.
+            Err(TicketError::NotATicket | TicketError::Forged) => {
+                return AttemptEnd::NotRun(refusal);
+            }
+            // Its key generation was dropped, or its address passed to this service: its filing
+            // may have run. Told "not run", the caller would file anew and it would run twice.
+            Ok(_) | Err(TicketError::UnknownGeneration { .. }) => return AttemptEnd::Unknown,
+        };
         if ticket.home == self.address() || self.once.answers_for(&ticket) {
             return self.file_here(&ticket, request, attempt).await;
         }
--- a/bins/agent/src/process.rs
+++ b/bins/agent/src/process.rs
@@ -28,7 +28,7 @@
 use crate::handover::hand_over;
 use crate::metrics::AgentMetrics;
 use crate::packet::{PacketIngress, TlsError};
-use crate::upkeep::{keep_certificate, keep_condition, keep_keys, keep_report};
+use crate::upkeep::{keep_certificate, keep_condition, keep_keys, keep_peers, keep_report};
 
 /// Longest wait for callers to be told that their flows end.
 const CLOSE_WAIT: Duration = Duration::from_secs(1);
@@ -154,6 +154,7 @@
             .push(tokio::spawn(keep_condition(Arc::clone(agent))));
         self.tasks
             .push(tokio::spawn(keep_report(Arc::clone(agent))));
+        self.tasks.push(tokio::spawn(keep_peers(Arc::clone(agent))));
         self.tasks.push(tokio::spawn(keep_keys(Arc::clone(agent))));
         self.tasks
             .push(tokio::spawn(keep_certificate(Arc::clone(agent))));
--- a/bins/agent/src/relay/body.rs
+++ b/bins/agent/src/relay/body.rs
@@ -57,7 +57,8 @@
         };
         match message {
             Ok(RelayMessage::Chunk(piece)) => Ok(Some(Bytes::from(piece))),
-            Ok(RelayMessage::End(attempt)) if attempt == self.attempt => {
+            Ok(RelayMessage::End { attempt, load }) if attempt == self.attempt => {
+                self.pool.placement.reported(self.peer, load);
                 if let Some(stream) = self.stream.take() {
                     self.pool.put_back(self.peer, stream);
                 }
--- a/bins/agent/src/relay/client.rs
+++ b/bins/agent/src/relay/client.rs
@@ -6,15 +6,19 @@
 
 use arc_swap::ArcSwap;
 use http::{HeaderMap, StatusCode};
-use lovagelatch_domain::{AgentAddress, AttemptId, ConfigRevision, RefusalReason, ServiceId};
+use lovagelatch_domain::{
+    AgentAddress, AttemptId, ConfigRevision, GateReport, RefusalReason, ServiceId,
+};
 use lovagelatch_keys::FleetKeys;
 use lovagelatch_network::StreamPath;
+use lovagelatch_placement::AttemptAllowance;
 use lovagelatch_wire::{RelayHead, RelayMessage, RelayRequest, WireHeader};
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
 use crate::exchange::{Answer, AnswerBody, AttemptEnd, CallerRequest, Refusal};
 use crate::headers;
+use crate::placement::PlacementDesk;
 use crate::relay::body::RelayBody;
 use crate::relay::stream::{RelayStream, StreamError};
 
@@ -53,6 +57,8 @@
     path: StreamPath,
     keys: Arc<ArcSwap<FleetKeys>>,
     idle: Mutex<HashMap<AgentAddress, Vec<RelayStream>>>,
+    /// Takes the loads that peers send along.
+    pub(crate) placement: Arc<PlacementDesk>,
 }
 
 /// What goes with a request besides itself.
@@ -67,11 +73,16 @@
 }
 
 impl RelayPool {
-    pub(crate) fn new(path: StreamPath, keys: Arc<ArcSwap<FleetKeys>>) -> Self {
+    pub(crate) fn new(
+        path: StreamPath,
+        keys: Arc<ArcSwap<FleetKeys>>,
+        placement: Arc<PlacementDesk>,
+    ) -> Self {
         Self {
             path,
             keys,
             idle: Mutex::default(),
+            placement,
         }
     }
 
@@ -151,7 +162,8 @@
         quiet_allowed: bool,
     ) -> AttemptEnd {
         match verdict {
-            Verdict::Refused(refusal) => {
+            Verdict::Refused(refusal, load) => {
+                self.placement.reported(peer, load);
                 self.put_back(peer, stream);
                 AttemptEnd::NotRun(refusal)
             }
@@ -173,7 +185,7 @@
 }
 
 enum Verdict {
-    Refused(Refusal),
+    Refused(Refusal, Option<GateReport>),
     Lost,
     Head(StatusCode, HeaderMap),
 }
@@ -217,6 +229,7 @@
             attempt,
             reason,
             retry_after,
+            ..
         } if attempt == expected => Ok(Offer::Refused(Refusal::new(reason, retry_after))),
         _ => Err(StreamError::Ended),
     }
@@ -231,7 +244,13 @@
             attempt,
             reason,
             retry_after,
-        } if attempt == expected => Ok(Verdict::Refused(Refusal::new(reason, retry_after))),
+            attempts_left,
+            load,
+        } if attempt == expected => {
+            let refusal = Refusal::new(reason, retry_after)
+                .with_returned(attempts_left.map(AttemptAllowance::from_left));
+            Ok(Verdict::Refused(refusal, load))
+        }
         RelayMessage::Head(head) if head.attempt == expected => Ok(verdict_of(&head)),
         RelayMessage::Lost(attempt) if attempt == expected => Ok(Verdict::Lost),
         _ => Err(StreamError::Ended),
--- a/bins/agent/src/relay/server.rs
+++ b/bins/agent/src/relay/server.rs
@@ -4,8 +4,9 @@
 
 use bytes::Bytes;
 use http::Method;
-use lovagelatch_domain::{AttemptId, RefusalReason};
+use lovagelatch_domain::{AttemptId, GateReport, RefusalReason};
 use lovagelatch_keys::FleetKeys;
+use lovagelatch_placement::AttemptAllowance;
 use lovagelatch_telemetry::{DecisionKind, info};
 use lovagelatch_wire::{FrameKind, RelayHead, RelayMessage, RelayRequest, open_message};
 use tokio::net::TcpStream;
@@ -51,7 +52,7 @@
     let arrived = Instant::now();
     if head.service != agent.service {
         let refusal = Refusal::new(RefusalReason::WrongService, std::time::Duration::ZERO);
-        send_end(stream, attempt, AttemptEnd::NotRun(refusal)).await?;
+        send_refusal(stream, attempt, refusal, None).await?;
         // The rest of the request is on its way; a fresh stream starts clean.
         return Err(StreamError::Ended);
     }
@@ -70,7 +71,7 @@
         end = &mut running => end,
         given_up = stream.receive() => return given_up.and(Err(StreamError::Ended)),
     };
-    send_end(stream, attempt, end).await
+    send_end(agent, stream, attempt, end).await
 }
 
 async fn run(
@@ -119,25 +120,39 @@
 }
 
 async fn send_end(
+    agent: &Agent,
     stream: &mut RelayStream,
     attempt: AttemptId,
     end: AttemptEnd,
 ) -> Result<(), StreamError> {
     match end {
-        AttemptEnd::Answered(answer) => send_answer(stream, attempt, answer).await,
+        AttemptEnd::Answered(answer) => send_answer(agent, stream, attempt, answer).await,
         AttemptEnd::Unknown => stream.send(&RelayMessage::Lost(attempt)).await,
         AttemptEnd::NotRun(refusal) => {
-            let message = RelayMessage::Refused {
-                attempt,
-                reason: refusal.reason,
-                retry_after: refusal.retry_after,
-            };
-            stream.send(&message).await
+            let load = Some(agent.gate.report());
+            send_refusal(stream, attempt, refusal, load).await
         }
     }
 }
 
+async fn send_refusal(
+    stream: &mut RelayStream,
+    attempt: AttemptId,
+    refusal: Refusal,
+    load: Option<GateReport>,
+) -> Result<(), StreamError> {
+    let message = RelayMessage::Refused {
+        attempt,
+        reason: refusal.reason,
+        retry_after: refusal.retry_after,
+        attempts_left: refusal.returned.map(AttemptAllowance::left),
+        load,
+    };
+    stream.send(&message).await
+}
+
 async fn send_answer(
+    agent: &Agent,
     stream: &mut RelayStream,
     attempt: AttemptId,
     mut answer: Answer,
@@ -155,7 +170,10 @@
         };
         match piece {
             Ok(Some(piece)) => stream.send_pieces(&piece, RelayMessage::Chunk).await?,
-            Ok(None) => return stream.send(&RelayMessage::End(attempt)).await,
+            Ok(None) => {
+                let load = Some(agent.gate.report());
+                return stream.send(&RelayMessage::End { attempt, load }).await;
+            }
             // Closing the stream without `End` is what tells the peer of the cut.
             Err(_) => return Err(StreamError::Ended),
         }
--- a/bins/agent/src/upkeep.rs
+++ b/bins/agent/src/upkeep.rs
@@ -5,22 +5,29 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lovagelatch_domain::GateCondition;
+use lovagelatch_domain::{AgentAddress, GateCondition};
 use lovagelatch_keys::read_key_file;
 use lovagelatch_membership::TargetStanding;
+use lovagelatch_placement::{HealthWord, believed_word, peer_subset};
 use lovagelatch_telemetry::{DecisionKind, info, warn};
 
 use crate::agent::Agent;
-use crate::backend::BackendState;
 use crate::drain::LeavingCauses;
 use crate::packet::{TlsFiles, load_server_crypto};
 
 /// How often the backend server is asked how it is.
 const HEALTH_INTERVAL: Duration = Duration::from_millis(500);
 
+/// How soon it is asked again after a word that needs a second one. Peers and balancers must
+/// hear of a server that leaves within 3 s.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(100);
+
 /// How often the gate's report to peers is renewed.
 const REPORT_INTERVAL: Duration = Duration::from_millis(50);
 
+/// How often the list of peers is looked at.
+const PEER_INTERVAL: Duration = Duration::from_secs(1);
+
 /// How often files are looked at.
 const FILE_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -57,36 +64,49 @@
 
 /// Follows the backend server's own word and the platform's list.
 ///
-/// Health answers lag and mislead. "Draining" is believed, since it only costs this instance
-/// new work; "ready" ends a warm-up; silence changes nothing, because requests themselves show
-/// sooner than any probe whether the backend server works.
+/// Health answers lag and mislead, so own requests rank above them (`believed_word`). Silence
+/// changes nothing, because requests themselves show sooner than any probe whether the backend
+/// server works.
 pub(crate) async fn keep_condition(agent: Arc<Agent>) {
     let mut warming = false;
+    let mut before = None;
     loop {
+        let mut pause = HEALTH_INTERVAL;
         if let Some(health) = agent.backend.health().await {
-            let draining = health.state == BackendState::Draining;
-            agent.leave(|causes| causes.backend = draining);
-            if !agent.drain.is_leaving() {
-                warming = set_warming(&agent, warming, health.state, health.warming_ms);
+            let word = health.word();
+            let evidence = agent.gate.evidence();
+            let believed = believed_word(word, before, evidence, agent.clock.now());
+            before = Some(word);
+            if let Some(word) = believed {
+                agent.leave(|causes| causes.backend = word == HealthWord::Draining);
+                warming = set_warming(&agent, warming, word);
+            } else if matches!(word, HealthWord::Warming(_)) {
+                // Requests are answered: a warm-up believed before is over.
+                warming = set_warming(&agent, warming, HealthWord::Ready);
+            } else {
+                pause = CONFIRM_INTERVAL;
             }
         }
         let listed = is_listed_leaving(&agent);
         agent.leave(|causes| causes.listed = listed);
-        tokio::time::sleep(HEALTH_INTERVAL).await;
+        tokio::time::sleep(pause).await;
     }
 }
 
-fn set_warming(agent: &Agent, was: bool, state: BackendState, millis: u64) -> bool {
-    let warming = state == BackendState::Warming;
-    if warming {
-        let remaining = Duration::from_millis(millis);
+fn set_warming(agent: &Agent, was: bool, word: HealthWord) -> bool {
+    if agent.drain.is_leaving() {
+        return was;
+    }
+    if let HealthWord::Warming(remaining) = word {
         agent
             .gate
             .set_condition(GateCondition::Warming { remaining });
-    } else if was {
+        return true;
+    }
+    if was {
         agent.gate.set_condition(GateCondition::Open);
     }
-    warming
+    false
 }
 
 fn is_listed_leaving(agent: &Agent) -> bool {
@@ -105,6 +125,19 @@
     }
 }
 
+/// Keeps to the peers that this agent deals with, and forgets those gone.
+pub(crate) async fn keep_peers(agent: Arc<Agent>) {
+    loop {
+        let view = agent.fleet.view();
+        let targets = view.targets(agent.service).iter();
+        let members: Vec<AgentAddress> = targets.map(|target| target.agent).collect();
+        agent
+            .placement
+            .renew(peer_subset(agent.address(), &members));
+        tokio::time::sleep(PEER_INTERVAL).await;
+    }
+}
+
 /// Takes a changed key file into use; one that cannot be used changes nothing.
 pub(crate) async fn keep_keys(agent: Arc<Agent>) {
     let path = agent.settings.common.key_file.clone();
--- a/bins/agent/tests/all/rig/backend.rs
+++ b/bins/agent/tests/all/rig/backend.rs
@@ -166,6 +166,11 @@
             let other = "lovagelatch-attempt: 0123456789abcdef0123456789abcdef\r\n";
             send(stream, "200 OK", other, b"another caller's claim").await
         }
+        "/restarted" => {
+            // It dies after the start; its successor never heard of the attempt.
+            record.lock().attempts.remove(&request.attempt);
+            None
+        }
         "/unmarked" => send(stream, "200 OK", "", b"no attempt named").await,
         "/short" => {
             let head = format!("HTTP/1.1 200 OK\r\n{attempt}content-length: 100\r\n\r\nten bytes.");
