--- a/bins/agent/src/dispatch.rs
+++ b/bins/agent/src/dispatch.rs
@@ -17,6 +17,7 @@
 use crate::backend::{AheadBody, BackendLink, CancelEnd, ExchangeEnd};
 use crate::exchange::{Answer, AnswerBody, AttemptEnd, CallerRequest, Refusal};
 use crate::gate::{Admission, SlotEnd, SlotGuard};
+use crate::metrics::reason_word;
 use crate::relay::{RelayEnd, RelayTerms, unreached};
 
 /// Gates that one request is offered to at most, as an expectation for its list of them.
@@ -57,7 +58,7 @@
             tried.push(gate);
             info!(self.log, "gate refused"; "decision" => DecisionKind::RequestRefused,
                 "attempt" => attempt.to_string(), "gate" => gate.to_string(),
-                "reason" => format!("{:?}", refusal.reason));
+                "reason" => reason_word(refusal.reason));
             match self.retry_allowance(&request, refusal) {
                 Some(allowance) => request.allowance = allowance,
                 None => return AttemptEnd::NotRun(refusal),
@@ -161,7 +162,7 @@
                 AttemptEnd::NotRun(refusal)
             }
             ExchangeEnd::Lost(reason) => {
-                self.metrics.answers_discarded.add(1, &[]);
+                self.metrics.answers.count("discarded");
                 info!(self.log, "answer lost"; "attempt" => handed.attempt.to_string(),
                     "reason" => format!("{reason:?}"));
                 handed.abandon(SlotEnd::Lost);
@@ -214,11 +215,11 @@
     ) -> AttemptEnd {
         info!(self.log, "request relayed"; "decision" => DecisionKind::RequestRelayed,
             "attempt" => attempt.to_string(), "peer" => peer.to_string());
-        self.metrics.relays.add(1, &[]);
         let sent = Instant::now();
         let _noted = SentNote::new(self, peer);
         let terms = self.relay_terms(attempt, None);
         let end = self.relays.relay(peer, request, terms).await;
+        self.metrics.relays.count(end.word());
         let reached = !matches!(end, RelayEnd::NotHandedOver);
         self.fleet.record_exchange(peer, reached);
         let end = match end {
--- a/bins/agent/src/flow.rs
+++ b/bins/agent/src/flow.rs
@@ -6,11 +6,12 @@
 use bytes::Bytes;
 use h3::server::RequestResolver;
 use lovagelatch_telemetry::{DecisionKind, info};
-use quinn::{Connection, Endpoint, Incoming};
+use quinn::{Connection, ConnectionError, Endpoint, Incoming};
 use thiserror::Error;
 
 use crate::agent::Agent;
 use crate::drain::wait_true;
+use crate::metrics::OpenNote;
 use crate::request::serve_request;
 
 /// Largest header section of a request, in bytes.
@@ -51,8 +52,15 @@
     address: SocketAddrV4,
     incoming: Incoming,
 ) -> Result<(), FlowError> {
-    let connection = incoming.await?;
-    agent.metrics.flows_accepted.add(1, &[]);
+    let connection = match incoming.await {
+        Ok(connection) => connection,
+        Err(error) => {
+            agent.metrics.flows.count("failed");
+            return Err(error.into());
+        }
+    };
+    agent.metrics.flows.count("accepted");
+    let _open = FlowNote::new(agent, &connection);
     info!(agent.log, "flow accepted"; "decision" => DecisionKind::FlowAccepted,
         "caller" => connection.remote_address().to_string(), "address" => address.to_string());
     let mut http = h3::server::builder()
@@ -79,6 +87,37 @@
     }
 }
 
+/// Counts a flow while it is open, and then by what ended it.
+struct FlowNote<'a> {
+    agent: &'a Agent,
+    connection: Connection,
+    _open: OpenNote,
+}
+
+impl<'a> FlowNote<'a> {
+    fn new(agent: &'a Agent, connection: &Connection) -> Self {
+        Self {
+            agent,
+            connection: connection.clone(),
+            _open: OpenNote::new(&agent.metrics.flows_open),
+        }
+    }
+}
+
+impl Drop for FlowNote<'_> {
+    fn drop(&mut self) {
+        let cause = match self.connection.close_reason() {
+            Some(ConnectionError::ApplicationClosed(_)) => "caller",
+            Some(ConnectionError::ConnectionClosed(_)) => "caller",
+            Some(ConnectionError::TimedOut) => "idle",
+            Some(ConnectionError::Reset) => "reset",
+            Some(ConnectionError::LocallyClosed) | None => "agent",
+            Some(_) => "error",
+        };
+        self.agent.metrics.flows_ended.count(cause);
+    }
+}
+
 fn start_request(
     agent: &Arc<Agent>,
     address: SocketAddrV4,
--- a/bins/agent/src/gateway/call.rs
+++ b/bins/agent/src/gateway/call.rs
@@ -52,7 +52,9 @@
                 "attempt" => attempt.to_string(), "dependency" => service.as_str(),
                 "peer" => target.to_string());
             let terms = self.call_terms(&service, attempt, None);
-            match self.relays.relay(target, &request, terms).await {
+            let end = self.relays.relay(target, &request, terms).await;
+            self.metrics.relays.count(end.word());
+            match end {
                 RelayEnd::Ended(AttemptEnd::NotRun(refused)) => refusal = refused,
                 RelayEnd::Ended(end) => return end,
                 RelayEnd::NotHandedOver => {}
@@ -76,7 +78,9 @@
             return AttemptEnd::NotRun(refusal);
         };
         let terms = self.call_terms(&call.service, attempt, Some(key.to_owned()));
-        match self.relays.relay(ticket.home, &call.request, terms).await {
+        let end = self.relays.relay(ticket.home, &call.request, terms).await;
+        self.metrics.relays.count(end.word());
+        match end {
             RelayEnd::Ended(end) => end,
             RelayEnd::NotHandedOver => AttemptEnd::Unknown,
         }
--- a/bins/agent/src/gateway/handler.rs
+++ b/bins/agent/src/gateway/handler.rs
@@ -23,6 +23,7 @@
 use crate::exchange::{Answer, AnswerBody, AttemptEnd, CallerRequest, Refusal};
 use crate::gateway::call::DependencyCall;
 use crate::headers;
+use crate::metrics::reason_word;
 use crate::reply::ReplyTerms;
 
 const METHODS: [Method; 7] = [
@@ -139,7 +140,10 @@
             Ok(body) => whole_body(&terms.done(&answer), body),
             Err(_) => lost(),
         },
-        AttemptEnd::NotRun(refusal) => head_only(&refused(&terms, refusal)),
+        AttemptEnd::NotRun(refusal) => {
+            agent.metrics.refusals.count(reason_word(refusal.reason));
+            head_only(&refused(&terms, refusal))
+        }
         AttemptEnd::Unknown => lost(),
     }
 }
--- a/bins/agent/src/lib.rs
+++ b/bins/agent/src/lib.rs
@@ -30,6 +30,7 @@
 mod flow;
 mod gate;
 mod gateway;
+mod gauges;
 mod handover;
 mod headers;
 mod metrics;
--- a/bins/agent/src/metrics.rs
+++ b/bins/agent/src/metrics.rs
@@ -1,48 +1,288 @@
-//! The agent's instruments.
+//! The agent's instruments. Their names, units and attributes stand in
+//! `docs/operating/metrics.md`, which a test compares with what the process serves.
+//!
+//! Each series of a counter exists from the start with 0: an alarm on a rise misses the first
+//! event if that is also the first of its series.
 
-use lovagelatch_telemetry::{Counter, Histogram, KeyValue, Meter};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
-/// Counters and histograms of one agent.
+use lovagelatch_domain::RefusalReason;
+use lovagelatch_telemetry::{Counter, Histogram, KeyValue, Meter, UpDownCounter};
+
+/// A counter with one attribute, whose totals the status page shows as well.
+#[derive(Clone, Debug)]
+pub(crate) struct WordCounter {
+    counter: Counter<u64>,
+    name: &'static str,
+    attribute: &'static str,
+    words: &'static [&'static str],
+    totals: Arc<[AtomicU64]>,
+}
+
+impl WordCounter {
+    fn new(
+        meter: &Meter,
+        (name, unit, text): (&'static str, &'static str, &'static str),
+        attribute: &'static str,
+        words: &'static [&'static str],
+    ) -> Self {
+        let builder = meter.u64_counter(name).with_unit(unit);
+        let counter = builder.with_description(text).build();
+        for word in words {
+            counter.add(0, &[KeyValue::new(attribute, *word)]);
+        }
+        Self {
+            counter,
+            name,
+            attribute,
+            words,
+            totals: words.iter().map(|_| AtomicU64::new(0)).collect(),
+        }
+    }
+
+    pub(crate) fn count(&self, word: &'static str) {
+        self.counter.add(1, &[KeyValue::new(self.attribute, word)]);
+        let index = self.words.iter().position(|known| *known == word);
+        debug_assert!(index.is_some(), "{word} is not listed for {}", self.name);
+        if let Some(total) = index.and_then(|index| self.totals.get(index)) {
+            total.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    fn add_totals(&self, totals: &mut BTreeMap<String, u64>) {
+        let short = self.name.trim_start_matches("lovagelatch.agent.");
+        for (word, total) in self.words.iter().zip(self.totals.iter()) {
+            let count = total.load(Ordering::Relaxed);
+            totals.insert(format!("{short}.{word}"), count);
+        }
+    }
+}
+
+/// One thing that is open, counted for as long as it lives.
+#[derive(Debug)]
+pub(crate) struct OpenNote(UpDownCounter<i64>);
+
+impl OpenNote {
+    pub(crate) fn new(counter: &UpDownCounter<i64>) -> Self {
+        counter.add(1, &[]);
+        Self(counter.clone())
+    }
+}
+
+impl Drop for OpenNote {
+    fn drop(&mut self) {
+        self.0.add(-1, &[]);
+    }
+}
+
+/// Which kind of route a request was for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RouteKind {
+    Plain,
+    Once,
+    Feed,
+    /// The system's own paths.
+    System,
+}
+
+impl RouteKind {
+    const ALL: [Self; 4] = [Self::Plain, Self::Once, Self::Feed, Self::System];
+
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Plain => "plain",
+            Self::Once => "once",
+            Self::Feed => "feed",
+            Self::System => "system",
+        }
+    }
+}
+
+const OUTCOMES: [&str; 5] = ["done", "not-run", "unknown", "cut", "caller-gone"];
+
+/// The instruments of one agent.
 #[derive(Clone, Debug)]
 pub(crate) struct AgentMetrics {
     pub(crate) frames_refused: Counter<u64>,
-    pub(crate) wrong_service: Counter<u64>,
-    pub(crate) packets_dropped: Counter<u64>,
-    pub(crate) packets_passed_on: Counter<u64>,
-    pub(crate) flows_accepted: Counter<u64>,
-    pub(crate) flows_handed_on: Counter<u64>,
-    /// By the attribute `outcome`.
-    pub(crate) requests: Counter<u64>,
-    pub(crate) relays: Counter<u64>,
-    pub(crate) answers_discarded: Counter<u64>,
-    pub(crate) answers_cut: Counter<u64>,
-    pub(crate) request_seconds: Histogram<f64>,
+    /// Datagrams that QUIC did not get, and those of flows it does not know.
+    pub(crate) packets: WordCounter,
+    pub(crate) flows: WordCounter,
+    pub(crate) flows_ended: WordCounter,
+    pub(crate) flows_open: UpDownCounter<i64>,
+    pub(crate) feeds_open: UpDownCounter<i64>,
+    pub(crate) refusals: WordCounter,
+    pub(crate) relays: WordCounter,
+    pub(crate) answers: WordCounter,
+    requests: Counter<u64>,
+    outcomes: Arc<[AtomicU64; OUTCOMES.len()]>,
+    request_duration: Histogram<f64>,
 }
 
 impl AgentMetrics {
     pub(crate) fn new(meter: &Meter) -> Self {
-        let counter = |name: &'static str, text: &'static str| {
-            meter.u64_counter(name).with_description(text).build()
+        let open = |name: &'static str, unit: &'static str, text: &'static str| {
+            let builder = meter.i64_up_down_counter(name).with_unit(unit);
+            let counter = builder.with_description(text).build();
+            counter.add(0, &[]);
+            counter
         };
+        let frames_refused = meter
+            .u64_counter("lovagelatch.agent.frames_refused")
+            .with_unit("{frame}")
+            .with_description("Frames on the control address that were not genuine")
+            .build();
+        frames_refused.add(0, &[]);
         Self {
-            frames_refused: counter("agent_frames_refused", "frames that were not genuine"),
-            wrong_service: counter("agent_wrong_service", "packets of another service"),
-            packets_dropped: counter("agent_packets_dropped", "packets dropped by a full queue"),
-            packets_passed_on: counter("agent_packets_passed_on", "packets of a peer's flows"),
-            flows_accepted: counter("agent_flows_accepted", "flows accepted"),
-            flows_handed_on: counter("agent_flows_handed_on", "new flows given to a peer"),
-            requests: counter("agent_requests", "requests by outcome"),
-            relays: counter("agent_relays", "requests relayed to a peer"),
-            answers_discarded: counter("agent_answers_discarded", "answers of another attempt"),
-            answers_cut: counter("agent_answers_cut", "answers that ended short"),
-            request_seconds: meter
-                .f64_histogram("agent_request_seconds")
-                .with_description("time from a request's arrival to its outcome")
+            frames_refused,
+            packets: WordCounter::new(
+                meter,
+                (
+                    "lovagelatch.agent.packets",
+                    "{packet}",
+                    "Caller datagrams not given to a flow of this agent",
+                ),
+                "outcome",
+                &["dropped", "wrong_service", "passed_on", "reset"],
+            ),
+            flows: WordCounter::new(
+                meter,
+                ("lovagelatch.agent.flows", "{flow}", "New flows"),
+                "outcome",
+                &["accepted", "handed_on", "failed"],
+            ),
+            flows_ended: WordCounter::new(
+                meter,
+                ("lovagelatch.agent.flows.ended", "{flow}", "Ended flows"),
+                "cause",
+                &["caller", "agent", "idle", "reset", "error"],
+            ),
+            flows_open: open("lovagelatch.agent.flows.open", "{flow}", "Open flows"),
+            feeds_open: open("lovagelatch.agent.feeds.open", "{feed}", "Open feeds"),
+            refusals: WordCounter::new(
+                meter,
+                (
+                    "lovagelatch.agent.refusals",
+                    "{request}",
+                    "Requests of callers and of dependents answered with a proof of not run",
+                ),
+                "reason",
+                &REASONS,
+            ),
+            relays: WordCounter::new(
+                meter,
+                (
+                    "lovagelatch.agent.relays",
+                    "{request}",
+                    "Requests sent to another agent's gate, home or service, by how that ended",
+                ),
+                "end",
+                &["answered", "refused", "unknown", "unreached"],
+            ),
+            answers: WordCounter::new(
+                meter,
+                (
+                    "lovagelatch.agent.answers",
+                    "{answer}",
+                    "Answers of the backend server that were not passed on whole",
+                ),
+                "fault",
+                &["discarded", "cut"],
+            ),
+            requests: new_requests(meter),
+            outcomes: Arc::default(),
+            request_duration: meter
+                .f64_histogram("lovagelatch.agent.request.duration")
+                .with_unit("s")
+                .with_description("From a request's arrival to the end of its answer")
                 .build(),
         }
     }
 
-    pub(crate) fn count_outcome(&self, outcome: &'static str) {
-        self.requests.add(1, &[KeyValue::new("outcome", outcome)]);
+    /// Counts a caller's request that ended.
+    pub(crate) fn count_request(&self, outcome: &'static str, route: RouteKind, took: Duration) {
+        let outcome_field = KeyValue::new("outcome", outcome);
+        let route_field = KeyValue::new("route", route.as_str());
+        self.requests
+            .add(1, &[outcome_field.clone(), route_field.clone()]);
+        // A feed's duration is its reader's patience, and would hide the others'.
+        if route != RouteKind::Feed {
+            self.request_duration
+                .record(took.as_secs_f64(), &[outcome_field, route_field]);
+        }
+        let index = OUTCOMES.iter().position(|known| *known == outcome);
+        if let Some(index) = index {
+            self.outcomes[index].fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Totals for the status page.
+    pub(crate) fn totals(&self) -> BTreeMap<String, u64> {
+        let mut totals = BTreeMap::new();
+        let counters = [
+            &self.packets,
+            &self.flows,
+            &self.flows_ended,
+            &self.refusals,
+            &self.relays,
+            &self.answers,
+        ];
+        for counter in counters {
+            counter.add_totals(&mut totals);
+        }
+        for (outcome, total) in OUTCOMES.iter().zip(self.outcomes.iter()) {
+            let count = total.load(Ordering::Relaxed);
+            totals.insert(format!("requests.{outcome}"), count);
+        }
+        totals
+    }
+}
+
+fn new_requests(meter: &Meter) -> Counter<u64> {
+    let requests = meter
+        .u64_counter("lovagelatch.agent.requests")
+        .with_unit("{request}")
+        .with_description("Requests of callers by outcome and kind of route")
+        .build();
+    for outcome in OUTCOMES {
+        for route in RouteKind::ALL {
+            let fields = [
+                KeyValue::new("outcome", outcome),
+                KeyValue::new("route", route.as_str()),
+            ];
+            requests.add(0, &fields);
+        }
+    }
+    requests
+}
+
+const REASONS: [&str; 10] = [
+    "full",
+    "too_late",
+    "over_share",
+    "leaving",
+    "warming",
+    "budget_spent",
+    "no_target",
+    "shed",
+    "wrong_service",
+    "ticket_needed",
+];
+
+/// The word of a reason in metrics and logs.
+pub(crate) const fn reason_word(reason: RefusalReason) -> &'static str {
+    match reason {
+        RefusalReason::Full => "full",
+        RefusalReason::TooLate => "too_late",
+        RefusalReason::OverShare => "over_share",
+        RefusalReason::Leaving => "leaving",
+        RefusalReason::Warming => "warming",
+        RefusalReason::BudgetSpent => "budget_spent",
+        RefusalReason::NoTarget => "no_target",
+        RefusalReason::Shed => "shed",
+        RefusalReason::WrongService => "wrong_service",
+        RefusalReason::TicketNeeded => "ticket_needed",
     }
 }
--- a/bins/agent/src/once/filing.rs
+++ b/bins/agent/src/once/filing.rs
@@ -86,13 +86,13 @@
         let home = ticket.home;
         info!(self.log, "filing relayed to its home"; "decision" => DecisionKind::RequestRelayed,
             "attempt" => attempt.to_string(), "home" => home.to_string());
-        self.metrics.relays.add(1, &[]);
         // An attempt that was not handed over may be offered to the same home again; a home that
         // is paused or cut off for a moment then still runs it.
         let give_up = Instant::now() + request.time_left() / HOME_WAIT_PART;
         loop {
             let terms = self.relay_terms(attempt, Some(key.to_owned()));
             let end = self.relays.relay(home, &request, terms).await;
+            self.metrics.relays.count(end.word());
             let reached = !matches!(end, RelayEnd::NotHandedOver);
             self.fleet.record_exchange(home, reached);
             if let RelayEnd::Ended(end) = end {
--- a/bins/agent/src/once/ledger.rs
+++ b/bins/agent/src/once/ledger.rs
@@ -80,6 +80,16 @@
         self.state.lock().ledger.running()
     }
 
+    /// How many filings it knows.
+    pub(crate) fn len(&self) -> usize {
+        self.state.lock().ledger.len()
+    }
+
+    /// Bytes of the answers it keeps.
+    pub(crate) fn stored_bytes(&self) -> usize {
+        self.state.lock().ledger.stored_bytes()
+    }
+
     pub(crate) fn hand_over(&self) -> LedgerHandover {
         self.state.lock().ledger.hand_over()
     }
--- a/bins/agent/src/packet/ingress.rs
+++ b/bins/agent/src/packet/ingress.rs
@@ -94,31 +94,35 @@
     /// Gives the caller's packet to QUIC, or to the agent that holds or shall open its flow.
     fn accept_packet(&mut self, header: &ForwardHeader, packet: &[u8]) {
         if !self.agent.drain.is_open() {
-            self.agent.metrics.packets_dropped.add(1, &[]);
+            self.agent.metrics.packets.count("dropped");
             return;
         }
         let keys = self.agent.keys.load();
         let view = match PacketView::read(packet, header.service_address, &keys) {
             Ok(view) => view,
             Err(error) => {
-                self.agent.metrics.packets_dropped.add(1, &[]);
+                self.agent.metrics.packets.count("dropped");
                 return self.log_refusal(header, &error.to_string());
             }
         };
         let opens = view.token.is_none();
         match self.router.decide(&self.agent, header, view) {
             // For a flow that QUIC does not know it sends a stateless reset by itself.
-            ArrivalDecision::Accept | ArrivalDecision::Reset => self.push(header, packet),
+            ArrivalDecision::Accept => self.push(header, packet),
+            ArrivalDecision::Reset => {
+                self.agent.metrics.packets.count("reset");
+                self.push(header, packet);
+            }
             ArrivalDecision::HandOn { agent } => {
                 if opens {
-                    self.agent.metrics.flows_handed_on.add(1, &[]);
+                    self.agent.metrics.flows.count("handed_on");
                     info!(self.agent.log, "flow handed on";
                         "decision" => DecisionKind::FlowHandedOn, "peer" => agent.to_string());
                 }
                 self.pass_on(header, packet, agent);
             }
             ArrivalDecision::Refuse { reason } => {
-                self.agent.metrics.wrong_service.add(1, &[]);
+                self.agent.metrics.packets.count("wrong_service");
                 self.log_refusal(header, &reason.to_string());
             }
         }
@@ -129,9 +133,9 @@
         match self.agent.endpoints.push(address, header.caller, packet) {
             Ok(PushResult::Taken) => {}
             Ok(PushResult::Opened(endpoint)) => self.serve(address, endpoint),
-            Ok(PushResult::Overflow) => self.agent.metrics.packets_dropped.add(1, &[]),
+            Ok(PushResult::Overflow) => self.agent.metrics.packets.count("dropped"),
             Err(error) => {
-                self.agent.metrics.packets_dropped.add(1, &[]);
+                self.agent.metrics.packets.count("dropped");
                 self.log_refusal(header, &error.to_string());
             }
         }
@@ -149,7 +153,7 @@
     }
 
     fn pass_on(&self, header: &ForwardHeader, packet: &[u8], holder: AgentAddress) {
-        self.agent.metrics.packets_passed_on.add(1, &[]);
+        self.agent.metrics.packets.count("passed_on");
         let header = ForwardHeader {
             hops: header.hops + 1,
             ..*header
--- a/bins/agent/src/process.rs
+++ b/bins/agent/src/process.rs
@@ -25,6 +25,7 @@
 use crate::control::accept_streams;
 use crate::drain::{FEED_END_WAIT, LEAST_STAY};
 use crate::gateway::serve_gateway;
+use crate::gauges::register_gauges;
 use crate::handover::hand_over;
 use crate::metrics::AgentMetrics;
 use crate::packet::{PacketIngress, TlsError};
@@ -95,6 +96,7 @@
     agent: Arc<Agent>,
     identity: ProcessIdentity,
     gateway: Arc<OnceLock<SocketAddrV4>>,
+    metrics: MetricsRegistry,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -134,11 +136,13 @@
             log,
         };
         let agent = Arc::new(new_agent(settings, parts)?);
+        register_gauges(&agent, &meter);
         let identity = new_identity(&agent, incarnation);
         let mut running = Self {
             agent,
             identity,
             gateway: Arc::default(),
+            metrics: metrics.clone(),
             tasks: Vec::new(),
         };
         running.spawn_upkeep(metrics);
@@ -211,6 +215,15 @@
         self.agent.fleet.peer_reports().len()
     }
 
+    /// All metrics as the operations address serves them.
+    ///
+    /// # Errors
+    ///
+    /// [`MetricsError`] when a value cannot be written.
+    pub fn metrics_text(&self) -> Result<String, MetricsError> {
+        self.metrics.to_text()
+    }
+
     /// Stops: takes no new work, lets what is under way end, hands the ledger to a peer.
     ///
     /// Ends at the latest after the drain limit of the settings.
--- a/bins/agent/src/relay/client.rs
+++ b/bins/agent/src/relay/client.rs
@@ -51,6 +51,18 @@
     NotHandedOver,
 }
 
+impl RelayEnd {
+    /// The word in the metrics.
+    pub(crate) fn word(&self) -> &'static str {
+        match self {
+            Self::Ended(AttemptEnd::Answered(_)) => "answered",
+            Self::Ended(AttemptEnd::NotRun(_)) => "refused",
+            Self::Ended(AttemptEnd::Unknown) => "unknown",
+            Self::NotHandedOver => "unreached",
+        }
+    }
+}
+
 /// Streams to peers that wait for their next request.
 #[derive(Debug)]
 pub(crate) struct RelayPool {
--- a/bins/agent/src/request.rs
+++ b/bins/agent/src/request.rs
@@ -21,6 +21,7 @@
 use crate::exchange::{Answer, AttemptEnd, CallerRequest, Refusal, new_attempt};
 use crate::feed::EventBoundary;
 use crate::headers;
+use crate::metrics::{OpenNote, RouteKind, reason_word};
 use crate::once::{TICKET_PATH, ticket_answer};
 use crate::path::plain_path;
 use crate::reply::ReplyTerms;
@@ -167,7 +168,9 @@
     };
     info!(agent.log, "request refused"; "decision" => DecisionKind::RequestRefused,
         "reason" => error.to_string());
-    agent.metrics.count_outcome("not-run");
+    agent
+        .metrics
+        .count_request("not-run", RouteKind::Plain, Duration::ZERO);
     let refusal = Refusal::new(RefusalReason::TooLate, Duration::ZERO);
     stream.stop_sending(Code::H3_NO_ERROR);
     send_head(stream, terms.not_run_with(status, refusal)).await;
@@ -207,6 +210,7 @@
     let outcome = match end {
         AttemptEnd::Answered(answer) => send_answer(agent, terms, answer, request, stream).await,
         AttemptEnd::NotRun(refusal) => {
+            agent.metrics.refusals.count(reason_word(refusal.reason));
             send_head(stream, terms.not_run(refusal)).await;
             "not-run"
         }
@@ -216,17 +220,26 @@
         }
     };
     let took = request.arrived.elapsed();
-    agent.metrics.count_outcome(outcome);
-    agent
-        .metrics
-        .request_seconds
-        .record(took.as_secs_f64(), &[]);
+    let route = route_of(agent, request);
+    agent.metrics.count_request(outcome, route, took);
     info!(agent.log, "request ended"; "decision" => DecisionKind::RequestEnded,
         "attempt" => attempt.to_string(), "method" => request.method.as_str(),
-        "path" => &request.path, "outcome" => outcome,
+        "path" => &request.path, "route" => route.as_str(), "outcome" => outcome,
         "took_ms" => u64::try_from(took.as_millis()).unwrap_or(u64::MAX));
 }
 
+fn route_of(agent: &Agent, request: &CallerRequest) -> RouteKind {
+    if plain_path(&request.path).starts_with(OWN_PATHS) {
+        RouteKind::System
+    } else if agent.is_once_only(&request.method, &request.path) {
+        RouteKind::Once
+    } else if request.is_feed() {
+        RouteKind::Feed
+    } else {
+        RouteKind::Plain
+    }
+}
+
 async fn send_head(mut stream: CallerStream, response: Response<()>) {
     if stream.send_response(response).await.is_ok() {
         let _ = stream.finish().await;
@@ -247,6 +260,7 @@
     let mut ending = agent.drain.watch_ending();
     let mut boundary = EventBoundary::new();
     let is_feed = request.is_feed();
+    let _open = is_feed.then(|| OpenNote::new(&agent.metrics.feeds_open));
     loop {
         let piece = tokio::select! {
             piece = answer.body.next() => piece,
@@ -265,7 +279,7 @@
             }
             Err(_) => {
                 // A clean end here would make half an answer look whole.
-                agent.metrics.answers_cut.add(1, &[]);
+                agent.metrics.answers.count("cut");
                 stream.stop_stream(Code::H3_INTERNAL_ERROR);
                 return "cut";
             }
--- a/bins/agent/src/upkeep.rs
+++ b/bins/agent/src/upkeep.rs
@@ -54,11 +54,14 @@
     /// Figures for the status page.
     pub(crate) fn counters(&self) -> BTreeMap<String, u64> {
         let number = |count: usize| u64::try_from(count).unwrap_or(u64::MAX);
-        BTreeMap::from([
+        let mut counters = self.metrics.totals();
+        counters.extend([
             ("active_requests".to_owned(), number(self.drain.active())),
             ("open_flows".to_owned(), number(self.endpoints.open_flows())),
             ("running_filings".to_owned(), number(self.once.running())),
-        ])
+            ("ledger_entries".to_owned(), number(self.once.len())),
+        ]);
+        counters
     }
 }
 
--- a/bins/agent/tests/all/main.rs
+++ b/bins/agent/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod dependency;
 mod direct;
 mod leaving;
+mod metrics;
 mod once;
 mod outcomes;
 mod packets;
--- /dev/null
+++ b/bins/balancer/src/address.rs
@@ -0,0 +1,29 @@
+//! Addresses as the system's calls hold them.
+
+use std::mem;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+pub(crate) fn empty_address() -> libc::sockaddr_in {
+    to_system(SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0))
+}
+
+#[allow(clippy::cast_possible_truncation)]
+pub(crate) fn address_length() -> libc::socklen_t {
+    mem::size_of::<libc::sockaddr_in>() as libc::socklen_t
+}
+
+pub(crate) fn to_system(address: SocketAddrV4) -> libc::sockaddr_in {
+    libc::sockaddr_in {
+        sin_family: libc::AF_INET as libc::sa_family_t,
+        sin_port: address.port().to_be(),
+        sin_addr: libc::in_addr {
+            s_addr: u32::from_ne_bytes(address.ip().octets()),
+        },
+        sin_zero: [0; 8],
+    }
+}
+
+pub(crate) fn from_system(address: &libc::sockaddr_in) -> SocketAddrV4 {
+    let ip = Ipv4Addr::from(address.sin_addr.s_addr.to_ne_bytes());
+    SocketAddrV4::new(ip, u16::from_be(address.sin_port))
+}
--- a/bins/balancer/src/batch.rs
+++ b/bins/balancer/src/batch.rs
@@ -9,6 +9,8 @@
 use std::os::fd::AsRawFd;
 use std::ptr;
 
+use crate::address::{address_length, empty_address, from_system, to_system};
+
 /// Datagrams in one system call.
 pub const BATCH_DATAGRAMS: usize = 32;
 
@@ -19,6 +21,9 @@
 /// Room for one IPv4 packet information message, in bytes.
 const CONTROL_BYTES: usize = 64;
 
+/// Answers of hosts that may come between two tries to send one datagram.
+const ANSWERS_PASSED: usize = 4;
+
 /// Control messages must be aligned like their header.
 #[derive(Clone, Copy)]
 #[repr(C, align(8))]
@@ -155,6 +160,8 @@
     destinations: Vec<libc::sockaddr_in>,
     vectors: Vec<libc::iovec>,
     headers: Vec<libc::mmsghdr>,
+    /// Whether a send told of an answer of some host since it was last asked for.
+    answered: bool,
 }
 
 impl Default for SendBatch {
@@ -174,9 +181,15 @@
             destinations: Vec::with_capacity(BATCH_DATAGRAMS),
             vectors: Vec::with_capacity(BATCH_DATAGRAMS),
             headers: Vec::with_capacity(BATCH_DATAGRAMS),
+            answered: false,
         }
     }
 
+    /// Whether the socket has told, since the last call, that a host answered to a datagram.
+    pub fn take_answered(&mut self) -> bool {
+        mem::take(&mut self.answered)
+    }
+
     /// How many datagrams wait.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -207,7 +220,7 @@
         let mut refused = 0;
         let mut sent = 0;
         while sent < self.headers.len() {
-            match send_some(socket, &mut self.headers[sent..]) {
+            match send_some(socket, &mut self.headers[sent..], &mut self.answered) {
                 Some(count) => sent += count,
                 // The first one failed; the rest may go elsewhere and still be sent.
                 None => {
@@ -242,11 +255,32 @@
 }
 
 /// Sends some of the datagrams, at least one; `None` when the first is refused.
-fn send_some(socket: &UdpSocket, headers: &mut [libc::mmsghdr]) -> Option<usize> {
-    let length = libc::c_uint::try_from(headers.len()).ok()?;
+///
+/// A socket that asks for the answers of hosts tells of one by failing the next send, whatever
+/// its destination. Without another try, that datagram would be lost for no fault of its own.
+fn send_some(
+    socket: &UdpSocket,
+    headers: &mut [libc::mmsghdr],
+    answered: &mut bool,
+) -> Option<usize> {
+    for _ in 0..=ANSWERS_PASSED {
+        match send_once(socket, headers) {
+            Ok(count) => return Some(count),
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => *answered = true,
+            Err(_) => return None,
+        }
+    }
+    None
+}
+
+fn send_once(socket: &UdpSocket, headers: &mut [libc::mmsghdr]) -> io::Result<usize> {
+    let length = libc::c_uint::try_from(headers.len()).unwrap_or(libc::c_uint::MAX);
     // SAFETY: every header points to a buffer and an address that outlive the call.
     let count = unsafe { libc::sendmmsg(socket.as_raw_fd(), headers.as_mut_ptr(), length, 0) };
-    usize::try_from(count).ok().filter(|count| *count > 0)
+    match usize::try_from(count) {
+        Ok(count) if count > 0 => Ok(count),
+        _ => Err(io::Error::last_os_error()),
+    }
 }
 
 fn destination_of(header: &libc::msghdr) -> Option<Ipv4Addr> {
@@ -270,28 +304,3 @@
     // SAFETY: all fields are integers or pointers, for which zero is valid.
     unsafe { mem::zeroed() }
 }
-
-fn empty_address() -> libc::sockaddr_in {
-    to_system(SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0))
-}
-
-#[allow(clippy::cast_possible_truncation)]
-fn address_length() -> libc::socklen_t {
-    mem::size_of::<libc::sockaddr_in>() as libc::socklen_t
-}
-
-fn to_system(address: SocketAddrV4) -> libc::sockaddr_in {
-    libc::sockaddr_in {
-        sin_family: libc::AF_INET as libc::sa_family_t,
-        sin_port: address.port().to_be(),
-        sin_addr: libc::in_addr {
-            s_addr: u32::from_ne_bytes(address.ip().octets()),
-        },
-        sin_zero: [0; 8],
-    }
-}
-
-fn from_system(address: &libc::sockaddr_in) -> SocketAddrV4 {
-    let ip = Ipv4Addr::from(address.sin_addr.s_addr.to_ne_bytes());
-    SocketAddrV4::new(ip, u16::from_be(address.sin_port))
-}
--- a/bins/balancer/src/count.rs
+++ b/bins/balancer/src/count.rs
@@ -16,6 +16,9 @@
     Placed,
     /// Forwarded to be answered with a stateless reset.
     Reset,
+    /// Forwarded as above, and came back since nobody listens there: then forwarded once more, to
+    /// be answered with a stateless reset.
+    Returned,
     /// Dropped: no readable PROXY header, or not told where it was sent.
     NoEnds,
     /// Dropped: longer than what can be forwarded.
@@ -28,7 +31,7 @@
     BadOpening,
     /// Dropped: no service at its address.
     UnknownAddress,
-    /// Dropped: its flow is of another service than its address.
+    /// Dropped: the instance that held its flow has passed to another service.
     WrongService,
     /// Dropped: no target of the service.
     NoTarget,
@@ -37,10 +40,11 @@
 }
 
 impl PacketOutcome {
-    const ALL: [Self; 12] = [
+    const ALL: [Self; 13] = [
         Self::Forwarded,
         Self::Placed,
         Self::Reset,
+        Self::Returned,
         Self::NoEnds,
         Self::TooLong,
         Self::BadHeader,
@@ -59,6 +63,7 @@
             Self::Forwarded => "forwarded",
             Self::Placed => "placed",
             Self::Reset => "reset",
+            Self::Returned => "returned",
             Self::NoEnds => "no_ends",
             Self::TooLong => "too_long",
             Self::BadHeader => "bad_header",
@@ -90,7 +95,9 @@
             RouteDecision::Reset { .. } => Self::Reset,
             RouteDecision::Refuse { reason } => match reason {
                 RouteRefusal::UnknownAddress => Self::UnknownAddress,
-                RouteRefusal::WrongService { .. } => Self::WrongService,
+                RouteRefusal::WrongService { .. } | RouteRefusal::AgentElsewhere { .. } => {
+                    Self::WrongService
+                }
                 RouteRefusal::NoTarget { .. } => Self::NoTarget,
             },
         }
--- a/bins/balancer/src/forward.rs
+++ b/bins/balancer/src/forward.rs
@@ -6,25 +6,25 @@
 //!
 //! Nothing of a flow is kept between packets. Keys and routing table are loaded once a batch.
 
-use std::fmt::Display;
 use std::io;
-use std::net::{SocketAddr, SocketAddrV4, UdpSocket};
+use std::net::UdpSocket;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Instant;
 
 use arc_swap::ArcSwap;
-use lovagelatch_domain::{AgentAddress, ServiceId};
+use lovagelatch_domain::AgentAddress;
 use lovagelatch_keys::FleetKeys;
-use lovagelatch_network::{DatagramPath, PacketEnds};
-use lovagelatch_routing::{FlowRouter, PacketView, RouteDecision, RoutingTable};
+use lovagelatch_network::DatagramPath;
+use lovagelatch_routing::{FlowRouter, RoutingTable};
 use lovagelatch_telemetry::Logger;
-use lovagelatch_wire::{ForwardHeader, seal_forward};
 
 use crate::batch::{BATCH_DATAGRAMS, ReceiveBatch, SendBatch};
 use crate::count::{PacketCounts, PacketMetrics, PacketOutcome};
-use crate::ingress::{PacketIngress, PacketOrigin};
-use crate::notice::{DecisionLog, PlacedNotice};
+use crate::ingress::PacketIngress;
+use crate::notice::DecisionLog;
+use crate::refused::{RefusalReader, tell_refusals};
+use crate::step::PacketStep;
 
 /// Packets counted before a busy thread adds them to the process's counters.
 const FLUSH_PACKETS: u64 = 1_024;
@@ -73,6 +73,7 @@
     router: FlowRouter,
     receiving: ReceiveBatch,
     sending: SendBatch,
+    refusals: RefusalReader,
     counts: PacketCounts,
     metrics: PacketMetrics,
     log: DecisionLog,
@@ -93,6 +94,7 @@
             router: FlowRouter::new(),
             receiving: ReceiveBatch::new(),
             sending: SendBatch::new(),
+            refusals: RefusalReader::new(),
             counts: PacketCounts::default(),
             metrics,
             log: DecisionLog::new(log),
@@ -106,6 +108,11 @@
     ///
     /// What the operating system said when the socket can no longer be read.
     pub fn run(&mut self, listen: &UdpSocket, out: &UdpSocket) -> io::Result<()> {
+        // Behind a gateway, only the gateway's host would answer.
+        let direct = self.path.path.gateway().is_none();
+        if direct {
+            tell_refusals(out)?;
+        }
         while !self.state.ended.load(Ordering::Relaxed) {
             let count = match self.receiving.receive(listen) {
                 Ok(count) => count,
@@ -113,6 +120,11 @@
                 Err(error) => return Err(error),
             };
             self.forward_batch(count, out);
+            // A busy socket tells of an answer by its next send; a quiet one is looked at now and
+            // then.
+            if direct && (count == 0 || self.sending.take_answered()) {
+                self.return_batch(out);
+            }
         }
         Ok(())
     }
@@ -131,6 +143,36 @@
         }
     }
 
+    /// Takes what came back, and has each flow that it belongs to reset by another agent.
+    fn return_batch(&mut self, out: &UdpSocket) {
+        while self.sending.len() < BATCH_DATAGRAMS {
+            let returned = match self.refusals.read(out) {
+                Ok(Some(returned)) => returned,
+                Ok(None) => continue,
+                Err(_) => break,
+            };
+            let keys = self.state.keys.load();
+            let table = self.state.table.load();
+            let mut step = PacketStep {
+                path: &self.path,
+                router: &self.router,
+                keys: &keys,
+                table: &table,
+                sending: &mut self.sending,
+                log: &mut self.log,
+                now: Instant::now(),
+            };
+            if let Some(outcome) = step.return_packet(&returned) {
+                self.counts.add(outcome);
+            }
+        }
+        if !self.sending.is_empty() {
+            let refused = self.sending.send(out);
+            self.counts.add_many(PacketOutcome::NotSent, refused as u64);
+            self.counts.flush(&self.metrics);
+        }
+    }
+
     fn process_batch(&mut self, count: usize) {
         if count == 0 {
             return;
@@ -159,105 +201,6 @@
     }
 }
 
-/// What one packet needs, borrowed for a batch.
-struct PacketStep<'a> {
-    path: &'a ForwardPath,
-    router: &'a FlowRouter,
-    keys: &'a FleetKeys,
-    table: &'a RoutingTable,
-    sending: &'a mut SendBatch,
-    log: &'a mut DecisionLog,
-    now: Instant,
-}
-
-impl PacketStep<'_> {
-    fn forward(&mut self, origin: PacketOrigin, datagram: &[u8]) -> PacketOutcome {
-        let packet = match PacketView::read(datagram, origin.service_address, self.keys) {
-            Ok(packet) => packet,
-            Err(fault) => return self.refuse(PacketOutcome::from(&fault), Some(origin), &fault),
-        };
-        let decision = self.router.route(&packet, self.table);
-        let outcome = PacketOutcome::from(&decision);
-        match decision {
-            RouteDecision::Forward { agent, service } => {
-                self.push(origin, datagram, agent, service);
-            }
-            RouteDecision::NewFlow { agent, service, .. }
-            | RouteDecision::Reset { agent, service, .. } => {
-                self.push(origin, datagram, agent, service);
-                self.log_placed(&decision, origin, &packet, service);
-            }
-            RouteDecision::Refuse { reason } => {
-                return self.refuse(outcome, Some(origin), &reason);
-            }
-        }
-        outcome
-    }
-
-    fn push(
-        &mut self,
-        origin: PacketOrigin,
-        datagram: &[u8],
-        agent: AgentAddress,
-        service: ServiceId,
-    ) {
-        let header = ForwardHeader {
-            caller: origin.caller,
-            service_address: origin.service_address,
-            service,
-            revision: self.table.revision(),
-            hops: 0,
-        };
-        let ends = PacketEnds {
-            source: self.path.control.0,
-            destination: agent.0,
-        };
-        let path = self.path.path;
-        let hop = to_ipv4(path.next_hop(agent.0)).unwrap_or(agent.0);
-        let keys = self.keys;
-        // The batch has room: it is as long as the one received.
-        self.sending.push(hop, |out| {
-            path.start_datagram(&ends, out);
-            seal_forward(&header, datagram, keys, out);
-        });
-    }
-
-    fn refuse(
-        &mut self,
-        outcome: PacketOutcome,
-        origin: Option<PacketOrigin>,
-        reason: &impl Display,
-    ) -> PacketOutcome {
-        self.log.refused(outcome, origin, reason, self.now);
-        outcome
-    }
-
-    fn log_placed(
-        &mut self,
-        decision: &RouteDecision,
-        origin: PacketOrigin,
-        packet: &PacketView<'_>,
-        service: ServiceId,
-    ) {
-        let name = self.table.service_name(service);
-        let notice = PlacedNotice {
-            decision,
-            origin,
-            service: name.map_or("", |name| name.as_str()),
-            flow_key: packet.flow_key,
-            revision: self.table.revision().0,
-        };
-        self.log.placed(&notice, self.now);
-    }
-}
-
-fn to_ipv4(address: SocketAddr) -> Option<SocketAddrV4> {
-    match address {
-        SocketAddr::V4(address) => Some(address),
-        SocketAddr::V6(_) => None,
-    }
-}
-
 /// Whether a failed receive says nothing about the socket: a timeout, a signal, or the answer
 /// of a network to an earlier datagram.
 fn is_passing(error: &io::Error) -> bool {
--- a/bins/balancer/src/lib.rs
+++ b/bins/balancer/src/lib.rs
@@ -8,6 +8,7 @@
 //!
 //! Packet threads share nothing that is written for a packet: no flow table, no lock.
 
+mod address;
 mod batch;
 mod command;
 mod control;
@@ -17,6 +18,8 @@
 mod notice;
 mod process;
 mod refresh;
+mod refused;
+mod step;
 mod stop;
 mod threads;
 
@@ -26,3 +29,4 @@
 pub use forward::{ForwardPath, ForwardState, PacketForwarder};
 pub use ingress::{IngressError, PacketIngress, PacketOrigin};
 pub use process::{BalancerError, run_balancer};
+pub use refused::{RefusalReader, ReturnedDatagram, tell_refusals};
--- a/bins/balancer/src/refresh.rs
+++ b/bins/balancer/src/refresh.rs
@@ -21,6 +21,12 @@
 /// How often the key file is looked at.
 const KEY_PERIOD: Duration = Duration::from_secs(1);
 
+/// How often rows of buckets are made for services that get new flows, and given up for others.
+const TEND_PERIOD: Duration = Duration::from_secs(1);
+
+/// Memory for rows of buckets, in bytes: 512 services of up to 64 targets, or 16 of a thousand.
+const ROW_BUDGET_BYTES: usize = 2 * 1024 * 1024;
+
 /// How often the agents that are gone are worked out again, since they become so by time alone.
 const ABSENCE_PERIOD: Duration = Duration::from_secs(1);
 
@@ -29,8 +35,13 @@
 pub(crate) async fn keep_table(fleet: FleetClient, state: Arc<ForwardState>, drain: Duration) {
     let mut keeper = TableKeeper::new(drain);
     let mut revisions = fleet.revisions();
+    let mut tended = fleet.now();
     loop {
         keeper.step(&fleet.view(), fleet.now(), &state);
+        if fleet.now().since(tended) >= TEND_PERIOD {
+            tended = fleet.now();
+            tend_table(&state).await;
+        }
         tokio::select! {
             () = tokio::time::sleep(VIEW_PERIOD) => {}
             // A configuration is put into force at once.
@@ -39,6 +50,16 @@
     }
 }
 
+/// Makes rows of buckets beside the packet path. Nobody else stores a table meanwhile: whoever
+/// follows the view waits for this.
+async fn tend_table(state: &ForwardState) {
+    let table = state.table.load_full();
+    let tended = tokio::task::spawn_blocking(move || table.tend(ROW_BUDGET_BYTES)).await;
+    if let Ok(Some(table)) = tended {
+        state.table.store(Arc::new(table));
+    }
+}
+
 /// Follows the view.
 struct TableKeeper {
     held: Arc<FleetView>,
--- a/bins/balancer/tests/all/main.rs
+++ b/bins/balancer/tests/all/main.rs
@@ -2,4 +2,7 @@
 
 mod forwarding;
 mod process;
+mod refused;
+mod rotation;
 mod support;
+mod upgrade;
--- a/crates/keys/src/lib.rs
+++ b/crates/keys/src/lib.rs
@@ -1,7 +1,7 @@
 //! Keys of the fleet, and the names that are sealed with them.
 //!
 //! One secret per *generation* is shared by all balancers and agents through a key file. From
-//! it four keys are derived, each for one purpose, so that what leaks through one use says
+//! it five keys are derived, each for one purpose, so that what leaks through one use says
 //! nothing about another:
 //!
 //! ```text
@@ -9,6 +9,7 @@
 //!                               +--> ticket key  seals once-only request tickets
 //!                               +--> frame key   authenticates frames between processes
 //!                               +--> reset key   makes QUIC stateless reset tokens
+//!                               +--> placement   seeds the hash that places new flows
 //! ```
 //!
 //! Two generations are valid at a time: what is made uses the current one, what is read may
--- a/crates/keys/src/ring.rs
+++ b/crates/keys/src/ring.rs
@@ -15,6 +15,9 @@
 /// Bytes of the key that makes QUIC stateless reset tokens.
 pub const RESET_KEY_BYTES: usize = 64;
 
+/// Half of the numbers that a generation may have.
+const HALF_OF_GENERATIONS: u8 = 1 << (u8::BITS - 1);
+
 /// The number of a fleet key. It travels in clear in whatever the key sealed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -106,6 +109,7 @@
     pub(crate) ticket_tag: [u8; 16],
     pub(crate) frame_tag: [u8; 16],
     pub(crate) reset: [u8; RESET_KEY_BYTES],
+    pub(crate) placement: [u64; 2],
 }
 
 impl DerivedKeys {
@@ -119,10 +123,26 @@
             ticket_tag: expand(&source, b"ticket tag"),
             frame_tag: expand(&source, b"frame tag"),
             reset: expand(&source, b"stateless reset"),
+            placement: [
+                u64::from_be_bytes(expand(&source, b"placement seed, first half")),
+                u64::from_be_bytes(expand(&source, b"placement seed, second half")),
+            ],
         }
     }
 }
 
+/// Whether a generation is older than another, by the arithmetic of serial numbers (RFC 1982):
+/// the younger one is ahead by less than half of all numbers, so 0 follows on 255. Two that are
+/// exactly half apart follow neither way; then the lower number counts as older, so that all
+/// processes agree whichever is current.
+fn precedes(one: KeyGeneration, other: KeyGeneration) -> bool {
+    match other.0.wrapping_sub(one.0) {
+        0 => false,
+        HALF_OF_GENERATIONS => one.0 < other.0,
+        ahead => ahead < HALF_OF_GENERATIONS,
+    }
+}
+
 /// Derives one key of `N` bytes.
 fn expand<const N: usize>(source: &Hkdf<Sha256>, purpose: &[u8]) -> [u8; N] {
     let mut key = [0; N];
@@ -188,8 +208,19 @@
     /// reset still reaches flows opened before the last rotation.
     #[must_use]
     pub fn reset_key(&self) -> &[u8; RESET_KEY_BYTES] {
-        let oldest = self.rings().min_by_key(|keys| keys.generation);
-        &oldest.unwrap_or(&self.current).reset
+        &self.oldest().reset
+    }
+
+    /// The seed of the hash that places new flows, from the oldest valid generation: during a
+    /// rotation, processes that have switched to the new key and processes that have not agree.
+    /// It changes when the oldest is dropped; processes that do so at different moments place
+    /// new flows differently meanwhile. Open flows do not depend on it.
+    ///
+    /// Without a secret seed a caller could choose connection IDs that all lead to one agent.
+    #[must_use]
+    pub fn placement_seed(&self) -> (u64, u64) {
+        let [first, second] = self.oldest().placement;
+        (first, second)
     }
 
     /// The key for the stateless reset token of a connection ID that was sealed with
@@ -204,6 +235,13 @@
         self.find(generation.0).map(|keys| &keys.reset)
     }
 
+    fn oldest(&self) -> &DerivedKeys {
+        match &self.other {
+            Some(other) if precedes(other.generation, self.current.generation) => other,
+            _ => &self.current,
+        }
+    }
+
     pub(crate) fn current(&self) -> &DerivedKeys {
         &self.current
     }
--- a/crates/keys/tests/all/main.rs
+++ b/crates/keys/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod file;
 mod frame;
+mod ring;
 mod support;
 mod ticket;
 mod token;
--- a/crates/network/src/path.rs
+++ b/crates/network/src/path.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::{SocketAddr, SocketAddrV4};
 
+use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpStream, UdpSocket};
 
@@ -43,6 +44,10 @@
 
     /// Sends one datagram now, or drops it when the socket's buffer is full, as a network may.
     ///
+    /// The operating system is asked directly. The runtime would answer `WouldBlock` for a
+    /// socket that it has not polled yet, which looks like a full buffer, and the first datagram
+    /// of a process would be lost.
+    ///
     /// # Errors
     ///
     /// What the operating system said, other than that the buffer is full.
@@ -50,7 +55,9 @@
         let mut datagram = Vec::with_capacity(payload.len() + crate::HEADER_BYTES);
         self.start_datagram(ends, &mut datagram);
         datagram.extend_from_slice(payload);
-        match socket.try_send_to(&datagram, self.next_hop(ends.destination)) {
+        let next_hop = self.next_hop(ends.destination).into();
+        // A runtime's socket never blocks.
+        match SockRef::from(socket).send_to(&datagram, &next_hop) {
             Ok(_) => Ok(()),
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(()),
             Err(error) => Err(error),
--- a/crates/operations/src/explain.rs
+++ b/crates/operations/src/explain.rs
@@ -43,9 +43,15 @@
 }
 
 impl FlowExplanation {
-    /// Explains a flow to `address`; without a flow key, only the candidates are listed.
+    /// Explains a flow to `address` as `router` decides; without a flow key, only the candidates
+    /// are listed.
     #[must_use]
-    pub fn new(view: &FleetView, address: SocketAddrV4, flow_key: Option<&[u8]>) -> Self {
+    pub fn new(
+        view: &FleetView,
+        address: SocketAddrV4,
+        flow_key: Option<&[u8]>,
+        router: &FlowRouter,
+    ) -> Self {
         let service = view.service_at(address);
         let entry = service.and_then(|service| view.text().service_by_id(service));
         let mut explanation = Self {
@@ -57,20 +63,19 @@
             reason: String::new(),
         };
         match flow_key {
-            Some(flow_key) => explanation.decide(view, flow_key),
+            Some(flow_key) => explanation.decide(view, flow_key, router),
             None => explanation.list(view),
         }
         explanation
     }
 
-    fn decide(&mut self, view: &FleetView, flow_key: &[u8]) {
+    fn decide(&mut self, view: &FleetView, flow_key: &[u8], router: &FlowRouter) {
         let table = RoutingTable::from_view(view, &RoutingTable::default());
         let packet = PacketView {
             service_address: self.address,
             flow_key,
             token: None,
         };
-        let router = FlowRouter::new();
         let order = router.rendezvous_order(&packet, &table, MAX_CANDIDATES);
         self.candidates = order
             .iter()
--- a/crates/operations/src/server.rs
+++ b/crates/operations/src/server.rs
@@ -7,6 +7,7 @@
 use lovagelatch_domain::GateReport;
 use lovagelatch_fleet::FleetClient;
 use lovagelatch_placement::GateCost;
+use lovagelatch_routing::FlowRouter;
 use lovagelatch_settings::AddressBlock;
 use lovagelatch_telemetry::MetricsRegistry;
 use rocket::data::{Data, ToByteUnit};
@@ -37,6 +38,7 @@
 
 type CounterReader = Arc<dyn Fn() -> BTreeMap<String, u64> + Send + Sync>;
 type GateReader = Arc<dyn Fn() -> Option<GateReport> + Send + Sync>;
+type RouterReader = Arc<dyn Fn() -> FlowRouter + Send + Sync>;
 type CostReader = Arc<dyn Fn() -> Vec<GateCost> + Send + Sync>;
 
 /// Serves health, status, metrics and the phone page. The readers it holds are called once a
@@ -50,6 +52,7 @@
     counters: CounterReader,
     gate: GateReader,
     costs: Option<CostReader>,
+    router: RouterReader,
 }
 
 impl OperationsServer {
@@ -70,6 +73,7 @@
             counters: Arc::new(BTreeMap::new),
             gate: Arc::new(|| None),
             costs: None,
+            router: Arc::new(FlowRouter::new),
         }
     }
 
@@ -107,6 +111,14 @@
         self
     }
 
+    /// Where the router comes from by which new flows are placed now; one without a seed unless
+    /// set.
+    #[must_use]
+    pub fn with_router(mut self, router: impl Fn() -> FlowRouter + Send + Sync + 'static) -> Self {
+        self.router = Arc::new(router);
+        self
+    }
+
     /// Serves until the runtime ends.
     ///
     /// # Errors
@@ -193,7 +205,9 @@
         .transpose()
         .map_err(|_| Status::BadRequest)?;
     let view = server.fleet.view();
-    Ok(Json(FlowExplanation::new(&view, address, key.as_deref())))
+    let router = (server.router)();
+    let key = key.as_deref();
+    Ok(Json(FlowExplanation::new(&view, address, key, &router)))
 }
 
 #[get("/")]
--- a/crates/placement/src/budget.rs
+++ b/crates/placement/src/budget.rs
@@ -26,12 +26,19 @@
 const MOST_ALLOWANCE: u8 = 3;
 
 /// A token bucket filled by requests, not by time.
+///
+/// What goes wrong without its reserve: the savings fade, so that a service with a request every
+/// few seconds never has a whole retry saved, and one shed request ends as a refusal although
+/// another gate is free. So one retry is paid for without savings when none was made for a
+/// `reserve_interval`; where requests are many this adds nothing.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryBudget {
     settings: BudgetSettings,
     /// Invariant: from 0 to `settings.burst`.
     tokens: f64,
     updated: Moment,
+    /// From when on one retry needs no savings.
+    reserve_at: Moment,
 }
 
 impl RetryBudget {
@@ -40,8 +47,9 @@
     pub fn new(settings: BudgetSettings) -> Self {
         Self {
             settings,
-            tokens: settings.burst.min(1.0),
+            tokens: 0.0,
             updated: Moment::ZERO,
+            reserve_at: Moment::ZERO,
         }
     }
 
@@ -54,10 +62,14 @@
     /// Pays for one more attempt. `false`: it must not be made.
     pub fn try_spend(&mut self, now: Moment) -> bool {
         self.age(now);
-        if self.tokens < 1.0 {
+        let is_saved = self.tokens >= 1.0;
+        if !is_saved && now < self.reserve_at {
             return false;
         }
-        self.tokens -= 1.0;
+        if is_saved {
+            self.tokens -= 1.0;
+        }
+        self.reserve_at = now + self.settings.reserve_interval;
         true
     }
 
@@ -152,9 +164,20 @@
     /// [`AllowanceError::NotANumber`]; treat such a request as one without extra attempts.
     pub fn from_header(text: &str) -> Result<Self, AllowanceError> {
         let left: u8 = text.parse().map_err(|_| AllowanceError::NotANumber)?;
-        Ok(Self {
-            left: left.min(MOST_ALLOWANCE),
-        })
+        Ok(Self::from_left(left))
+    }
+
+    /// The allowance that another agent tells. A larger claim than any agent makes counts as
+    /// the largest.
+    #[must_use]
+    pub const fn from_left(left: u8) -> Self {
+        Self {
+            left: if left < MOST_ALLOWANCE {
+                left
+            } else {
+                MOST_ALLOWANCE
+            },
+        }
     }
 
     /// The allowance of a request that must not be tried again.
--- a/crates/placement/src/class.rs
+++ b/crates/placement/src/class.rs
@@ -20,6 +20,8 @@
 pub(crate) struct AgencyClass {
     pub(crate) agency: Option<AgencyName>,
     pub(crate) waiting: VecDeque<WaitingRequest>,
+    /// When the oldest unbroken time of waiting began; of no meaning while nothing waits.
+    pub(crate) waits_since: Moment,
     /// Requests of this class that hold a slot.
     pub(crate) running: u32,
     /// Slot time the class may still take in its turn, in seconds.
@@ -31,6 +33,7 @@
         Self {
             agency,
             waiting: VecDeque::new(),
+            waits_since: Moment::ZERO,
             running: 0,
             deficit: 0.0,
         }
--- a/crates/placement/src/evidence.rs
+++ b/crates/placement/src/evidence.rs
@@ -77,6 +77,13 @@
         }
     }
 
+    /// Notes a report that came outside of heartbeats.
+    pub(crate) fn reported(&mut self, report: GateReport, now: Moment) {
+        self.seen = Some((report, now));
+        self.stamp = now;
+        self.sent_since = 0;
+    }
+
     pub(crate) fn outstanding(&self) -> u32 {
         self.outstanding
     }
@@ -146,9 +153,7 @@
         let weight = (1.0 / self.times).max(SAMPLE_WEIGHT).max(renewal);
         self.took += weight * (clipped - self.took);
         if let Some(report) = report {
-            self.seen = Some((report, now));
-            self.stamp = now;
-            self.sent_since = 0;
+            self.reported(report, now);
         }
     }
 
--- a/crates/placement/src/gate.rs
+++ b/crates/placement/src/gate.rs
@@ -77,7 +77,7 @@
             attempt: request.attempt,
             start_by: self.start_by(&request),
         };
-        self.queue.push(request.agency, waiting);
+        self.queue.push(request.agency, waiting, now);
         GateVerdict::Queued
     }
 
@@ -110,6 +110,7 @@
             }
             SlotEnd::Shed => self.limit.shed(still_running, now),
             SlotEnd::Lost => self.limit.lost(still_running, now),
+            SlotEnd::Abandoned => {}
         }
         self.pump(now, &mut actions);
         actions
--- a/crates/placement/src/gate/admission.rs
+++ b/crates/placement/src/gate/admission.rs
@@ -16,6 +16,13 @@
 /// At most this share of the time that a caller gives a request is kept for its service.
 const FIT_SHARE: f64 = 0.5;
 
+/// For how long an agency's queue must not have been empty to count as standing, in mean service
+/// times. Bursts at a load below capacity are over sooner, mostly.
+const STANDING_TIME: f64 = 100.0;
+
+/// The longest expected wait in a standing queue, in mean service times.
+const STANDING_WAIT: f64 = 10.0;
+
 /// All queues together hold at most this many times the limit of one.
 const TOTAL_FACTOR: usize = 4;
 
@@ -39,14 +46,38 @@
         if self.is_over_share(request.agency.as_ref()) {
             return Some(RefusalReason::OverShare);
         }
+        if self.meets_deadline(request, now) {
+            return Some(RefusalReason::Full);
+        }
         Some(RefusalReason::TooLate)
     }
 
     pub(super) fn fits(&self, request: &GateRequest, now: Moment) -> bool {
+        let agency = request.agency.as_ref();
+        let wait = self.wait_behind(self.queue.ahead_of(agency), now);
+        let is_short = self
+            .wait_bound(agency, now)
+            .is_none_or(|bound| wait < bound);
+        is_short && now + wait < self.start_by(request)
+    }
+
+    fn meets_deadline(&self, request: &GateRequest, now: Moment) -> bool {
         let ahead = self.queue.ahead_of(request.agency.as_ref());
         now + self.wait_behind(ahead, now) < self.start_by(request)
     }
 
+    /// The longest expected wait of an agency whose queue stands, that is whose queue was not
+    /// empty for long. A burst is waited out; a standing queue makes everybody wait and serves
+    /// nobody more. Rivals that cause no standing queue are not bounded.
+    fn wait_bound(&self, agency: Option<&AgencyName>, now: Moment) -> Option<Duration> {
+        let since = self.queue.waits_since(agency)?.max(self.condition_since);
+        let mean = self.estimate.mean();
+        let stands = now.since(since).as_secs_f64() > mean * STANDING_TIME;
+        let bound = Duration::from_secs_f64(mean * STANDING_WAIT);
+        let blocked = self.setup_left(now) + self.limit_left(now);
+        stands.then_some(bound + blocked)
+    }
+
     pub(super) fn overflow_of(&self, request: &GateRequest) -> Option<RefusalReason> {
         let agency = request.agency.as_ref();
         if self.queue.len() >= self.settings.queue_limit * TOTAL_FACTOR {
--- a/crates/placement/src/peers.rs
+++ b/crates/placement/src/peers.rs
@@ -98,6 +98,14 @@
         self.evidence.entry(peer).or_default().observed(end, now);
     }
 
+    /// Notes the report of its gate that a peer sent on its own account, along with the end of
+    /// an answer or a refusal. One of an agent that nothing was sent to changes nothing.
+    pub fn reported(&mut self, peer: AgentAddress, report: GateReport, now: Moment) {
+        if let Some(evidence) = self.evidence.get_mut(&peer) {
+            evidence.reported(report, now);
+        }
+    }
+
     /// Forgets the peers that `is_known` does not accept.
     pub fn retain(&mut self, mut is_known: impl FnMut(AgentAddress) -> bool) {
         self.evidence.retain(|peer, _| is_known(*peer));
@@ -106,7 +114,7 @@
             .retain(|peer, _| *peer == own || is_known(*peer));
     }
 
-    fn candidates(
+    pub(crate) fn candidates(
         &mut self,
         own: &GateReport,
         peers: &[PeerReport],
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -61,6 +61,12 @@
             .map_or(0, |index| self.classes[index].waiting.len())
     }
 
+    /// Since when some request of this agency waits without a break.
+    pub(crate) fn waits_since(&self, agency: Option<&AgencyName>) -> Option<Moment> {
+        let class = &self.classes[self.find(agency)?];
+        (!class.waiting.is_empty()).then_some(class.waits_since)
+    }
+
     /// How many agencies would wait if this one did.
     pub(crate) fn rivals_and_self(&self, agency: Option<&AgencyName>) -> usize {
         1 + self
@@ -90,9 +96,18 @@
             .min()
     }
 
-    pub(crate) fn push(&mut self, agency: Option<AgencyName>, waiting: WaitingRequest) {
+    pub(crate) fn push(
+        &mut self,
+        agency: Option<AgencyName>,
+        waiting: WaitingRequest,
+        now: Moment,
+    ) {
         let index = self.find_or_add(agency);
-        self.classes[index].waiting.push_back(waiting);
+        let class = &mut self.classes[index];
+        if class.waiting.is_empty() {
+            class.waits_since = now;
+        }
+        class.waiting.push_back(waiting);
         self.waiting += 1;
     }
 
--- a/crates/placement/src/settings.rs
+++ b/crates/placement/src/settings.rs
@@ -11,6 +11,7 @@
 const DEFAULT_RETRY_SHARE: f64 = 0.09;
 const DEFAULT_RETRY_BURST: f64 = 10.0;
 const DEFAULT_BUDGET_MEMORY: Duration = Duration::from_secs(10);
+const DEFAULT_RESERVE_INTERVAL: Duration = Duration::from_secs(20);
 
 /// How one gate counts and queues.
 #[derive(Clone, Debug, PartialEq)]
@@ -113,6 +114,8 @@
     pub burst: f64,
     /// How long a saved retry lasts: the savings fall by a factor *e* in this time.
     pub memory: Duration,
+    /// How long after a retry the next one needs no savings.
+    pub reserve_interval: Duration,
 }
 
 impl BudgetSettings {
@@ -124,6 +127,7 @@
             share: DEFAULT_RETRY_SHARE,
             burst: DEFAULT_RETRY_BURST,
             memory: DEFAULT_BUDGET_MEMORY,
+            reserve_interval: DEFAULT_RESERVE_INTERVAL,
         }
     }
 
--- a/crates/placement/src/verdict.rs
+++ b/crates/placement/src/verdict.rs
@@ -59,6 +59,9 @@
     Served,
     /// The backend server refused it before its start: it takes fewer than its slots now.
     Shed,
-    /// Its answer is lost, or its caller gave up.
+    /// Its answer is lost.
     Lost,
+    /// Its caller gave up, and the backend server confirmed that it heard of it. This says
+    /// nothing about the server: neither how long a request takes nor whether it works.
+    Abandoned,
 }
--- a/crates/placement/tests/all/fairness.rs
+++ b/crates/placement/tests/all/fairness.rs
@@ -10,6 +10,9 @@
 /// Numbers of one agency's attempts start here times its index.
 const STRIDE: u128 = 1_000_000;
 
+/// No queue counts as standing before this, in milliseconds; until then nothing is refused.
+const STANDING_AFTER: u64 = 10_000;
+
 struct ShareCase {
     name: &'static str,
     /// Service time in milliseconds and requests kept waiting, by agency.
@@ -63,6 +66,8 @@
                 match gate.offer(request, at(now)) {
                     GateVerdict::Start => started.push(AttemptId(attempt)),
                     GateVerdict::Queued => waiting[index] += 1,
+                    // A queue that stands is kept short; its agency comes again.
+                    GateVerdict::Refused { .. } if now > STANDING_AFTER => break,
                     other => panic!("{other:?}"),
                 }
             }
--- a/crates/placement/tests/all/gate.rs
+++ b/crates/placement/tests/all/gate.rs
@@ -56,6 +56,35 @@
     }
 }
 
+// Symptom: under lasting overload every caller of a minute's patience waits most of a minute.
+// Sequence: more comes than can be served; the queue fills up to the deadlines and stays so.
+// Cause: what was expected to be served in time was queued, however long it would wait.
+#[test]
+fn a_standing_queue_is_kept_short_and_a_burst_is_not() {
+    let mut gate = new_gate(1);
+    let mut running = None;
+    let mut waits = Vec::new();
+    // Twice of what it can serve: a request each 50 ms, each of 100 ms.
+    for step in 0..800_u64 {
+        let millis = step * 50;
+        let number = u128::from(step);
+        let verdict = gate.offer(request(number, millis, millis + 60_000), at(millis));
+        if verdict == GateVerdict::Start {
+            running = Some(AttemptId(number));
+        } else if step % 2 == 0 {
+            let ended = running.take().expect("one runs");
+            let actions = gate.finish(ended, SlotEnd::Served, at(millis));
+            running = actions.iter().find_map(|action| match action {
+                GateAction::Start(attempt) => Some(*attempt),
+                GateAction::Refuse { .. } => None,
+            });
+        }
+        waits.push(gate.report(at(millis)).expected_wait);
+    }
+    assert!(waits[190] > millis(8_000), "a burst: {:?}", waits[190]);
+    assert!(waits[799] < millis(1_500), "standing: {:?}", waits[799]);
+}
+
 // Symptom: a caller that was told to wait gets "not run", although its request runs.
 // Sequence: a relay repeats its request frame after a broken stream; the gate, full, refuses
 // the copy. Cause: the copy was judged as a new request.
--- a/crates/placement/tests/all/limit.rs
+++ b/crates/placement/tests/all/limit.rs
@@ -84,3 +84,20 @@
     }
     panic!("the slots never came back");
 }
+
+// Symptom: one agency's impatient callers close a gate for everybody, or make it believe that its
+// requests take no time. Sequence: callers leave after a few milliseconds, one after the other.
+// Cause: a caller that left was counted as a lost or as a quick answer.
+#[test]
+fn callers_that_leave_change_neither_the_limit_nor_the_service_time() {
+    let mut gate = new_gate(3);
+    let before = gate.report(at(0));
+    for number in 0..100 {
+        let now = number as u64 * 10;
+        gate.offer(request(number, now, now + 60_000), at(now));
+        gate.finish(AttemptId(number), SlotEnd::Abandoned, at(now + 5));
+    }
+    let after = gate.report(at(1_000));
+    assert_eq!(after.slots, before.slots);
+    assert_eq!(after.service_time, before.service_time);
+}
--- a/crates/placement/tests/all/main.rs
+++ b/crates/placement/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod fairness;
 mod gate;
+mod health;
 mod invariants;
 mod limit;
 mod placement;
--- a/crates/routing/src/absence.rs
+++ b/crates/routing/src/absence.rs
@@ -9,6 +9,7 @@
 //! peers and not from its callers. So an agent counts as gone when
 //!
 //! - it left the list while its peers had lost touch with it, or
+//! - its address is listed for another service: the process there is another one, or
 //! - it has been off the list for longer than any drain lasts, or
 //! - its peers have lost touch with it for [`SUSPICION_LIMIT`], and another instance of its zone
 //!   is not suspected: a zone that is suspected as a whole is cut off rather than dead.
@@ -16,7 +17,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use lovagelatch_domain::{AgentAddress, Moment, ZoneName};
+use lovagelatch_domain::{AgentAddress, Moment, ServiceId, ZoneName};
 use lovagelatch_membership::{FleetView, TargetStanding, ViewTarget};
 
 use crate::view::ViewChange;
@@ -36,9 +37,13 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Absence {
+    /// The service it was listed for.
+    service: ServiceId,
     since: Moment,
     /// Whether its peers had lost touch with it when it was last listed.
     suspected: bool,
+    /// Whether another service has its address now.
+    replaced: bool,
 }
 
 /// Remembers the agents that have left the list.
@@ -72,20 +77,21 @@
         self.absences
             .retain(|_, absence| now.since(absence.since) < MEMORY);
         for &service in &change.services {
-            self.note_service(earlier.targets(service), view.targets(service), now);
+            self.note_service(service, earlier, view, now);
         }
         for &service in &change.services {
-            self.forget_listed(view.targets(service));
+            self.note_listed(service, view.targets(service));
         }
         if !change.services.is_empty() {
             self.note_suspects(view, now);
         }
     }
 
-    /// The agents that are gone for good.
+    /// The agents that are gone for good, one whose address another service has now included:
+    /// [`RoutingTable::is_gone`](crate::RoutingTable::is_gone) tells the two apart.
     pub fn gone(&self, now: Moment) -> impl Iterator<Item = AgentAddress> + '_ {
         let is_gone = move |absence: &Absence| {
-            absence.suspected || now.since(absence.since) > self.drain_limit
+            absence.suspected || absence.replaced || now.since(absence.since) > self.drain_limit
         };
         let absent = self.absences.iter();
         let absent = absent.filter(move |(_, absence)| is_gone(absence));
@@ -113,25 +119,44 @@
             .collect();
     }
 
-    fn note_service(&mut self, before: &[ViewTarget], after: &[ViewTarget], now: Moment) {
+    fn note_service(
+        &mut self,
+        service: ServiceId,
+        earlier: &FleetView,
+        view: &FleetView,
+        now: Moment,
+    ) {
+        let (before, after) = (earlier.targets(service), view.targets(service));
         let mut listed: Vec<AgentAddress> = after.iter().map(|target| target.agent).collect();
         listed.sort_unstable();
         for target in before {
             let stays = listed.binary_search(&target.agent).is_ok();
             if !stays && self.absences.len() < MAX_REMEMBERED {
                 let absence = Absence {
+                    service,
                     since: now,
                     suspected: is_suspected(target),
+                    replaced: false,
                 };
                 self.absences.insert(target.agent, absence);
             }
         }
     }
 
-    /// Whoever is listed is not gone: a successor may have come to the same address.
-    fn forget_listed(&mut self, targets: &[ViewTarget]) {
+    /// Whoever is listed again is not gone: a successor may have come to the same address, and
+    /// answers itself for flows that it does not know. A successor of another service refuses
+    /// them unanswered, so there the former agent counts as gone; otherwise its callers would
+    /// hear nothing until their idle timeout.
+    fn note_listed(&mut self, service: ServiceId, targets: &[ViewTarget]) {
         for target in targets {
-            self.absences.remove(&target.agent);
+            let Some(absence) = self.absences.get_mut(&target.agent) else {
+                continue;
+            };
+            if absence.service == service {
+                self.absences.remove(&target.agent);
+            } else {
+                absence.replaced = true;
+            }
         }
     }
 }
--- a/crates/routing/src/arrival.rs
+++ b/crates/routing/src/arrival.rs
@@ -5,8 +5,10 @@
 //! further agent is asked, so no packet circles.
 
 use lovagelatch_domain::{AgentAddress, ConfigRevision, ServiceId};
+use lovagelatch_keys::FlowToken;
 
 use crate::packet::PacketView;
+use crate::ring::ServiceRing;
 use crate::router::{FlowRouter, RouteRefusal};
 use crate::table::RoutingTable;
 
@@ -76,8 +78,8 @@
         }
         match arrival.packet.token {
             Some(token) if token.agent == own => ArrivalDecision::Accept,
-            Some(token) => return_flow(token.agent, arrival, table),
-            None => self.take_flow(arrival, own, table),
+            Some(token) => return_flow(token, arrival, table),
+            None => self.take_flow(arrival, own, table.ring_of(own_service)),
         }
     }
 
@@ -88,13 +90,14 @@
         &self,
         arrival: &ArrivalPacket<'_>,
         own: AgentAddress,
-        table: &RoutingTable,
+        ring: Option<&ServiceRing>,
     ) -> ArrivalDecision {
         let stays = matches!(arrival.holding, FlowHolding::Begun | FlowHolding::Open);
         if stays || arrival.hops >= MAX_HOPS {
             return ArrivalDecision::Accept;
         }
-        let order = self.rendezvous_order(&arrival.packet, table, 2);
+        let key = self.hash(arrival.packet.flow_key);
+        let order = ring.map(|ring| ring.order(key, 2)).unwrap_or_default();
         let other = order.into_iter().find(|agent| *agent != own);
         other.map_or(ArrivalDecision::Accept, |agent| ArrivalDecision::HandOn {
             agent,
@@ -109,14 +112,16 @@
 /// flows whose agent runs. So a reset needs two views that agree: the balancer's and this
 /// agent's; otherwise the packet goes to the agent its token names.
 fn return_flow(
-    agent: AgentAddress,
+    token: FlowToken,
     arrival: &ArrivalPacket<'_>,
     table: &RoutingTable,
 ) -> ArrivalDecision {
-    if table.is_gone(agent) || arrival.hops >= MAX_HOPS {
+    let gone =
+        table.is_gone(token.agent, token.service) || table.is_elsewhere(token.agent, token.service);
+    if gone || arrival.hops >= MAX_HOPS {
         ArrivalDecision::Reset
     } else {
-        ArrivalDecision::HandOn { agent }
+        ArrivalDecision::HandOn { agent: token.agent }
     }
 }
 
@@ -125,18 +130,20 @@
     own_service: ServiceId,
     table: &RoutingTable,
 ) -> Option<RouteRefusal> {
-    let token = arrival.packet.token;
-    let flow = token.map_or(arrival.service, |token| token.service);
     let address = arrival.service;
-    if flow != own_service || address != own_service {
-        return Some(RouteRefusal::WrongService { flow, address });
+    if let Some(token) = arrival.packet.token {
+        // The token says which service the flow is for, wherever its address leads by now.
+        let flow = token.service;
+        return (flow != own_service).then_some(RouteRefusal::WrongService { flow, address });
     }
-    if token.is_some() {
-        return None;
+    if address != own_service {
+        let flow = address;
+        return Some(RouteRefusal::WrongService { flow, address });
     }
     // The sender placed the flow by an older view, and the address has passed to another
     // service since.
-    let address = table.ring_at(arrival.packet.service_address)?.service();
+    let address = table.service_at(arrival.packet.service_address)?;
     let moved = arrival.revision <= table.revision() && address != own_service;
+    let flow = arrival.service;
     moved.then_some(RouteRefusal::WrongService { flow, address })
 }
--- a/crates/routing/src/hasher.rs
+++ b/crates/routing/src/hasher.rs
@@ -22,7 +22,7 @@
 const ROTATION: u32 = 23;
 
 /// An odd number whose bits look random: 2^64 over the golden ratio.
-const MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
+pub(crate) const MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
 
 /// Mixes eight bytes at a time, lightly, and all of it once at the end.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -15,19 +15,24 @@
 
 mod absence;
 mod arrival;
+mod buckets;
+mod builder;
+mod directory;
 mod hasher;
 mod header;
 mod packet;
 mod ring;
 mod router;
+mod score;
 mod table;
 mod view;
 
 pub use absence::{AbsenceBook, SUSPICION_LIMIT};
 pub use arrival::{ArrivalDecision, ArrivalPacket, FlowHolding};
+pub use builder::TableBuilder;
 pub use header::{HeaderFault, HeaderForm, QUIC_VERSION_1, QuicHeader};
 pub use packet::{MIN_INITIAL_BYTES, PacketFault, PacketView};
 pub use ring::{BUCKET_BOUND, RingTarget, ServiceRing};
 pub use router::{FlowRouter, RouteDecision, RouteRefusal};
-pub use table::{RoutingTable, TableBuilder};
+pub use table::RoutingTable;
 pub use view::ViewChange;
--- a/crates/routing/src/ring.rs
+++ b/crates/routing/src/ring.rs
@@ -5,37 +5,38 @@
 //! flows that it would have won move. A weight `w` divides `-log(u)` of the uniform score `u`,
 //! so that a target with twice the slots wins twice as often.
 //!
-//! The scan costs a few nanoseconds a target. Above [`BUCKET_BOUND`] targets the winners of
-//! many keys (*buckets*) are worked out when the view changes, and a flow takes its bucket's
-//! winner: one lookup whatever the number of targets, and still only the flows of a target
-//! that goes move.
+//! The scan costs a few nanoseconds a target. Above [`BUCKET_BOUND`] targets the flow key is
+//! first cut down to one of a few thousand *buckets*, and all flows of a bucket have one winner.
+//! While a service gets new flows, the winners are kept in a row of bytes, so that a flow costs
+//! one lookup whatever the number of targets. The row only remembers what a scan would find:
+//! with or without it the same agent wins.
+//!
+//! ```text
+//! flow key --up to BUCKET_BOUND targets------> scan of the targets
+//!         \--more--> bucket --row kept-------> its winner
+//!                          \--row not kept---> scan of the targets for the bucket's key
+//! ```
 
-use std::hash::Hasher;
+use std::sync::atomic::{AtomicU8, Ordering};
 
 use lovagelatch_domain::{AgentAddress, ServiceId};
 use lovagelatch_membership::TargetStanding;
-use siphasher::sip::SipHasher13;
 use smallvec::SmallVec;
 
-use crate::hasher::mix;
+use crate::buckets::{BucketRow, bucket_count, bucket_key, row_bytes};
+use crate::score::{scan_costs, scan_scores};
 
 /// Up to this many targets are scanned for each new flow; with more, buckets are used.
 pub const BUCKET_BOUND: usize = 12;
 
-/// Buckets for each target, at least. The more, the closer a target's share of the buckets is
-/// to its weight: with 64 the standard deviation is 12.5% of the share.
-const BUCKETS_PER_TARGET: usize = 64;
-
-/// The number of buckets is a power of two to this power. Where it steps, all flows are placed
-/// anew, so that two views on either side of a step agree on few new flows; wide steps make
-/// that rare.
-const BUCKET_STEP_BITS: u32 = 2;
+/// Up to this many targets with equal slots are scanned quickly enough to need no row.
+const SCAN_BOUND: usize = 24;
 
 /// From this many targets on, positions no longer fit a bucket; no service comes near it.
 const MAX_BUCKETED: usize = 1 << u16::BITS;
 
-/// Fixed keys of the hash of a target's address: every process must compute the same number.
-const TARGET_KEYS: (u64, u64) = (0x7461_7267_6574, 0x6861_7368);
+/// How many calls of `RoutingTable::tend` a row of buckets outlives the last new flow by.
+pub(crate) const IDLE_LIMIT: u8 = 30;
 
 /// One target that may be given new flows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,85 +49,66 @@
     pub standing: TargetStanding,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct Candidate {
-    agent: AgentAddress,
-    /// One over the slots.
-    inverse_weight: f64,
-    hash: u64,
-}
-
-impl Candidate {
-    fn new(target: &RingTarget) -> Self {
-        let mut hasher = SipHasher13::new_with_keys(TARGET_KEYS.0, TARGET_KEYS.1);
-        hasher.write(&target.agent.0.ip().octets());
-        hasher.write(&target.agent.0.port().to_be_bytes());
-        Self {
-            agent: target.agent,
-            inverse_weight: 1.0 / f64::from(target.slots.max(1)),
-            hash: hasher.finish(),
-        }
-    }
-
-    fn score(&self, key: u64) -> u64 {
-        mix(key ^ self.hash)
-    }
-
-    /// Lower is better; exponentially distributed with the slots as its rate.
-    fn cost(&self, key: u64) -> f64 {
-        negative_log2(self.score(key)) * self.inverse_weight
-    }
-}
-
-/// The targets of one service that new flows are spread over.
+/// The targets of one service, and those among them that new flows are spread over.
 ///
 /// They are the live ones; when none is, the suspected ones, since a suspicion may be wrong;
 /// and leaving ones only when there is nothing else.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Debug)]
 pub struct ServiceRing {
     service: ServiceId,
-    standing: TargetStanding,
-    /// Invariant: sorted by agent, without repetition.
-    candidates: Box<[Candidate]>,
-    /// Invariant: all weights are equal, so scores can be compared without a logarithm.
+    /// Invariant: sorted by standing, then agent, without repetition.
+    targets: Box<[RingTarget]>,
+    /// How many at the start of `targets` share the best standing.
+    candidates: u32,
+    /// Invariant: all candidates' weights are equal, so scores can be compared without a
+    /// logarithm.
     equal_weights: bool,
-    /// Positions in `candidates`. Invariant: empty, or a power of two long.
-    buckets: Box<[u16]>,
+    /// `None`, or the winners of all buckets.
+    row: Option<Box<BucketRow>>,
+    /// Calls of `tend` since the last new flow.
+    idle: AtomicU8,
+}
+
+impl PartialEq for ServiceRing {
+    fn eq(&self, other: &Self) -> bool {
+        self.service == other.service && self.targets == other.targets
+    }
 }
 
 impl ServiceRing {
-    /// The ring of a service with these targets, in any order.
+    /// The ring of a service with these targets, in any order, without a row of buckets.
     #[must_use]
     pub fn new(service: ServiceId, targets: &[RingTarget]) -> Self {
-        let mut ring = Self::without_buckets(service, targets);
-        if (BUCKET_BOUND + 1..MAX_BUCKETED).contains(&ring.candidates.len()) {
-            ring.buckets = ring.fill_buckets();
+        let targets = in_order(targets);
+        let standing = targets.first().map(|target| target.standing);
+        let candidates = targets.partition_point(|target| Some(target.standing) == standing);
+        let mut pairs = targets[..candidates].windows(2);
+        let equal_weights = pairs.all(|pair| pair[0].slots == pair[1].slots);
+        Self {
+            service,
+            targets,
+            candidates: u32::try_from(candidates).unwrap_or(u32::MAX),
+            equal_weights,
+            row: None,
+            idle: AtomicU8::new(IDLE_LIMIT),
         }
-        ring
     }
 
-    /// The same ring, scanned whatever its size: the yardstick that buckets are measured by.
+    /// The same ring with the winners of its buckets, if it has buckets. Costs a scan for each.
     #[must_use]
-    pub fn without_buckets(service: ServiceId, targets: &[RingTarget]) -> Self {
-        let standing = targets.iter().map(|target| target.standing).min();
-        let standing = standing.unwrap_or(TargetStanding::Live);
-        let mut candidates: Vec<Candidate> = targets
-            .iter()
-            .filter(|target| target.standing == standing)
-            .map(Candidate::new)
-            .collect();
-        candidates.sort_by_key(|candidate| candidate.agent);
-        candidates.dedup_by_key(|candidate| candidate.agent);
-        let equal_weights = candidates
-            .windows(2)
-            .all(|pair| pair[0].inverse_weight.to_bits() == pair[1].inverse_weight.to_bits());
-        Self {
-            service,
-            standing,
-            candidates: candidates.into_boxed_slice(),
-            equal_weights,
-            buckets: Box::default(),
+    pub fn with_row(mut self) -> Self {
+        if let Some(count) = self.buckets() {
+            let winner = |bucket| self.scan(bucket_key(bucket)).unwrap_or_default();
+            self.row = Some(Box::new(BucketRow::new(count, self.len(), winner)));
         }
+        self
+    }
+
+    /// The same ring with or without its row, used as lately as this one.
+    pub(crate) fn copy(&self, keep_row: bool) -> Self {
+        let ring = Self::new(self.service, &self.targets);
+        ring.idle.store(self.idle(), Ordering::Relaxed);
+        if keep_row { ring.with_row() } else { ring }
     }
 
     /// The service.
@@ -135,40 +117,54 @@
         self.service
     }
 
-    /// The standing that its targets share.
+    /// The standing that the targets share which new flows are spread over.
     #[must_use]
     pub fn standing(&self) -> TargetStanding {
-        self.standing
+        let first = self.targets.first();
+        first.map_or(TargetStanding::Live, |target| target.standing)
     }
 
     /// How many targets new flows are spread over.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.candidates.len()
+        self.candidates as usize
     }
 
     /// Whether there is no target at all.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.candidates.is_empty()
+        self.targets.is_empty()
+    }
+
+    /// What is held of the target with this agent, when the service has one.
+    #[must_use]
+    pub fn standing_of(&self, agent: AgentAddress) -> Option<TargetStanding> {
+        let (candidates, rest) = self.targets.split_at(self.len());
+        let found = match candidates.binary_search_by_key(&agent, |target| target.agent) {
+            Ok(position) => candidates.get(position),
+            Err(_) => rest.iter().find(|target| target.agent == agent),
+        };
+        found.map(|target| target.standing)
     }
 
-    /// The agent for a flow whose key hashes to `key`.
+    /// The agent for a flow whose key hashes to `key`. Allocates nothing.
     #[must_use]
     pub fn pick(&self, key: u64) -> Option<AgentAddress> {
-        let position = match self.bucket_of(key) {
-            Some(bucket) => usize::from(self.buckets[bucket]),
+        self.note_use();
+        let position = match self.buckets() {
+            Some(count) => self.find_winner(bucket_of(key, count))?,
             None => self.scan(key)?,
         };
-        self.candidates.get(position).map(|found| found.agent)
+        self.targets.get(position).map(|found| found.agent)
     }
 
     /// The best `count` agents for that flow, best first; the first is what `pick` returns.
     #[must_use]
     pub fn order(&self, key: u64, count: usize) -> SmallVec<[AgentAddress; 4]> {
-        let key = self.bucket_of(key).map_or(key, bucket_key);
+        let bucketed = |count| bucket_key(bucket_of(key, count));
+        let key = self.buckets().map_or(key, bucketed);
         let mut best: SmallVec<[(f64, AgentAddress); 4]> = SmallVec::new();
-        for candidate in &self.candidates {
+        for candidate in &self.targets[..self.len()] {
             let cost = candidate.cost(key);
             let place = best.partition_point(|(other, _)| *other <= cost);
             if place < count {
@@ -179,88 +175,81 @@
         best.into_iter().map(|(_, agent)| agent).collect()
     }
 
-    fn bucket_of(&self, key: u64) -> Option<usize> {
-        let mask = self.buckets.len().checked_sub(1)?;
-        #[allow(clippy::cast_possible_truncation)]
-        Some(key as usize & mask)
+    pub(crate) fn targets(&self) -> &[RingTarget] {
+        &self.targets
     }
 
-    fn scan(&self, key: u64) -> Option<usize> {
-        if self.equal_weights {
-            self.scan_scores(key)
-        } else {
-            self.scan_costs(key)
+    /// Whether these targets, in any order, are this ring's.
+    pub(crate) fn is_of(&self, targets: &[RingTarget]) -> bool {
+        targets.len() == self.targets.len() && *in_order(targets) == *self.targets
+    }
+
+    pub(crate) fn has_row(&self) -> bool {
+        self.row.is_some()
+    }
+
+    /// Bytes of the row that makes its picks quick; 0 when they are so without one.
+    pub(crate) fn row_bytes(&self) -> usize {
+        if self.equal_weights && self.len() <= SCAN_BOUND {
+            return 0;
         }
+        self.buckets()
+            .map_or(0, |count| row_bytes(count, self.len()))
     }
 
-    fn scan_scores(&self, key: u64) -> Option<usize> {
-        let mut best = None;
-        let mut best_score = 0;
-        for (position, candidate) in self.candidates.iter().enumerate() {
-            let score = candidate.score(key);
-            if best.is_none() || score > best_score {
-                (best, best_score) = (Some(position), score);
-            }
+    /// Calls of `tend` since the last new flow, up to [`IDLE_LIMIT`].
+    pub(crate) fn idle(&self) -> u8 {
+        self.idle.load(Ordering::Relaxed)
+    }
+
+    /// Notes one more call. A new flow at the same moment may go unnoticed; the next one is not.
+    pub(crate) fn grow_idle(&self) {
+        let idle = self.idle();
+        if idle < IDLE_LIMIT {
+            self.idle.store(idle + 1, Ordering::Relaxed);
         }
-        best
     }
 
-    fn scan_costs(&self, key: u64) -> Option<usize> {
-        let mut best = None;
-        let mut best_cost = f64::INFINITY;
-        for (position, candidate) in self.candidates.iter().enumerate() {
-            let cost = candidate.cost(key);
-            if cost < best_cost {
-                (best, best_cost) = (Some(position), cost);
-            }
+    /// Writes only when there is something to say, so that packet threads do not take the cache
+    /// line from one another for every flow.
+    fn note_use(&self) {
+        if self.idle() != 0 {
+            self.idle.store(0, Ordering::Relaxed);
         }
-        best
     }
 
-    fn fill_buckets(&self) -> Box<[u16]> {
-        (0..bucket_count(self.candidates.len()))
-            .map(|bucket| {
-                let winner = self.scan(bucket_key(bucket)).unwrap_or_default();
-                u16::try_from(winner).unwrap_or_default()
-            })
-            .collect()
+    fn buckets(&self) -> Option<usize> {
+        let bucketed = BUCKET_BOUND < self.len() && self.len() < MAX_BUCKETED;
+        bucketed.then(|| bucket_count(self.len()))
     }
-}
 
-fn bucket_count(targets: usize) -> usize {
-    let wanted = (targets * BUCKETS_PER_TARGET).next_power_of_two();
-    1 << wanted.trailing_zeros().next_multiple_of(BUCKET_STEP_BITS)
+    fn find_winner(&self, bucket: usize) -> Option<usize> {
+        let kept = self.row.as_ref().and_then(|row| row.get(bucket));
+        kept.or_else(|| self.scan(bucket_key(bucket)))
+    }
+
+    fn scan(&self, key: u64) -> Option<usize> {
+        let candidates = &self.targets[..self.len()];
+        if self.equal_weights {
+            scan_scores(candidates, key)
+        } else {
+            scan_costs(candidates, key)
+        }
+    }
 }
 
-/// The key whose winner a bucket holds.
-fn bucket_key(bucket: usize) -> u64 {
-    mix(bucket as u64 + 1)
+fn in_order(targets: &[RingTarget]) -> Box<[RingTarget]> {
+    let mut ordered = targets.to_vec();
+    for target in &mut ordered {
+        target.slots = target.slots.max(1);
+    }
+    ordered.sort_unstable_by_key(|target| (target.standing, target.agent, target.slots));
+    ordered.dedup_by_key(|target| (target.standing, target.agent));
+    ordered.into_boxed_slice()
 }
 
-/// Coefficients of `p` in `log2(1 + t) = t + t (1 - t) p(t)` on `0 <= t <= 1`, lowest power
-/// first: a least-squares fit, exact at both ends.
-const LOG2_TERMS: [f64; 5] = [
-    0.442_695_040_888_963_4,
-    -0.277_002_969_346_640_7,
-    0.185_517_263_259_516_3,
-    -0.098_940_021_111_569_9,
-    0.026_383_165_865_249_2,
-];
-
-/// `-log2` of a score taken as a fraction of 2^64, within 0.005% of itself.
-///
-/// The standard logarithm costs several times as much, and its last bit may differ between
-/// machines, on which two processes could then disagree.
-#[allow(clippy::cast_precision_loss)]
-fn negative_log2(score: u64) -> f64 {
-    const STEP: f64 = 1.0 / (1_u64 << 52) as f64;
-    let score = score | 1;
-    let zeros = score.leading_zeros();
-    let fraction = score << zeros << 1;
-    let t = (fraction >> 12) as f64 * STEP;
-    let terms = LOG2_TERMS
-        .iter()
-        .rev()
-        .fold(0.0, |sum, term| sum * t + term);
-    f64::from(zeros) + (1.0 - t) * (1.0 - t * terms)
+/// `count` is a power of two.
+#[allow(clippy::cast_possible_truncation)]
+fn bucket_of(key: u64, count: usize) -> usize {
+    key as usize & (count - 1)
 }
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -3,7 +3,7 @@
 use std::hash::Hasher;
 
 use lovagelatch_domain::{AgentAddress, ServiceId};
-use lovagelatch_keys::FlowToken;
+use lovagelatch_keys::{FleetKeys, FlowToken};
 use lovagelatch_membership::TargetStanding;
 use siphasher::sip::SipHasher13;
 use smallvec::SmallVec;
@@ -59,7 +59,8 @@
     /// The view knows no service at the address.
     #[error("no service at this address")]
     UnknownAddress,
-    /// The flow was opened for another service than the address leads to.
+    /// The flow was opened for another service than the address leads to, or than the agent at
+    /// which the packet arrived serves.
     #[error("the flow belongs to another service than the address")]
     WrongService {
         /// The service that the flow was opened for.
@@ -67,6 +68,13 @@
         /// The service that the address leads to.
         address: ServiceId,
     },
+    /// The instance that held the flow has passed to another service: its packets must not reach
+    /// that one.
+    #[error("the agent that held the flow is listed for another service")]
+    AgentElsewhere {
+        /// The service that the flow was opened for.
+        flow: ServiceId,
+    },
     /// The view knows no target of the service.
     #[error("no target of the service")]
     NoTarget {
@@ -101,6 +109,13 @@
         self
     }
 
+    /// A router that agrees with every other one that holds the same oldest valid key. A caller,
+    /// who does not know the key, cannot choose connection IDs that lead to one agent.
+    #[must_use]
+    pub fn with_keys(keys: &FleetKeys) -> Self {
+        Self::new().with_seed(keys.placement_seed())
+    }
+
     /// Decides where a packet goes. Allocates nothing.
     #[must_use]
     pub fn route(&self, packet: &PacketView<'_>, table: &RoutingTable) -> RouteDecision {
@@ -124,19 +139,22 @@
         ring.map_or_else(SmallVec::new, |ring| ring.order(key, count))
     }
 
+    /// The token alone says which service the flow is for. What the address leads to now does
+    /// not matter: it may have passed to another service while the flow stays open.
     fn route_token(
         &self,
         packet: &PacketView<'_>,
         token: FlowToken,
         table: &RoutingTable,
     ) -> RouteDecision {
-        let ring = table.ring_at(packet.service_address);
-        if let Some(reason) = wrong_service(ring, token) {
-            return RouteDecision::Refuse { reason };
+        if table.is_gone(token.agent, token.service) {
+            return self.reset(packet, token, table.ring_of(token.service));
         }
-        if table.is_gone(token.agent) {
-            let ring = ring.or_else(|| table.ring_of(token.service));
-            return self.reset(packet, token, ring);
+        if table.is_elsewhere(token.agent, token.service) {
+            let reason = RouteRefusal::AgentElsewhere {
+                flow: token.service,
+            };
+            return RouteDecision::Refuse { reason };
         }
         RouteDecision::Forward {
             agent: token.agent,
@@ -144,6 +162,35 @@
         }
     }
 
+    /// Decides about a packet that this process had forwarded to the agent its token names, and
+    /// whose copy came back since nobody listens there. `None` when its flow is not that
+    /// agent's.
+    ///
+    /// The agent had ended when the packet came to its address, so whoever listens there later
+    /// does not hold the flow. Nothing needs to be remembered, and no other packet is judged by
+    /// it. Allocates nothing.
+    #[must_use]
+    pub fn return_packet(
+        &self,
+        packet: &PacketView<'_>,
+        from: AgentAddress,
+        table: &RoutingTable,
+    ) -> Option<RouteDecision> {
+        let token = packet.token.filter(|token| token.agent == from)?;
+        let service = token.service;
+        let key = self.hash(packet.flow_key);
+        let order = table.ring_of(service).map(|ring| ring.order(key, 2));
+        let other = order.into_iter().flatten().find(|agent| *agent != from);
+        let refusal = RouteDecision::Refuse {
+            reason: RouteRefusal::NoTarget { service },
+        };
+        Some(other.map_or(refusal, |agent| RouteDecision::Reset {
+            agent,
+            service,
+            gone: from,
+        }))
+    }
+
     fn reset(
         &self,
         packet: &PacketView<'_>,
@@ -187,12 +234,3 @@
         hasher.finish()
     }
 }
-
-/// A view that does not know the address yet cannot judge; the agent checks the token again.
-fn wrong_service(ring: Option<&ServiceRing>, token: FlowToken) -> Option<RouteRefusal> {
-    let address = ring?.service();
-    (address != token.service).then_some(RouteRefusal::WrongService {
-        flow: token.service,
-        address,
-    })
-}
--- /dev/null
+++ b/crates/routing/src/score.rs
@@ -0,0 +1,89 @@
+//! Scores of targets for a flow key, and the scans that find the best.
+
+use crate::hasher::{MULTIPLIER, mix};
+use crate::ring::{BUCKET_BOUND, RingTarget};
+
+impl RingTarget {
+    pub(crate) fn weight(&self) -> f64 {
+        f64::from(self.slots)
+    }
+
+    /// Uniform over all 64 bits, and of its own for every pair of flow key and address.
+    pub(crate) fn score(&self, key: u64) -> u64 {
+        let address = u64::from(u32::from(*self.agent.0.ip())) << 16;
+        let address = address | u64::from(self.agent.0.port());
+        mix(key ^ address.wrapping_mul(MULTIPLIER))
+    }
+
+    /// Lower is better; exponentially distributed with the slots as its rate.
+    pub(crate) fn cost(&self, key: u64) -> f64 {
+        negative_log2(self.score(key)) / self.weight()
+    }
+}
+
+pub(crate) fn scan_scores(candidates: &[RingTarget], key: u64) -> Option<usize> {
+    let mut best = None;
+    let mut best_score = 0;
+    for (position, candidate) in candidates.iter().enumerate() {
+        let score = candidate.score(key);
+        if best.is_none() || score > best_score {
+            (best, best_score) = (Some(position), score);
+        }
+    }
+    best
+}
+
+pub(crate) fn scan_costs(candidates: &[RingTarget], key: u64) -> Option<usize> {
+    let prunes = candidates.len() > BUCKET_BOUND;
+    let mut best = None;
+    let mut best_cost = f64::INFINITY;
+    for (position, candidate) in candidates.iter().enumerate() {
+        // The logarithm is worked out only where it may decide: `-ln(u)` is never below `1 - u`,
+        // and mostly that is too much already. With few targets the branch costs more.
+        if prunes && least_log2(candidate.score(key)) > best_cost * candidate.weight() {
+            continue;
+        }
+        let cost = candidate.cost(key);
+        if cost < best_cost {
+            (best, best_cost) = (Some(position), cost);
+        }
+    }
+    best
+}
+
+/// Below `negative_log2` of the score: `1 - u` over the natural logarithm of 2, less more than
+/// what rounding and the approximation can make up.
+#[allow(clippy::cast_precision_loss)]
+fn least_log2(score: u64) -> f64 {
+    const SCALE: f64 = std::f64::consts::LOG2_E * 0.999 / (1_u64 << 53) as f64;
+    // Signed: the machine converts it in one step.
+    (!score >> 11).cast_signed() as f64 * SCALE
+}
+
+/// Coefficients of `p` in `log2(1 + t) = t + t (1 - t) p(t)` on `0 <= t <= 1`, lowest power
+/// first: a least-squares fit, exact at both ends.
+const LOG2_TERMS: [f64; 5] = [
+    0.442_695_040_888_963_4,
+    -0.277_002_969_346_640_7,
+    0.185_517_263_259_516_3,
+    -0.098_940_021_111_569_9,
+    0.026_383_165_865_249_2,
+];
+
+/// `-log2` of a score taken as a fraction of 2^64, within 0.005% of itself.
+///
+/// The standard logarithm costs several times as much, and its last bit may differ between
+/// machines, on which two processes could then disagree.
+#[allow(clippy::cast_precision_loss)]
+fn negative_log2(score: u64) -> f64 {
+    const STEP: f64 = 1.0 / (1_u64 << 52) as f64;
+    let score = score | 1;
+    let zeros = score.leading_zeros();
+    let fraction = score << zeros << 1;
+    let t = (fraction >> 12) as f64 * STEP;
+    let terms = LOG2_TERMS
+        .iter()
+        .rev()
+        .fold(0.0, |sum, term| sum * t + term);
+    f64::from(zeros) + (1.0 - t) * (1.0 - t * terms)
+}
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -12,30 +12,46 @@
 use std::sync::Arc;
 
 use lovagelatch_domain::{AgentAddress, ConfigRevision, ServiceId, ServiceName};
+use lovagelatch_membership::TargetStanding;
+use lovagelatch_settings::ServiceText;
 
+use crate::directory::AgentDirectory;
 use crate::hasher::{MixMap, MixSet};
-use crate::ring::{RingTarget, ServiceRing};
+use crate::ring::{IDLE_LIMIT, RingTarget, ServiceRing};
 
 /// Parts of the map of services that are shared or copied as one.
-const SHARDS: usize = 256;
+pub(crate) const SHARDS: usize = 256;
 
-type ServiceShard = MixMap<ServiceId, ServiceEntry>;
+/// The position of a service that the text does not name.
+pub(crate) const UNNAMED: u32 = u32::MAX;
+
+/// Bytes of rows that one call of `tend` works out, unless a single row is larger: a scan for
+/// each, so that a call takes some tens of milliseconds at most.
+const FILL_BYTES: usize = 128 * 1024;
+
+pub(crate) type ServiceShard = MixMap<ServiceId, ServiceEntry>;
 
 #[derive(Clone, Debug)]
-struct ServiceEntry {
-    /// For logs; `None` when the text does not name the service.
-    name: Option<ServiceName>,
-    ring: Arc<ServiceRing>,
-    /// What the ring was made from, to see whether it must be made again.
-    targets: Arc<[RingTarget]>,
+pub(crate) struct ServiceEntry {
+    /// Position in the text, for logs; [`UNNAMED`] when the text does not name the service.
+    pub(crate) position: u32,
+    pub(crate) ring: Arc<ServiceRing>,
 }
 
 impl ServiceEntry {
-    fn new(service: ServiceId, targets: &[RingTarget]) -> Self {
+    /// The entry after `earlier` with other targets. A service that gets new flows keeps a row
+    /// of buckets, so that no packet meets the change by a scan.
+    pub(crate) fn follow(
+        earlier: Option<&Self>,
+        service: ServiceId,
+        targets: &[RingTarget],
+    ) -> Self {
+        let ring = ServiceRing::new(service, targets);
+        let used = earlier.is_some_and(|entry| entry.ring.has_row());
+        let ring = if used { ring.with_row() } else { ring };
         Self {
-            name: None,
-            ring: Arc::new(ServiceRing::new(service, targets)),
-            targets: targets.into(),
+            position: earlier.map_or(UNNAMED, |entry| entry.position),
+            ring: Arc::new(ring),
         }
     }
 }
@@ -43,12 +59,15 @@
 /// A compact copy of a view for the packet path.
 #[derive(Clone, Debug)]
 pub struct RoutingTable {
-    revision: ConfigRevision,
-    addresses: Arc<MixMap<SocketAddrV4, ServiceId>>,
+    pub(crate) revision: ConfigRevision,
+    pub(crate) text: Arc<ServiceText>,
+    pub(crate) addresses: Arc<MixMap<SocketAddrV4, ServiceId>>,
     /// Invariant: [`SHARDS`] long; holds every service of `addresses`.
-    shards: Box<[Arc<ServiceShard>]>,
+    pub(crate) shards: Box<[Arc<ServiceShard>]>,
+    /// Every target of every service held.
+    pub(crate) directory: AgentDirectory,
     /// Agents known to be gone for good, with all flows they held.
-    gone: Arc<MixSet<AgentAddress>>,
+    pub(crate) gone: Arc<MixSet<AgentAddress>>,
 }
 
 impl Default for RoutingTable {
@@ -56,14 +75,16 @@
         let empty = Arc::new(ServiceShard::default());
         Self {
             revision: ConfigRevision::default(),
+            text: Arc::default(),
             addresses: Arc::default(),
             shards: vec![empty; SHARDS].into_boxed_slice(),
+            directory: AgentDirectory::default(),
             gone: Arc::default(),
         }
     }
 }
 
-fn shard_of(service: ServiceId) -> usize {
+pub(crate) fn shard_of(service: ServiceId) -> usize {
     // The number of a service is a hash already.
     service.0 as usize % SHARDS
 }
@@ -85,7 +106,13 @@
     /// The ring of the service that an address leads to.
     #[must_use]
     pub fn ring_at(&self, address: SocketAddrV4) -> Option<&ServiceRing> {
-        self.ring_of(*self.addresses.get(&address)?)
+        self.ring_of(self.service_at(address)?)
+    }
+
+    /// The service that an address leads to.
+    #[must_use]
+    pub fn service_at(&self, address: SocketAddrV4) -> Option<ServiceId> {
+        self.addresses.get(&address).copied()
     }
 
     /// The ring of a service.
@@ -97,88 +124,96 @@
     /// The name of a service that the text names.
     #[must_use]
     pub fn service_name(&self, service: ServiceId) -> Option<&ServiceName> {
-        self.entry(service)?.name.as_ref()
+        let position = self.entry(service)?.position as usize;
+        let named = self.text.services.get(position)?;
+        Some(&named.name)
     }
 
-    /// Whether an agent is known to be gone for good. An agent that no list names is not gone:
-    /// lists lag, and it may be newer than they are.
+    /// Whether the agent that held flows of a service at this address is known to be gone for
+    /// good. An agent that no list names is not gone: lists lag, and it may be newer than they
+    /// are. Nor is one that the service's own list names and nobody suspects: where an address
+    /// went from one service to another, only flows of the former are without their agent.
     #[must_use]
-    pub fn is_gone(&self, agent: AgentAddress) -> bool {
-        !self.gone.is_empty() && self.gone.contains(&agent)
+    pub fn is_gone(&self, agent: AgentAddress, service: ServiceId) -> bool {
+        !self.gone.is_empty() && self.gone.contains(&agent) && !self.serves(agent, service)
     }
 
-    /// Gives a service other targets; its addresses and name stay.
-    pub(crate) fn set_targets(&mut self, service: ServiceId, targets: &[RingTarget]) {
-        let shard = Arc::make_mut(&mut self.shards[shard_of(service)]);
-        let name = shard.remove(&service).and_then(|entry| entry.name);
-        let entry = ServiceEntry::new(service, targets);
-        shard.insert(service, ServiceEntry { name, ..entry });
+    /// Whether an agent is listed, but for other services than this one: its instance has passed
+    /// from one to another.
+    #[must_use]
+    pub fn is_elsewhere(&self, agent: AgentAddress, service: ServiceId) -> bool {
+        let ring = self.ring_of(service);
+        let listed = ring.is_some_and(|ring| ring.standing_of(agent).is_some());
+        !listed && self.directory.contains(agent)
     }
 
-    fn entry(&self, service: ServiceId) -> Option<&ServiceEntry> {
-        self.shards[shard_of(service)].get(&service)
+    fn serves(&self, agent: AgentAddress, service: ServiceId) -> bool {
+        let ring = self.ring_of(service);
+        let standing = ring.and_then(|ring| ring.standing_of(agent));
+        standing.is_some_and(|standing| standing != TargetStanding::Suspected)
     }
-}
 
-/// Makes a whole [`RoutingTable`], reusing the rings of an earlier one whose targets are the
-/// same.
-#[derive(Debug)]
-pub struct TableBuilder<'a> {
-    earlier: &'a RoutingTable,
-    revision: ConfigRevision,
-    addresses: MixMap<SocketAddrV4, ServiceId>,
-    shards: Vec<ServiceShard>,
-}
+    /// Gives a service other targets; its addresses and name stay.
+    pub(crate) fn set_targets(&mut self, service: ServiceId, targets: &[RingTarget]) {
+        let shard = Arc::make_mut(&mut self.shards[shard_of(service)]);
+        let earlier = shard.remove(&service);
+        let entry = ServiceEntry::follow(earlier.as_ref(), service, targets);
+        let before = earlier.as_ref().map_or(&[][..], |held| held.ring.targets());
+        self.directory.replace(before, entry.ring.targets());
+        self.directory.shrink();
+        shard.insert(service, entry);
+    }
 
-impl<'a> TableBuilder<'a> {
-    /// An empty table of a configuration's revision, to follow on `earlier`.
+    /// Works out the buckets of the services that got new flows since the last call, and gives
+    /// up those of services that got none for long; `None` when nothing changes. Rows take
+    /// `budget` bytes together at most; a service beyond it is scanned for each new flow, with
+    /// the same result.
+    ///
+    /// To be called once a second. Costs a scan for each bucket of a service that is new to it.
     #[must_use]
-    pub fn new(revision: ConfigRevision, earlier: &'a RoutingTable) -> Self {
-        Self {
-            earlier,
-            revision,
-            addresses: MixMap::default(),
-            shards: vec![ServiceShard::default(); SHARDS],
+    pub fn tend(&self, budget: usize) -> Option<Self> {
+        let mut tended = None;
+        let (mut held, mut filled) = (0, 0);
+        for (service, ring) in self.rings() {
+            ring.grow_idle();
+            let bytes = ring.row_bytes();
+            let fits = bytes > 0 && held + bytes <= budget;
+            let wanted = match ring.has_row() {
+                true => fits && ring.idle() < IDLE_LIMIT,
+                false => fits && ring.idle() == 1 && (filled == 0 || filled + bytes <= FILL_BYTES),
+            };
+            if wanted {
+                held += bytes;
+            }
+            if wanted != ring.has_row() {
+                filled += if wanted { bytes } else { 0 };
+                let table = tended.get_or_insert_with(|| self.clone());
+                table.set_ring(service, ring.copy(wanted));
+            }
         }
+        tended
     }
 
-    /// Adds a service with its addresses and targets.
+    /// Bytes that the rows of buckets take.
     #[must_use]
-    pub fn with_service(
-        mut self,
-        service: ServiceId,
-        addresses: impl IntoIterator<Item = SocketAddrV4>,
-        targets: &[RingTarget],
-    ) -> Self {
-        let entry = match self.earlier.entry(service) {
-            Some(entry) if *entry.targets == *targets => entry.clone(),
-            _ => ServiceEntry::new(service, targets),
-        };
-        self.shards[shard_of(service)].insert(service, entry);
-        let addresses = addresses.into_iter();
-        self.addresses
-            .extend(addresses.map(|address| (address, service)));
-        self
+    pub fn row_bytes(&self) -> usize {
+        let kept = self.rings().filter(|(_, ring)| ring.has_row());
+        kept.map(|(_, ring)| ring.row_bytes()).sum()
     }
 
-    /// Names a service that was added.
-    #[must_use]
-    pub fn with_name(mut self, name: &ServiceName) -> Self {
-        let service = name.id();
-        if let Some(entry) = self.shards[shard_of(service)].get_mut(&service) {
-            entry.name = Some(name.clone());
-        }
-        self
+    pub(crate) fn rings(&self) -> impl Iterator<Item = (ServiceId, &ServiceRing)> {
+        let entries = self.shards.iter().flat_map(|shard| shard.iter());
+        entries.map(|(service, entry)| (*service, entry.ring.as_ref()))
     }
 
-    /// The table.
-    #[must_use]
-    pub fn build(self) -> RoutingTable {
-        RoutingTable {
-            revision: self.revision,
-            addresses: Arc::new(self.addresses),
-            shards: self.shards.into_iter().map(Arc::new).collect(),
-            gone: Arc::default(),
+    fn set_ring(&mut self, service: ServiceId, ring: ServiceRing) {
+        let shard = Arc::make_mut(&mut self.shards[shard_of(service)]);
+        if let Some(entry) = shard.get_mut(&service) {
+            entry.ring = Arc::new(ring);
         }
     }
+
+    pub(crate) fn entry(&self, service: ServiceId) -> Option<&ServiceEntry> {
+        self.shards[shard_of(service)].get(&service)
+    }
 }
--- a/crates/routing/src/view.rs
+++ b/crates/routing/src/view.rs
@@ -6,8 +6,9 @@
 use lovagelatch_domain::ServiceId;
 use lovagelatch_membership::{FleetView, ViewTarget};
 
+use crate::builder::TableBuilder;
 use crate::ring::RingTarget;
-use crate::table::{RoutingTable, TableBuilder};
+use crate::table::RoutingTable;
 
 /// What differs between two views, worked out once for all who follow them.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -48,7 +49,6 @@
             named.insert(service);
             let addresses = entry.addresses.iter().map(|address| address.address);
             builder = builder.with_service(service, addresses, &targets_of(view, service));
-            builder = builder.with_name(&entry.name);
         }
         // Services that the text names no longer, or not yet, still have agents that can reset
         // or hold flows.
@@ -56,7 +56,24 @@
         for service in unnamed {
             builder = builder.with_service(service, [], &targets_of(view, service));
         }
-        builder.build()
+        builder.with_text(view.text()).build()
+    }
+
+    /// The table of a view with the targets of these services only, and all addresses: enough for
+    /// an agent, which meets packets of its own service and calls its dependencies. `earlier` is
+    /// a table made in the same way.
+    #[must_use]
+    pub fn from_view_of(services: &[ServiceId], view: &FleetView, earlier: &Self) -> Self {
+        let mut builder = TableBuilder::new(view.revision(), earlier);
+        for entry in &view.text().services {
+            let service = entry.name.id();
+            let addresses = entry.addresses.iter().map(|address| address.address);
+            builder = builder.with_addresses(service, addresses);
+        }
+        for &service in services {
+            builder = builder.with_service(service, [], &targets_of(view, service));
+        }
+        builder.with_text(view.text()).build()
     }
 
     /// The table of a view that differs by `change` from the one that this table was made from.
--- a/crates/routing/tests/all/arrival.rs
+++ b/crates/routing/tests/all/arrival.rs
@@ -108,6 +108,17 @@
             holding: FlowHolding::Leaving,
             ..base("an own flow, leaving")
         },
+        ArrivalCase {
+            token: Some(token(OWN, CLAIMS)),
+            address: MAPS_ADDRESS,
+            service: MAPS,
+            ..base("an own flow whose address has passed to another service since")
+        },
+        ArrivalCase {
+            token: Some(token(101, CLAIMS)),
+            expected: ArrivalDecision::Reset,
+            ..base("a flow of an instance that has passed to another service since")
+        },
         ArrivalCase {
             token: Some(token(OWN, MAPS)),
             expected: wrong(MAPS, CLAIMS),
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -37,6 +37,22 @@
 }
 
 impl DecisionKind {
+    /// Every kind.
+    pub const ALL: [Self; 12] = [
+        Self::FlowPlaced,
+        Self::FlowHandedOn,
+        Self::FlowAccepted,
+        Self::FlowRefused,
+        Self::RequestPlaced,
+        Self::RequestRelayed,
+        Self::RequestRefused,
+        Self::RequestEnded,
+        Self::ConfigTaken,
+        Self::ConfigRefused,
+        Self::LeavingSeen,
+        Self::SuspicionChanged,
+    ];
+
     /// The word that stands in the log.
     #[must_use]
     pub const fn as_str(self) -> &'static str {
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -18,11 +18,18 @@
 //! whose far end is cut off, and a kept stream can go silent unnoticed; so the holder sends
 //! `BodyEnd` only after `Ready`, and a stream that brings no `Ready` proves that the request
 //! did not run.
+//!
+//! `Refused` and `End` carry the gate's load at that moment. A heartbeat is late by an unknown
+//! time; the load that comes with an exchange is as old as the way back, and the holder places
+//! its next requests by it.
+//!
+//! This is wire version 1, which no release has spoken yet; until one has, messages here change
+//! without a new version.
 
 use std::time::Duration;
 
 use lovagelatch_domain::{
-    AgencyName, AgentAddress, AttemptId, ConfigRevision, RefusalReason, ServiceId,
+    AgencyName, AgentAddress, AttemptId, ConfigRevision, GateReport, RefusalReason, ServiceId,
 };
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -91,13 +98,23 @@
         reason: RefusalReason,
         /// When to come back.
         retry_after: Duration,
+        /// The further attempts that a dependency behind the gate left, if it was one that
+        /// refused; the holder makes no more than these.
+        attempts_left: Option<u8>,
+        /// The gate's load now; `None` from an agent that cannot tell.
+        load: Option<GateReport>,
     },
     /// An answer starts.
     Head(RelayHead),
     /// More of the answer's body.
     Chunk(Vec<u8>),
     /// The answer is whole.
-    End(AttemptId),
+    End {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The gate's load now; `None` from an agent that cannot tell.
+        load: Option<GateReport>,
+    },
     /// The request may have run, but its answer is lost.
     Lost(AttemptId),
     /// The request's head has arrived; it runs once its body is whole.
