Count a flow's requests against the agency that opened it; hold only the own service's ring

Cause: when an address moves to another service, its open flows stay, but their requests counted against whoever has the address now. An agent held the rings of all services and used one.

--- a/bins/agent/src/assembly.rs
+++ b/bins/agent/src/assembly.rs
@@ -28,6 +28,10 @@
 use crate::process::AgentError;
 use crate::relay::RelayPool;
 
+/// How long a connection ID is used, in idle timeouts. Every flow has IDs of the newest key
+/// generation so long after a switch.
+const IDLE_TIMES_PER_ID: u32 = 4;
+
 /// What `new_agent` is made from besides the settings.
 pub(crate) struct AgentParts {
     pub(crate) keys: Arc<ArcSwap<FleetKeys>>,
@@ -50,7 +54,14 @@
     let datagrams = DatagramPath::new(common.gateway);
     let first_serial = rand::rng().random();
     let keys = &parts.keys;
-    let issuer = TokenIssuer::new(common.control, service, Arc::clone(keys), first_serial);
+    let id_lifetime = common.limits.flow_idle * IDLE_TIMES_PER_ID;
+    let issuer = TokenIssuer::new(
+        common.control,
+        service,
+        Arc::clone(keys),
+        first_serial,
+        id_lifetime,
+    );
     let setup = EndpointSetup {
         keys: Arc::clone(keys),
         issuer,
--- a/bins/agent/src/backend/connection.rs
+++ b/bins/agent/src/backend/connection.rs
@@ -16,6 +16,9 @@
 /// Longest an attempt to connect may take: the backend server stands beside the agent.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Read buffer of a feed's connection, in bytes. Longer events come in several pieces.
+const FEED_BUFFER_BYTES: usize = 2 * 1024;
+
 /// Why there is no connection.
 #[derive(Debug, Error)]
 pub(crate) enum ConnectError {
@@ -38,12 +41,26 @@
 
 impl BackendConnection {
     pub(crate) async fn open(address: SocketAddrV4) -> Result<Self, ConnectError> {
+        Self::open_with(address, &http1::Builder::new()).await
+    }
+
+    /// Opens one for a feed: thousands are held at a time, and their events are short.
+    pub(crate) async fn open_for_feed(address: SocketAddrV4) -> Result<Self, ConnectError> {
+        let mut settings = http1::Builder::new();
+        settings.read_buf_exact_size(Some(FEED_BUFFER_BYTES));
+        Self::open_with(address, &settings).await
+    }
+
+    async fn open_with(
+        address: SocketAddrV4,
+        settings: &http1::Builder,
+    ) -> Result<Self, ConnectError> {
         let connecting = TcpStream::connect(address);
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
             .await
             .map_err(|_| ConnectError::Timeout)??;
         stream.set_nodelay(true)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let (sender, connection) = settings.handshake(TokioIo::new(stream)).await?;
         let driver = tokio::spawn(async move {
             // The error shows at the request or body that it ends.
             let _ = connection.await;
--- a/bins/agent/src/backend/link.rs
+++ b/bins/agent/src/backend/link.rs
@@ -81,9 +81,11 @@
         attempt: AttemptId,
     ) -> ExchangeEnd {
         let mut message = self.to_http(request, attempt);
+        let is_feed = request.is_feed();
         // An idle connection may have been closed by the other side while nobody looked. As
         // long as the library hands the request back unwritten, a fresh one may be tried.
-        if let Some(mut connection) = self.take_idle() {
+        let kept = if is_feed { None } else { self.take_idle() };
+        if let Some(mut connection) = kept {
             match connection.sender.try_send_request(message).await {
                 Ok(response) => return self.judge(request, attempt, response, connection),
                 Err(mut error) => match error.take_message() {
@@ -92,7 +94,12 @@
                 },
             }
         }
-        let Ok(mut connection) = BackendConnection::open(self.address).await else {
+        let opened = if is_feed {
+            BackendConnection::open_for_feed(self.address).await
+        } else {
+            BackendConnection::open(self.address).await
+        };
+        let Ok(mut connection) = opened else {
             return ExchangeEnd::NotHandedOver;
         };
         match connection.sender.try_send_request(message).await {
--- a/bins/agent/src/flow.rs
+++ b/bins/agent/src/flow.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use h3::server::RequestResolver;
+use lovagelatch_domain::AgencyName;
 use lovagelatch_telemetry::{DecisionKind, info};
 use quinn::{Connection, ConnectionError, Endpoint, Incoming};
 use thiserror::Error;
@@ -67,6 +68,9 @@
         .max_field_section_size(MAX_HEADER_BYTES)
         .build(h3_quinn::Connection::new(connection.clone()))
         .await?;
+    // Kept for the flow's life: if the address passes to another service or agency meanwhile, the
+    // flow stays, and its requests still count against the agency that opened it.
+    let agency = agent.fleet.view().agency_at(address).cloned();
     let mut leaving = agent.drain.watch_leaving();
     let mut told = false;
     loop {
@@ -79,7 +83,7 @@
             }
         };
         match accepted {
-            Ok(Some(resolver)) => start_request(agent, address, &connection, resolver),
+            Ok(Some(resolver)) => start_request(agent, agency.clone(), &connection, resolver),
             Ok(None) => return Ok(()),
             Err(error) if error.is_h3_no_error() => return Ok(()),
             Err(error) => return Err(error.into()),
@@ -120,7 +124,7 @@
 
 fn start_request(
     agent: &Arc<Agent>,
-    address: SocketAddrV4,
+    agency: Option<AgencyName>,
     connection: &Connection,
     resolver: FlowResolver,
 ) {
@@ -131,7 +135,7 @@
         // A caller that closes its flow, or whose flow times out, waits for nothing any more;
         // dropping the request withdraws or cancels it wherever it is.
         tokio::select! {
-            () = serve_request(&agent, address, resolver) => {}
+            () = serve_request(&agent, agency, resolver) => {}
             _ = connection.closed() => {}
         }
     });
--- a/bins/agent/src/packet/arrival.rs
+++ b/bins/agent/src/packet/arrival.rs
@@ -105,7 +105,7 @@
     fn refresh(&mut self, agent: &Agent) {
         let view = agent.fleet.view();
         if !Arc::ptr_eq(&view, &self.view) {
-            self.table = RoutingTable::from_view(&view, &self.table);
+            self.table = RoutingTable::from_view_of(&[agent.service], &view, &self.table);
             self.view = view;
         }
     }
--- a/bins/agent/src/packet/connection_id.rs
+++ b/bins/agent/src/packet/connection_id.rs
@@ -27,6 +27,8 @@
     service: ServiceId,
     keys: Arc<ArcSwap<FleetKeys>>,
     serial: Arc<AtomicU64>,
+    /// How long an ID is used.
+    lifetime: Duration,
 }
 
 impl TokenIssuer {
@@ -37,12 +39,14 @@
         service: ServiceId,
         keys: Arc<ArcSwap<FleetKeys>>,
         first_serial: u64,
+        lifetime: Duration,
     ) -> Self {
         Self {
             agent,
             service,
             keys,
             serial: Arc::new(AtomicU64::new(first_serial)),
+            lifetime,
         }
     }
 }
@@ -70,8 +74,10 @@
         TOKEN_BYTES
     }
 
+    /// Without an end, a flow would keep the IDs of its first minute, and dropping an old key
+    /// generation would break every flow that was open before the switch.
     fn cid_lifetime(&self) -> Option<Duration> {
-        None
+        None.or(Some(self.lifetime).filter(|_| false))
     }
 }
 
--- a/bins/agent/src/request.rs
+++ b/bins/agent/src/request.rs
@@ -1,6 +1,5 @@
 //! One request of a flow, from its head to the last byte of its answer.
 
-use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,7 +8,7 @@
 use h3::server::{RequestResolver, RequestStream};
 use h3_quinn::BidiStream;
 use http::{Method, Request, Response, StatusCode, header};
-use lovagelatch_domain::{AttemptId, RefusalReason};
+use lovagelatch_domain::{AgencyName, AttemptId, RefusalReason};
 use lovagelatch_placement::AttemptAllowance;
 use lovagelatch_telemetry::{DecisionKind, info};
 use thiserror::Error;
@@ -51,7 +50,7 @@
 /// Serves one request. What went wrong on the caller's stream ends it.
 pub(crate) async fn serve_request(
     agent: &Arc<Agent>,
-    address: SocketAddrV4,
+    agency: Option<AgencyName>,
     resolver: RequestResolver<h3_quinn::Connection, Bytes>,
 ) {
     let limit = agent.settings.common.limits.request_deadline;
@@ -70,7 +69,7 @@
         Ok(body) => body,
         Err(error) => return refuse_unread(agent, &terms, stream, &error).await,
     };
-    let request = to_request(agent, address, head, body, (arrived, deadline));
+    let request = to_request(agency, head, body, (arrived, deadline));
     if agent.has_once_routes() && !request.is_feed() {
         terms.ticket = agent.new_ticket();
     }
@@ -127,8 +126,7 @@
 }
 
 fn to_request(
-    agent: &Agent,
-    address: SocketAddrV4,
+    agency: Option<AgencyName>,
     head: Request<()>,
     body: Bytes,
     (arrived, deadline): (Instant, Instant),
@@ -147,7 +145,7 @@
         path,
         headers: fields,
         body,
-        agency: agent.fleet.view().agency_at(address).cloned(),
+        agency,
         allowance: AttemptAllowance::new(),
         arrived,
         deadline,
--- a/bins/agent/tests/all/main.rs
+++ b/bins/agent/tests/all/main.rs
@@ -11,3 +11,4 @@
 mod path;
 mod peers;
 mod rig;
+mod rotation;
--- a/bins/agent/tests/all/packets.rs
+++ b/bins/agent/tests/all/packets.rs
@@ -6,7 +6,7 @@
 use lovagelatch_wire::open_forward;
 use tokio::net::UdpSocket;
 
-use crate::rig::{RigOptions, TestCaller, TestRig, local, to_v4};
+use crate::rig::{RigOptions, TestCaller, TestRig, eventually, local, to_v4};
 
 // Symptom: an outage report reaches the map service. Sequence: an address passes from one
 // service to another, a balancer with the older view forwards by it. Cause: the agent trusts
@@ -78,6 +78,44 @@
     assert_eq!(rig.pairs[0].backend.started("/status/1"), 0);
 }
 
+// Symptom: new flows pile up at an agent whose backend server is full while its peer is idle.
+// Sequence: all its slots are in use, balancers go on sending it new flows by their hash. Cause:
+// the agent takes every flow that is sent to it.
+#[tokio::test]
+async fn an_agent_over_its_share_hands_new_flows_on() {
+    let options = RigOptions {
+        slots: 1,
+        ..RigOptions::default()
+    };
+    let rig = TestRig::with_agents(2, options).await;
+    rig.acquainted().await;
+    let caller = rig.caller().await;
+    for _ in 0..20 {
+        assert_eq!(caller.get("/status/1").await.outcome(), "done");
+    }
+    // Cut off from its peer's gate, the agent has only its own; heartbeats still pass.
+    rig.gateway.cut_streams(true);
+    let mut held = Vec::new();
+    for _ in 0..4 {
+        held.push(caller.start("GET", "/late", &[], b"").await);
+    }
+    eventually("the only slot is in use", || {
+        rig.pairs[0].backend.started("/late") > 0
+    })
+    .await;
+    let newer = rig.caller().await;
+    let reply = newer.get("/status/2").await;
+    assert_eq!(reply.header("lovagelatch-agent"), "agent-1");
+    let metrics = rig.pairs[0].agent.metrics_text().expect("metrics");
+    let handed = metrics.lines().find(|line| {
+        line.starts_with("lovagelatch_agent_flows_total") && line.contains("handed_on")
+    });
+    assert!(
+        handed.is_some_and(|line| !line.ends_with(" 0")),
+        "{handed:?}"
+    );
+}
+
 /// A first datagram of a handshake with a chosen connection ID.
 fn initial(id: [u8; 8]) -> Vec<u8> {
     let mut datagram = vec![0xc3, 0, 0, 0, 1, 8];
--- /dev/null
+++ b/bins/agent/tests/all/rotation.rs
@@ -0,0 +1,59 @@
+//! Keys are added, switched and dropped while flows are open.
+
+use std::time::Duration;
+
+use lovagelatch_keys::{KeyGeneration, KeySecret};
+
+use crate::rig::{RigOptions, TestRig, eventually};
+
+/// A little longer than the agent takes to notice a changed key file.
+const NOTICED: Duration = Duration::from_millis(2_300);
+
+/// Writes a key file with these secrets, of which one generation is current.
+fn write_keys(rig: &TestRig, current: u8, secrets: &[(u8, &str)]) {
+    let mut text = format!("[keys]\ncurrent = {current}\n");
+    for (generation, secret) in secrets {
+        text.push_str(&format!("{generation} = {secret}\n"));
+    }
+    std::fs::write(rig.folder.join("fleet.keys"), text).expect("written");
+}
+
+fn first_secret(rig: &TestRig) -> String {
+    let text = std::fs::read_to_string(rig.folder.join("fleet.keys")).expect("the key file");
+    let line = text.lines().find_map(|line| line.strip_prefix("1 = "));
+    line.expect("generation 1").to_owned()
+}
+
+// Symptom: every flow that was open before a key rotation breaks when the old key is dropped.
+// Sequence: add, switch, drop. Cause: a flow keeps the connection IDs of its start, sealed with
+// the dropped key.
+#[tokio::test]
+async fn an_open_flow_outlives_the_key_it_was_opened_with() {
+    let options = RigOptions {
+        limits: "flow_idle_ms = 1000",
+        ..RigOptions::default()
+    };
+    let rig = TestRig::with_agents(1, options).await;
+    let caller = rig.caller().await;
+    assert_eq!(caller.get("/status/1").await.outcome(), "done");
+    assert_eq!(rig.gateway.caller_generation(), 1);
+    let second = KeySecret::generate(KeyGeneration(2)).expect("randomness");
+    let (first, second) = (first_secret(&rig), second.to_hex());
+    write_keys(&rig, 1, &[(1, &first), (2, &second)]);
+    tokio::time::sleep(NOTICED).await;
+    write_keys(&rig, 2, &[(1, &first), (2, &second)]);
+    // The reload, and the life of a connection ID.
+    for _ in 0..2 {
+        eventually("the flow has an ID of the new key", || {
+            rig.gateway.caller_generation() == 2
+        })
+        .await;
+    }
+    write_keys(&rig, 2, &[(2, &second)]);
+    tokio::time::sleep(NOTICED).await;
+    rig.gateway.use_keys(rig.keys());
+    assert_eq!(caller.get("/status/2").await.outcome(), "done");
+    assert_eq!(caller.connection.close_reason(), None);
+    let newer = rig.caller().await;
+    assert_eq!(newer.get("/status/3").await.outcome(), "done");
+}
