--- a/tests/matrix/src/configuration.rs
+++ b/tests/matrix/src/configuration.rs
@@ -336,7 +336,7 @@
             self.steady_since = self.rig.now;
         }
         let reachable_for = self.rig.now.since(self.steady_since);
-        if reachable_for < crate::history::SPREAD_LIMIT {
+        if reachable_for < crate::promise::SPREAD_LIMIT {
             return;
         }
         let nodes = (0..self.held.len()).filter(|node| self.reachable(*node));
--- a/tests/matrix/src/lib.rs
+++ b/tests/matrix/src/lib.rs
@@ -16,9 +16,11 @@
 mod history;
 pub mod leaving;
 mod plan;
+mod promise;
 mod queue;
 pub mod requests;
 
-pub use history::{AgentStart, LEAVING_GRACE, MatrixEvent, MatrixHistory, PROMISES, SPREAD_LIMIT};
+pub use history::{AgentStart, MatrixEvent, MatrixHistory};
 pub use plan::{FaultPlan, MatrixReport};
+pub use promise::{LEAVING_GRACE, PROMISES, SPREAD_LIMIT};
 pub use queue::EventQueue;
--- a/tests/matrix/src/requests/mod.rs
+++ b/tests/matrix/src/requests/mod.rs
@@ -11,8 +11,10 @@
 mod agent;
 mod backend;
 mod caller;
+mod exchange;
 mod job;
 mod relay;
+mod serve;
 mod strike;
 mod ticket;
 mod world;
--- a/tests/matrix/src/requests/relay.rs
+++ b/tests/matrix/src/requests/relay.rs
@@ -4,15 +4,13 @@
     AgentAddress, AttemptId, ConfigRevision, Moment, RefusalReason, ServiceName,
 };
 use lovagelatch_keys::RequestTicket;
-use lovagelatch_wire::{
-    FrameKind, RelayHead, RelayMessage, RelayRequest, open_message, seal_message,
-};
+use lovagelatch_wire::{FrameKind, RelayMessage, RelayRequest, open_message, seal_message};
 use smallvec::SmallVec;
 use std::time::Duration;
 
 use super::RequestStep;
 use super::agent::agent_address;
-use super::job::{Job, JobEnd, JobPhase, ReplyTo, RunAnswer};
+use super::job::{JobEnd, JobPhase, ReplyTo, RunAnswer};
 use super::world::{RequestEvent, RequestWorld};
 
 /// Milliseconds within which a peer must say that it is ready.
@@ -26,9 +24,6 @@
 
 const DEFAULT_RETRY: Duration = Duration::from_millis(500);
 
-/// Bytes of an answer in its first chunk; the rest follows.
-const FIRST_CHUNK: usize = 10;
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum StreamSide {
     Holder,
@@ -38,8 +33,8 @@
 /// A request that is arriving at a gate.
 #[derive(Clone, Debug)]
 pub(crate) struct Arriving {
-    request: RelayRequest,
-    body: Vec<u8>,
+    pub(crate) request: RelayRequest,
+    pub(crate) body: Vec<u8>,
 }
 
 #[derive(Clone, Debug)]
@@ -54,14 +49,14 @@
     due: [u64; 2],
     pub(crate) arriving: Option<Arriving>,
     /// The gate has taken the request; a repeated frame changes nothing.
-    taken: bool,
+    pub(crate) taken: bool,
 }
 
 fn now_millis(now: Moment) -> u64 {
     now.as_micros() / 1_000
 }
 
-fn service_id(name: &str) -> lovagelatch_domain::ServiceId {
+pub(crate) fn service_id(name: &str) -> lovagelatch_domain::ServiceId {
     let name: ServiceName = name.parse().expect("a valid name");
     name.id()
 }
@@ -171,78 +166,6 @@
         }
     }
 
-    fn at_gate(&mut self, stream: usize, holder: usize, gate: usize, message: RelayMessage) {
-        match message {
-            RelayMessage::Request(request) => {
-                self.reach(RequestStep::Relayed, holder, gate);
-                let attempt = request.attempt;
-                let wrong = request.service != service_id(self.agents[gate].service);
-                if wrong && self.mechanisms.service_check {
-                    return self.send(
-                        stream,
-                        StreamSide::Gate,
-                        &RelayMessage::Refused {
-                            attempt,
-                            reason: RefusalReason::WrongService,
-                            retry_after: Duration::ZERO,
-                            attempts_left: None,
-                            load: None,
-                        },
-                    );
-                }
-                let body = Vec::new();
-                self.links[stream].arriving = Some(Arriving { request, body });
-                self.send(stream, StreamSide::Gate, &RelayMessage::Ready(attempt));
-            }
-            RelayMessage::Body(piece) => {
-                if let Some(arriving) = &mut self.links[stream].arriving {
-                    arriving.body = piece;
-                }
-            }
-            RelayMessage::BodyEnd => {
-                self.reach(RequestStep::HandedOver, holder, gate);
-                self.take_relayed(stream, gate);
-            }
-            _ => {}
-        }
-    }
-
-    fn take_relayed(&mut self, stream: usize, gate: usize) {
-        let link = &mut self.links[stream];
-        let Some(arriving) = link.arriving.clone().filter(|_| !link.broken) else {
-            return;
-        };
-        // A filing that comes twice is the ledger's to judge; anything else the gate's.
-        if link.taken && arriving.request.ticket.is_none() {
-            return;
-        }
-        link.taken = true;
-        let Some(body) = RunAnswer::from_bytes(&arriving.body) else {
-            return;
-        };
-        let now = self.queue.now();
-        let job = Job {
-            attempt: arriving.request.attempt,
-            call: body.call,
-            filing: body.filing,
-            ticket: None,
-            home: None,
-            arrived: now,
-            deadline: now + arriving.request.time_left,
-            tried: Vec::new(),
-            retries: 2,
-            reply: ReplyTo::Stream(stream),
-            phase: JobPhase::New,
-        };
-        let Some(key) = arriving.request.ticket else {
-            return self.start_job(gate, job);
-        };
-        match RequestTicket::open(&key, &self.agents[gate].keys) {
-            Ok(ticket) => self.file_here(gate, &ticket, job),
-            Err(_) => self.reply(gate, job.reply, job.attempt, &JobEnd::Unknown),
-        }
-    }
-
     fn at_holder(
         &mut self,
         stream: usize,
@@ -419,26 +342,6 @@
         self.end_job(agent, id, end);
     }
 
-    /// The holder gave up: what waits is withdrawn, what runs is cancelled.
-    fn gate_cut(&mut self, agent: usize, stream: usize) {
-        let now = self.queue.now();
-        let own = &mut self.agents[agent];
-        let jobs = own.jobs.iter();
-        let ids: Vec<(u64, AttemptId, JobPhase)> = jobs
-            .filter(|(_, job)| job.reply == ReplyTo::Stream(stream))
-            .map(|(id, job)| (*id, job.attempt, job.phase.clone()))
-            .collect();
-        for (id, attempt, phase) in ids {
-            match phase {
-                JobPhase::Queued => {
-                    self.agents[agent].gate.withdraw(attempt, now);
-                    self.agents[agent].jobs.remove(&id);
-                }
-                _ => self.give_up(agent, id),
-            }
-        }
-    }
-
     /// Tells an end to whoever waits for it.
     pub(crate) fn reply(&mut self, agent: usize, to: ReplyTo, attempt: AttemptId, end: &JobEnd) {
         match to {
@@ -447,39 +350,4 @@
             ReplyTo::Filing => self.end_filing(agent, attempt, end.clone()),
         }
     }
-
-    fn answer_stream(&mut self, stream: usize, attempt: AttemptId, end: &JobEnd) {
-        let from = StreamSide::Gate;
-        match end {
-            JobEnd::Answered(body, whole) => {
-                let head = RelayHead {
-                    attempt,
-                    status: 201,
-                    headers: SmallVec::new(),
-                };
-                let (first, rest) = body.split_at(FIRST_CHUNK.min(body.len()));
-                self.send(stream, from, &RelayMessage::Head(head));
-                self.send(stream, from, &RelayMessage::Chunk(first.to_vec()));
-                self.send(stream, from, &RelayMessage::Chunk(rest.to_vec()));
-                match whole {
-                    true => {
-                        let load = None;
-                        self.send(stream, from, &RelayMessage::End { attempt, load });
-                    }
-                    false => self.break_stream(stream),
-                }
-            }
-            JobEnd::NotRun(reason, retry_after) => {
-                let refused = RelayMessage::Refused {
-                    attempt,
-                    reason: *reason,
-                    retry_after: *retry_after,
-                    attempts_left: None,
-                    load: None,
-                };
-                self.send(stream, from, &refused);
-            }
-            JobEnd::Unknown => self.send(stream, from, &RelayMessage::Lost(attempt)),
-        }
-    }
 }
