Draw the placement of new flows from the fleet key

Cause: the seed of rendezvous hashing was in the source, so a caller could choose connection IDs that all lead to one agent; only the hand-on bounded it. Now balancers, agents and explanations take it from the oldest valid key. During a rotation two balancers whose key files differ may split one handshake of several datagrams; the caller's retry opens it. Ruled out: a seed of its own in the settings (one more secret to distribute).

Test seen red without the switch.

--- a/bins/agent/src/assembly.rs
+++ b/bins/agent/src/assembly.rs
@@ -10,6 +10,7 @@
 use lovagelatch_network::{DatagramPath, StreamPath};
 use lovagelatch_operations::{OperationsServer, ProcessIdentity};
 use lovagelatch_placement::{AgencyBudgets, BudgetSettings, GateSettings, PlacementSettings};
+use lovagelatch_routing::FlowRouter;
 use lovagelatch_settings::AgentSettings;
 use lovagelatch_telemetry::{Logger, MetricsRegistry};
 use parking_lot::Mutex;
@@ -116,6 +117,7 @@
     let counted = Arc::clone(agent);
     let gated = Arc::clone(agent);
     let weighed = Arc::clone(agent);
+    let keys = Arc::clone(&agent.keys);
     OperationsServer::new(
         agent.settings.common.operations,
         identity.clone(),
@@ -125,6 +127,7 @@
     .with_operators(agent.settings.common.operators)
     .with_counters(move || counted.counters())
     .with_gate(move || Some(gated.gate.report()))
+    .with_router(move || FlowRouter::with_keys(&keys.load()))
     .with_costs(move || {
         let peers = weighed.fleet.peer_reports();
         weighed.placement.costs(&weighed.gate.report(), &peers)
--- a/bins/agent/src/dispatch.rs
+++ b/bins/agent/src/dispatch.rs
@@ -14,9 +14,10 @@
 use tokio::time::Instant;
 
 use crate::agent::Agent;
-use crate::backend::{AheadBody, BackendLink, CancelEnd, ExchangeEnd};
-use crate::exchange::{Answer, AnswerBody, AttemptEnd, CallerRequest, Refusal};
+use crate::backend::{CancelEnd, ExchangeEnd};
+use crate::exchange::{AttemptEnd, CallerRequest, Refusal};
 use crate::gate::{Admission, SlotEnd, SlotGuard};
+use crate::handed::{HandedOver, SentNote};
 use crate::metrics::reason_word;
 use crate::relay::{RelayEnd, RelayTerms, unreached};
 
@@ -258,75 +259,3 @@
         self.placement.observed(peer, end);
     }
 }
-
-/// A request that the backend server may have. Dropped while open, because its caller left, it
-/// is cancelled and its slot given back.
-struct HandedOver {
-    link: Arc<BackendLink>,
-    attempt: AttemptId,
-    slot: Option<SlotGuard>,
-    open: bool,
-}
-
-impl HandedOver {
-    /// Nothing of it remains at the backend server, as far as can be known.
-    fn close(&mut self, end: SlotEnd) {
-        self.open = false;
-        if let Some(slot) = self.slot.take() {
-            slot.finish(end);
-        }
-    }
-
-    /// Its end is not known: the backend server is asked to cancel it, and the slot is given back
-    /// once that is answered, as `end`.
-    fn abandon(mut self, end: SlotEnd) {
-        self.open = false;
-        self.link
-            .cancel_later(self.attempt, self.slot.take(), Some(end));
-    }
-
-    /// From here on the answer's body holds the slot. A feed has none and is passed on as it
-    /// comes.
-    fn into_answer(mut self, mut answer: Answer) -> Answer {
-        self.open = false;
-        let slot = self.slot.take();
-        let has_slot = slot.is_some();
-        if let AnswerBody::Backend(mut body) = answer.body {
-            body.hold_slot(slot);
-            answer.body = if has_slot {
-                AnswerBody::Ahead(AheadBody::start(*body, &self.link.room))
-            } else {
-                AnswerBody::Backend(body)
-            };
-        }
-        answer
-    }
-}
-
-impl Drop for HandedOver {
-    fn drop(&mut self) {
-        if self.open {
-            self.link.cancel_later(self.attempt, self.slot.take(), None);
-        }
-    }
-}
-
-/// Counts a request as sent to a peer for as long as it is under way there, so that a burst
-/// between two heartbeats does not all go to the peer that looked free.
-struct SentNote<'a> {
-    agent: &'a Agent,
-    peer: AgentAddress,
-}
-
-impl<'a> SentNote<'a> {
-    fn new(agent: &'a Agent, peer: AgentAddress) -> Self {
-        agent.placement.sent(peer);
-        Self { agent, peer }
-    }
-}
-
-impl Drop for SentNote<'_> {
-    fn drop(&mut self) {
-        self.agent.placement.ended(self.peer);
-    }
-}
--- a/bins/agent/src/lib.rs
+++ b/bins/agent/src/lib.rs
@@ -31,6 +31,7 @@
 mod gate;
 mod gateway;
 mod gauges;
+mod handed;
 mod handover;
 mod headers;
 mod metrics;
--- a/bins/agent/src/packet/arrival.rs
+++ b/bins/agent/src/packet/arrival.rs
@@ -18,7 +18,6 @@
 
 /// The decisions about arriving packets.
 pub(crate) struct ArrivalRouter {
-    flows: FlowRouter,
     table: RoutingTable,
     /// What `table` was made from.
     view: Arc<FleetView>,
@@ -28,7 +27,6 @@
 impl ArrivalRouter {
     pub(crate) fn new() -> Self {
         Self {
-            flows: FlowRouter::new(),
             table: RoutingTable::default(),
             view: Arc::default(),
             openings: OpeningTable::default(),
@@ -64,7 +62,8 @@
             holding,
         };
         let own = agent.address();
-        let decision = self.flows.arrive(&arrival, own, agent.service, &self.table);
+        let flows = FlowRouter::with_keys(&agent.keys.load());
+        let decision = flows.arrive(&arrival, own, agent.service, &self.table);
         let decision = self.confirm(agent, opens, decision);
         if opens && known.is_none() {
             self.remember(packet.flow_key, decision, now);
--- a/bins/agent/tests/all/peers.rs
+++ b/bins/agent/tests/all/peers.rs
@@ -26,6 +26,31 @@
     assert_eq!(rig.pairs[0].backend.started("/status/5"), 0);
 }
 
+// Symptom: an outage of the last service of a chain multiplies its load link by link. Sequence: a
+// dependency refuses, the link next to it decides, the links above try again as well. Cause: the
+// refusal does not bring back what is left of the attempts.
+#[tokio::test]
+async fn a_refusal_from_further_down_is_not_tried_again() {
+    let rig = TestRig::with_agents(2, RigOptions::default()).await;
+    rig.acquainted().await;
+    let caller = rig.caller().await;
+    for _ in 0..20 {
+        assert_eq!(caller.get("/status/1").await.outcome(), "done");
+    }
+    let sheds = || -> usize {
+        let records = rig.pairs.iter().map(|pair| pair.backend.record.lock().shed);
+        records.sum()
+    };
+    assert_eq!(caller.get("/shed-below").await.outcome(), "not-run");
+    assert_eq!(sheds(), 1);
+    assert_eq!(caller.get("/shed").await.outcome(), "not-run");
+    assert_eq!(
+        sheds(),
+        3,
+        "a refusal of the server itself is tried at the other gate"
+    );
+}
+
 // Symptom: requests on old flows fail, or run at the leaving server. Sequence: a backend server
 // drains while flows to its agent are open. Cause: the flow's agent knows only its own gate.
 #[tokio::test]
--- a/bins/agent/tests/all/rig/backend.rs
+++ b/bins/agent/tests/all/rig/backend.rs
@@ -143,9 +143,14 @@
     }
     let attempt = format!("lovagelatch-attempt: {}\r\n", request.attempt);
     let sheds = record.lock().sheds;
-    if sheds || request.path == "/shed" {
+    if sheds || request.path.starts_with("/shed") {
         record.lock().shed += 1;
-        let fields = format!("{attempt}lovagelatch-outcome: not-run\r\nretry-after: 2\r\n");
+        // A dependency refused, and its link has decided about another try.
+        let below = match request.path.as_str() {
+            "/shed-below" => "lovagelatch-attempts-left: 0\r\n",
+            _ => "",
+        };
+        let fields = format!("{attempt}lovagelatch-outcome: not-run\r\nretry-after: 2\r\n{below}");
         return send(stream, "503 Service Unavailable", &fields, b"").await;
     }
     if request.path == "/queued" {
--- a/bins/balancer/src/forward.rs
+++ b/bins/balancer/src/forward.rs
@@ -70,7 +70,6 @@
 pub struct PacketForwarder {
     state: Arc<ForwardState>,
     path: ForwardPath,
-    router: FlowRouter,
     receiving: ReceiveBatch,
     sending: SendBatch,
     refusals: RefusalReader,
@@ -91,7 +90,6 @@
         Self {
             state,
             path,
-            router: FlowRouter::new(),
             receiving: ReceiveBatch::new(),
             sending: SendBatch::new(),
             refusals: RefusalReader::new(),
@@ -155,7 +153,7 @@
             let table = self.state.table.load();
             let mut step = PacketStep {
                 path: &self.path,
-                router: &self.router,
+                router: &FlowRouter::with_keys(&keys),
                 keys: &keys,
                 table: &table,
                 sending: &mut self.sending,
@@ -183,7 +181,7 @@
         let now = Instant::now();
         let mut step = PacketStep {
             path: &self.path,
-            router: &self.router,
+            router: &FlowRouter::with_keys(&keys),
             keys: &keys,
             table: &table,
             sending: &mut self.sending,
--- a/bins/balancer/src/process.rs
+++ b/bins/balancer/src/process.rs
@@ -12,6 +12,7 @@
 use lovagelatch_fleet::{FleetClient, FleetRole, FleetSetup};
 use lovagelatch_keys::{FleetKeys, KeyFileError, read_key_file};
 use lovagelatch_operations::{OperationsServer, ProcessIdentity, ProcessPhase};
+use lovagelatch_routing::FlowRouter;
 use lovagelatch_settings::{BalancerSettings, CommonSettings};
 use lovagelatch_telemetry::{Logger, Meter, MetricsError, MetricsRegistry, error, info};
 use thiserror::Error;
@@ -148,6 +149,7 @@
     /// Serves health, status, metrics and the phone page.
     fn serve_operations(&self, common: &CommonSettings, fleet: &FleetClient) {
         let packets = self.packets.clone();
+        let keys = Arc::clone(&self.keys);
         let server = OperationsServer::new(
             common.operations,
             self.identity.clone(),
@@ -155,7 +157,8 @@
             self.metrics.clone(),
         )
         .with_operators(common.operators)
-        .with_counters(move || packets.totals());
+        .with_counters(move || packets.totals())
+        .with_router(move || FlowRouter::with_keys(&keys.load()));
         let log = self.log.clone();
         tokio::spawn(async move {
             if let Err(failure) = server.serve().await {
--- a/bins/balancer/tests/all/forwarding.rs
+++ b/bins/balancer/tests/all/forwarding.rs
@@ -3,13 +3,15 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
 
-use lovagelatch_domain::ConfigRevision;
+use lovagelatch_domain::{AgentAddress, ConfigRevision};
+use lovagelatch_routing::{FlowRouter, PacketView, RouteDecision};
 use lovagelatch_settings::IngressKind;
 use lovagelatch_wire::MAX_DATAGRAM_BYTES;
 use quickcheck::quickcheck;
 
 use crate::support::{
-    CALLER, CLAIMS, CLAIMS_ADDRESS, ForwardRig, MAPS, initial, open_flow, proxied, ring,
+    CALLER, CLAIMS, CLAIMS_ADDRESS, ForwardRig, MAPS, address, bind, initial, open_flow, proxied,
+    receive, ring,
 };
 
 const OTHER_ADDRESS: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(127, 20, 9, 9), 4433);
@@ -102,6 +104,37 @@
     assert_eq!(rig.finish(), [("forwarded".to_owned(), 3)].into());
 }
 
+/// Symptom: a caller aims all its flows at one agent. Sequence: it chooses connection IDs by a hash
+/// that everybody can compute. Cause: a packet path that places flows without the fleet key, or
+/// by another key than the agents, which hand flows on in the same order.
+#[test]
+fn new_flows_are_placed_by_the_oldest_key() {
+    for generations in [&[1][..], &[1, 2], &[2, 1]] {
+        let rig = ForwardRig::new(IngressKind::ProxyV2);
+        let other = bind();
+        let agents = [rig.agent(), AgentAddress(address(&other))];
+        rig.set_targets(CLAIMS_ADDRESS, &agents);
+        rig.state.keys.store(Arc::new(ring(generations)));
+        let table = rig.state.table.load();
+        let router = FlowRouter::with_keys(&ring(&[1]));
+        for number in 0..32 {
+            let mut datagram = initial(1_200);
+            datagram[6] = number;
+            let packet = PacketView::read(&datagram, CLAIMS_ADDRESS, &ring(&[1])).expect("opens");
+            let RouteDecision::NewFlow { agent, .. } = router.route(&packet, &table) else {
+                panic!("no new flow");
+            };
+            rig.send(&proxied(CLAIMS_ADDRESS, &datagram));
+            let socket = if agent == rig.agent() {
+                &rig.sink
+            } else {
+                &other
+            };
+            assert!(receive(socket).is_some(), "{generations:?}: flow {number}");
+        }
+    }
+}
+
 /// Symptom: a feed breaks while a service's targets change. Sequence: a flow is open; the view
 /// loses the service, or is empty as on a fresh balancer. Cause: open flows placed by the view.
 #[test]
