--- a/bins/agent/src/agent.rs
+++ b/bins/agent/src/agent.rs
@@ -21,7 +21,7 @@
 use crate::once::OnceLedger;
 use crate::packet::EndpointSet;
 use crate::path::plain_path;
-use crate::placement::PlacementDesk;
+use crate::placement::SharedPlacement;
 use crate::relay::RelayPool;
 
 /// The agent's state.
@@ -36,7 +36,7 @@
     pub(crate) datagrams: DatagramPath,
     pub(crate) endpoints: EndpointSet,
     pub(crate) gate: GateKeeper,
-    pub(crate) placement: Arc<PlacementDesk>,
+    pub(crate) placement: Arc<SharedPlacement>,
     pub(crate) budgets: Mutex<AgencyBudgets>,
     pub(crate) backend: Arc<BackendLink>,
     pub(crate) relays: Arc<RelayPool>,
--- a/bins/agent/src/assembly.rs
+++ b/bins/agent/src/assembly.rs
@@ -25,7 +25,7 @@
 use crate::metrics::AgentMetrics;
 use crate::once::OnceLedger;
 use crate::packet::{EndpointSet, EndpointSetup, TlsFiles, TokenIssuer, load_server_crypto};
-use crate::placement::PlacementDesk;
+use crate::placement::SharedPlacement;
 use crate::process::AgentError;
 use crate::relay::RelayPool;
 
@@ -74,7 +74,7 @@
     let streams = StreamPath::new(common.control.0, common.gateway);
     let placement =
         PlacementSettings::new(common.control, common.zone.clone()).with_seed(rand::rng().random());
-    let placement = Arc::new(PlacementDesk::new(placement, parts.fleet.clone()));
+    let placement = Arc::new(SharedPlacement::new(placement, parts.fleet.clone()));
     let lifetime = common.limits.ticket_lifetime;
     let ledger = LedgerSettings::new(common.control, parts.incarnation, lifetime);
     Ok(Agent {
--- a/bins/agent/src/placement.rs
+++ b/bins/agent/src/placement.rs
@@ -10,22 +10,22 @@
 use parking_lot::Mutex;
 
 /// The placement with the peers it deals with.
-pub(crate) struct PlacementDesk {
+pub(crate) struct SharedPlacement {
     placement: Mutex<PeerPlacement>,
     /// In address order; empty before the first view. Used only above `SUBSET_SIZE` peers.
     subset: Mutex<Vec<AgentAddress>>,
     fleet: FleetClient,
 }
 
-impl std::fmt::Debug for PlacementDesk {
+impl std::fmt::Debug for SharedPlacement {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         formatter
-            .debug_struct("PlacementDesk")
+            .debug_struct("SharedPlacement")
             .finish_non_exhaustive()
     }
 }
 
-impl PlacementDesk {
+impl SharedPlacement {
     pub(crate) fn new(settings: PlacementSettings, fleet: FleetClient) -> Self {
         Self {
             placement: Mutex::new(PeerPlacement::new(settings)),
--- a/bins/agent/src/relay/client.rs
+++ b/bins/agent/src/relay/client.rs
@@ -18,7 +18,7 @@
 
 use crate::exchange::{Answer, AnswerBody, AttemptEnd, CallerRequest, Refusal};
 use crate::headers;
-use crate::placement::PlacementDesk;
+use crate::placement::SharedPlacement;
 use crate::relay::body::RelayBody;
 use crate::relay::stream::{RelayStream, StreamError};
 
@@ -70,7 +70,7 @@
     keys: Arc<ArcSwap<FleetKeys>>,
     idle: Mutex<HashMap<AgentAddress, Vec<RelayStream>>>,
     /// Takes the loads that peers send along.
-    pub(crate) placement: Arc<PlacementDesk>,
+    pub(crate) placement: Arc<SharedPlacement>,
 }
 
 /// What goes with a request besides itself.
@@ -88,7 +88,7 @@
     pub(crate) fn new(
         path: StreamPath,
         keys: Arc<ArcSwap<FleetKeys>>,
-        placement: Arc<PlacementDesk>,
+        placement: Arc<SharedPlacement>,
     ) -> Self {
         Self {
             path,
--- a/bins/balancer/src/process.rs
+++ b/bins/balancer/src/process.rs
@@ -58,8 +58,10 @@
 pub async fn run_balancer(settings: BalancerSettings, log: Logger) -> Result<(), BalancerError> {
     let mut stop = StopSignal::new()?;
     let parts = BalancerParts::new(&settings, log)?;
-    let threads = start_threads(&settings, &parts.state, &parts.packets, &parts.log)?;
+    // The control address first: a process that forwarded before it had that one, and then could
+    // not have it, would end with callers' packets in its hands.
     let fleet = parts.start_control(&settings.common).await?;
+    let threads = start_threads(&settings, &parts.state, &parts.packets, &parts.log)?;
     parts.start_upkeep(&settings.common, &fleet);
     parts.serve_operations(&settings.common, &fleet);
     info!(parts.log, "balancer runs"; "listen" => settings.listen.to_string(),
--- a/bins/balancer/src/refresh.rs
+++ b/bins/balancer/src/refresh.rs
@@ -9,7 +9,7 @@
 use lovagelatch_fleet::FleetClient;
 use lovagelatch_keys::{FleetKeys, read_key_file};
 use lovagelatch_membership::FleetView;
-use lovagelatch_routing::{AbsenceBook, ViewChange};
+use lovagelatch_routing::{AbsenceTracker, ViewChange};
 use lovagelatch_telemetry::{Logger, info, warn};
 
 use crate::forward::ForwardState;
@@ -63,7 +63,7 @@
 /// Follows the view.
 struct TableKeeper {
     held: Arc<FleetView>,
-    absences: AbsenceBook,
+    absences: AbsenceTracker,
     gone: Vec<AgentAddress>,
     looked: Moment,
 }
@@ -72,7 +72,7 @@
     fn new(drain: Duration) -> Self {
         Self {
             held: Arc::default(),
-            absences: AbsenceBook::new(2 * drain),
+            absences: AbsenceTracker::new(2 * drain),
             gone: Vec::new(),
             looked: Moment::ZERO,
         }
--- a/bins/lovagelatch/src/status.rs
+++ b/bins/lovagelatch/src/status.rs
@@ -1,8 +1,10 @@
 //! `lovagelatch status`: which revision is in force where, and who lags.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 
 use lovagelatch_domain::{ConfigRevision, InstanceList};
+use lovagelatch_membership::FleetStatus;
 use serde::Serialize;
 use serde_json::Value;
 
@@ -29,6 +31,12 @@
 }
 
 impl InstanceLine {
+    /// What it knows of the fleet's membership.
+    fn fleet(&self) -> Option<FleetStatus> {
+        let fleet = self.status.as_ref()?.get("fleet")?;
+        serde_json::from_value(fleet.clone()).ok()
+    }
+
     fn revision(&self) -> ConfigRevision {
         let status = self.status.as_ref();
         let revision = status.and_then(|status| status["config_revision"].as_u64());
@@ -114,6 +122,10 @@
         "LEAVING",
         "SUSPECTED",
         "HEARD",
+        "FLOWS",
+        "REFUSED",
+        "UNKNOWN",
+        "BROKEN",
     ];
     let heading = heading.map(str::to_owned).to_vec();
     let mut rows = vec![TableRow {
@@ -122,13 +134,7 @@
     }];
     rows.extend(report.instances.iter().filter_map(row_of));
     print_table(&rows);
-    for error in report
-        .instances
-        .iter()
-        .filter_map(|line| line.error.as_ref())
-    {
-        print_line(LineTone::Bad, error);
-    }
+    print_concerns(report);
     let silent = report
         .instances
         .iter()
@@ -145,6 +151,54 @@
     print_line(tone, &line);
 }
 
+/// What instances hold against others, worst last; each once, by whoever has known it longest.
+fn print_concerns(report: &StatusReport) {
+    let mut lagging = BTreeMap::new();
+    let mut concerns = BTreeSet::new();
+    for fleet in report.instances.iter().filter_map(InstanceLine::fleet) {
+        for peer in &fleet.lagging {
+            let known = lagging
+                .entry(peer.peer)
+                .or_insert((peer.seconds, peer.revision));
+            *known = (*known).max((peer.seconds, peer.revision));
+        }
+        let leaving = fleet
+            .leaving
+            .iter()
+            .map(|agent| format!("{agent} is leaving"));
+        concerns.extend(leaving);
+        let suspected = fleet
+            .suspected
+            .iter()
+            .map(|agent| format!("{agent} is suspected"));
+        concerns.extend(suspected);
+        let lost = fleet
+            .lost_zones
+            .iter()
+            .map(|zone| format!("zone {zone} is taken for lost"));
+        concerns.extend(lost);
+        if fleet.refused > fleet.revision {
+            concerns.insert(format!(
+                "revision {} was refused for its faults",
+                fleet.refused
+            ));
+        }
+    }
+    let lagging = lagging.iter().map(|(peer, (seconds, revision))| {
+        format!("{peer} lags at revision {revision}, known for {seconds} s")
+    });
+    for line in concerns.into_iter().chain(lagging) {
+        print_line(LineTone::Notice, &line);
+    }
+    for error in report
+        .instances
+        .iter()
+        .filter_map(|line| line.error.as_ref())
+    {
+        print_line(LineTone::Bad, error);
+    }
+}
+
 fn row_of(line: &InstanceLine) -> Option<TableRow> {
     let status = line.status.as_ref()?;
     let word = |field: &str| status[field].as_str().unwrap_or("-").to_owned();
@@ -155,6 +209,18 @@
             .sum::<u64>()
             .to_string()
     };
+    // Balancers hold no flows and run no requests.
+    let counter = |names: &[&str]| {
+        let counts = names
+            .iter()
+            .filter_map(|&name| status["counters"][name].as_u64());
+        let counts: Vec<u64> = counts.collect();
+        if counts.is_empty() {
+            "-".to_owned()
+        } else {
+            counts.iter().sum::<u64>().to_string()
+        }
+    };
     let age = status["fleet"]["platform_age_seconds"].as_u64();
     let heard = age.map_or_else(|| "-".to_owned(), |age| format!("{age} s ago"));
     let mark = if line.lags { " (lags)" } else { "" };
@@ -169,6 +235,10 @@
         sum("leaving"),
         sum("suspected"),
         heard,
+        counter(&["open_flows"]),
+        counter(&["requests.not-run"]),
+        counter(&["requests.unknown"]),
+        counter(&["flows.ended.reset", "flows.ended.error"]),
     ];
     let tone = if line.lags {
         LineTone::Notice
--- a/bins/lovagelatch/tests/all/instances.rs
+++ b/bins/lovagelatch/tests/all/instances.rs
@@ -23,7 +23,12 @@
 }
 
 const AT_SEVEN: &str = r#"{"name":"balancer-1","binary":"b","zone":"z","phase":"serving",
-    "config_revision":7,"list_revision":3,"services":[{"live":4,"leaving":1,"suspected":0}]}"#;
+    "config_revision":7,"list_revision":3,"services":[{"live":4,"leaving":1,"suspected":0}],
+    "counters":{"open_flows":12,"requests.not-run":3,"requests.unknown":1},
+    "fleet":{"ready":true,"revision":7,"source":"platform","refused":8,"list_revision":3,
+    "instances":5,"platform_age_seconds":1,"reader":true,
+    "lagging":[{"peer":"127.0.0.1:9","revision":6,"seconds":40}],"leaving":["127.0.0.1:8"],
+    "suspected":[],"lost_zones":["lahore-b"]}}"#;
 const AT_SIX: &str = r#"{"name":"balancer-2","binary":"b","zone":"z","phase":"serving",
     "config_revision":6,"list_revision":3,"services":[]}"#;
 
--- a/crates/ledger/src/adopted.rs
+++ b/crates/ledger/src/adopted.rs
@@ -3,24 +3,24 @@
 use std::sync::Arc;
 
 use crate::answer::StoredAnswer;
-use crate::book::{BookEntry, EntryState, RequestBook, TicketKey};
 use crate::handover::{FinalState, HandoverEntry, HandoverState};
 use crate::ledger::LedgerVerdict;
+use crate::table::{EntryState, LedgerEntry, RequestTable, TicketKey};
 
 #[derive(Clone, Debug)]
-pub(crate) struct AdoptedBook {
-    pub(crate) book: RequestBook,
+pub(crate) struct AdoptedLedger {
+    pub(crate) table: RequestTable,
     pub(crate) lifetime_seconds: u64,
     /// Until when tickets of the closed ledger may be good, by this process's clock.
     pub(crate) keep_until: u64,
 }
 
-impl AdoptedBook {
+impl AdoptedLedger {
     pub(crate) fn verdict(&self, key: TicketKey) -> LedgerVerdict {
-        if self.book.is_forgotten(key) {
+        if self.table.is_forgotten(key) {
             return LedgerVerdict::Expired;
         }
-        self.book
+        self.table
             .get(key)
             .map_or(LedgerVerdict::NeverRun, verdict_of)
     }
@@ -30,13 +30,13 @@
             issued_seconds: entry.issued_seconds,
             serial: entry.serial,
         };
-        let known = self.book.get(key).is_some();
+        let known = self.table.get(key).is_some();
         if known && entry.state == HandoverState::Unknown {
             return;
         }
-        self.book.insert(
+        self.table.insert(
             key,
-            BookEntry {
+            LedgerEntry {
                 attempt: None,
                 state: EntryState::Final(entry.state.into()),
             },
@@ -44,8 +44,8 @@
     }
 }
 
-pub(crate) fn entries_of(book: &RequestBook) -> Vec<HandoverEntry> {
-    let entries = book.iter().map(|(key, entry)| HandoverEntry {
+pub(crate) fn entries_of(table: &RequestTable) -> Vec<HandoverEntry> {
+    let entries = table.iter().map(|(key, entry)| HandoverEntry {
         issued_seconds: key.issued_seconds,
         serial: key.serial,
         state: match &entry.state {
@@ -58,7 +58,7 @@
     entries.collect()
 }
 
-pub(crate) fn verdict_of(entry: &BookEntry) -> LedgerVerdict {
+pub(crate) fn verdict_of(entry: &LedgerEntry) -> LedgerVerdict {
     match (&entry.state, entry.attempt) {
         (EntryState::Final(FinalState::Done(answer)), _) => {
             LedgerVerdict::Replay(Arc::clone(answer))
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -7,11 +7,11 @@
 use lovagelatch_domain::{AgentAddress, AttemptId, Incarnation, ServiceId};
 use lovagelatch_keys::RequestTicket;
 
-use crate::adopted::{AdoptedBook, entries_of, verdict_of};
+use crate::adopted::{AdoptedLedger, entries_of, verdict_of};
 use crate::answer::StoredAnswer;
-use crate::book::{BookEntry, EntryState, RequestBook, TicketKey};
 use crate::handover::{FinalState, LedgerHandover};
 use crate::settings::LedgerSettings;
+use crate::table::{EntryState, LedgerEntry, RequestTable, TicketKey};
 
 /// When to come back to a full ledger: it frees room as tickets expire.
 const FULL_RETRY: Duration = Duration::from_secs(1);
@@ -63,15 +63,15 @@
 #[derive(Clone, Debug)]
 pub struct RequestLedger {
     settings: LedgerSettings,
-    book: RequestBook,
-    /// Where each attempt that ran is remembered. Invariant: each value is a key of `book`.
+    table: RequestTable,
+    /// Where each attempt that ran is remembered. Invariant: each value is a key of `table`.
     attempts: HashMap<AttemptId, TicketKey>,
     running: usize,
     next_serial: u64,
     /// Set by a handover and never cleared: from then on nothing runs here.
     closed: bool,
     /// What was taken over from leaving peers.
-    adopted: HashMap<(AgentAddress, Incarnation), AdoptedBook>,
+    adopted: HashMap<(AgentAddress, Incarnation), AdoptedLedger>,
 }
 
 impl RequestLedger {
@@ -80,7 +80,7 @@
     pub fn new(settings: LedgerSettings) -> Self {
         Self {
             settings,
-            book: RequestBook::default(),
+            table: RequestTable::default(),
             attempts: HashMap::new(),
             running: 0,
             next_serial: 0,
@@ -99,7 +99,7 @@
             incarnation: self.settings.incarnation,
             service,
             serial,
-            issued_seconds: now_seconds.max(self.book.horizon()) & SERIAL_MASK,
+            issued_seconds: now_seconds.max(self.table.horizon()) & SERIAL_MASK,
         }
     }
 
@@ -126,10 +126,10 @@
     }
 
     fn offer_own(&mut self, key: TicketKey, attempt: AttemptId) -> LedgerVerdict {
-        if self.book.is_forgotten(key) {
+        if self.table.is_forgotten(key) {
             return LedgerVerdict::Expired;
         }
-        if let Some(entry) = self.book.get(key) {
+        if let Some(entry) = self.table.get(key) {
             return verdict_of(entry);
         }
         if self.closed {
@@ -145,9 +145,9 @@
         }
         self.attempts.insert(attempt, key);
         self.running += 1;
-        self.book.insert(
+        self.table.insert(
             key,
-            BookEntry {
+            LedgerEntry {
                 attempt: Some(attempt),
                 state: EntryState::Running,
             },
@@ -160,16 +160,16 @@
         let adopted: usize = self
             .adopted
             .values()
-            .map(|adopted| adopted.book.len())
+            .map(|adopted| adopted.table.len())
             .sum();
         let adopted_bytes: usize = self
             .adopted
             .values()
-            .map(|adopted| adopted.book.bytes())
+            .map(|adopted| adopted.table.bytes())
             .sum();
         let reserved = (self.running + 1).saturating_mul(self.settings.answer_limit);
-        let bytes = self.book.bytes() + adopted_bytes + reserved;
-        self.book.len() + adopted < self.settings.entry_limit && bytes <= self.settings.byte_limit
+        let bytes = self.table.bytes() + adopted_bytes + reserved;
+        self.table.len() + adopted < self.settings.entry_limit && bytes <= self.settings.byte_limit
     }
 
     /// Records how an attempt that had the right to run ended. An attempt that is not known (a
@@ -179,11 +179,11 @@
             return;
         };
         let was_running = self
-            .book
+            .table
             .get(key)
             .is_some_and(|entry| matches!(entry.state, EntryState::Running));
         let was_done = self
-            .book
+            .table
             .get(key)
             .is_some_and(|entry| matches!(entry.state, EntryState::Final(FinalState::Done(_))));
         if was_done {
@@ -215,19 +215,19 @@
     }
 
     fn settle(&mut self, attempt: AttemptId, key: TicketKey, state: FinalState) {
-        if self.book.is_forgotten(key) {
+        if self.table.is_forgotten(key) {
             self.forget(attempt, key);
             return;
         }
-        let entry = BookEntry {
+        let entry = LedgerEntry {
             attempt: Some(attempt),
             state: EntryState::Final(state),
         };
-        self.book.insert(key, entry);
+        self.table.insert(key, entry);
     }
 
     fn forget(&mut self, attempt: AttemptId, key: TicketKey) {
-        self.book.remove(key);
+        self.table.remove(key);
         self.attempts.remove(&attempt);
     }
 
@@ -241,17 +241,17 @@
             .map(|(&(home, incarnation), adopted)| LedgerHandover {
                 home,
                 incarnation,
-                horizon: adopted.book.horizon(),
+                horizon: adopted.table.horizon(),
                 lifetime_seconds: adopted.lifetime_seconds,
-                entries: entries_of(&adopted.book),
+                entries: entries_of(&adopted.table),
                 adopted: Vec::new(),
             });
         LedgerHandover {
             home: self.settings.home,
             incarnation: self.settings.incarnation,
-            horizon: self.book.horizon(),
+            horizon: self.table.horizon(),
             lifetime_seconds: self.settings.lifetime.as_secs(),
-            entries: entries_of(&self.book),
+            entries: entries_of(&self.table),
             adopted: adopted.collect(),
         }
     }
@@ -269,15 +269,15 @@
         if origin == (self.settings.home, self.settings.incarnation) {
             return;
         }
-        let adopted = self.adopted.entry(origin).or_insert_with(|| AdoptedBook {
-            book: RequestBook::with_horizon(handover.horizon),
+        let adopted = self.adopted.entry(origin).or_insert_with(|| AdoptedLedger {
+            table: RequestTable::with_horizon(handover.horizon),
             lifetime_seconds: handover.lifetime_seconds,
             keep_until: now_seconds.saturating_add(handover.lifetime_seconds),
         });
         for entry in handover.entries {
             adopted.merge(entry);
         }
-        adopted.book.advance_horizon(handover.horizon);
+        adopted.table.advance_horizon(handover.horizon);
         self.expire(now_seconds);
     }
 
@@ -310,9 +310,9 @@
         let adopted: usize = self
             .adopted
             .values()
-            .map(|adopted| adopted.book.len())
+            .map(|adopted| adopted.table.len())
             .sum();
-        self.book.len() + adopted
+        self.table.len() + adopted
     }
 
     /// Whether nothing is remembered.
@@ -327,20 +327,20 @@
         let adopted: usize = self
             .adopted
             .values()
-            .map(|adopted| adopted.book.bytes())
+            .map(|adopted| adopted.table.bytes())
             .sum();
-        self.book.bytes() + adopted
+        self.table.bytes() + adopted
     }
 
     fn expire(&mut self, now_seconds: u64) {
         let horizon = now_seconds.saturating_sub(self.settings.lifetime.as_secs());
-        for attempt in self.book.advance_horizon(horizon) {
+        for attempt in self.table.advance_horizon(horizon) {
             self.attempts.remove(&attempt);
         }
         self.adopted.retain(|_, adopted| {
             let horizon = now_seconds.saturating_sub(adopted.lifetime_seconds);
-            adopted.book.advance_horizon(horizon);
-            now_seconds <= adopted.keep_until || adopted.book.len() > 0
+            adopted.table.advance_horizon(horizon);
+            now_seconds <= adopted.keep_until || adopted.table.len() > 0
         });
     }
 }
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -25,10 +25,10 @@
 
 mod adopted;
 mod answer;
-mod book;
 mod handover;
 mod ledger;
 mod settings;
+mod table;
 
 pub use answer::{AnswerHeader, StoredAnswer};
 pub use handover::{HandoverEntry, HandoverState, LedgerHandover};
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/table.rs
@@ -32,13 +32,13 @@
 
 /// A remembered request.
 #[derive(Clone, Debug)]
-pub(crate) struct BookEntry {
+pub(crate) struct LedgerEntry {
     /// The attempt that got the right to run; none after a handover.
     pub(crate) attempt: Option<AttemptId>,
     pub(crate) state: EntryState,
 }
 
-impl BookEntry {
+impl LedgerEntry {
     fn stored_bytes(&self) -> usize {
         match &self.state {
             EntryState::Final(FinalState::Done(answer)) => answer.stored_bytes(),
@@ -49,15 +49,15 @@
 
 /// The remembered requests with the count of their stored bytes.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct RequestBook {
-    entries: BTreeMap<TicketKey, BookEntry>,
+pub(crate) struct RequestTable {
+    entries: BTreeMap<TicketKey, LedgerEntry>,
     /// Invariant: the sum of `stored_bytes` over the entries.
     bytes: usize,
     /// Tickets issued before this second are forgotten. It only grows.
     horizon: u64,
 }
 
-impl RequestBook {
+impl RequestTable {
     pub(crate) fn with_horizon(horizon: u64) -> Self {
         Self {
             horizon,
@@ -81,22 +81,22 @@
         key.issued_seconds < self.horizon
     }
 
-    pub(crate) fn get(&self, key: TicketKey) -> Option<&BookEntry> {
+    pub(crate) fn get(&self, key: TicketKey) -> Option<&LedgerEntry> {
         self.entries.get(&key)
     }
 
-    pub(crate) fn iter(&self) -> impl Iterator<Item = (&TicketKey, &BookEntry)> {
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&TicketKey, &LedgerEntry)> {
         self.entries.iter()
     }
 
-    pub(crate) fn insert(&mut self, key: TicketKey, entry: BookEntry) {
+    pub(crate) fn insert(&mut self, key: TicketKey, entry: LedgerEntry) {
         self.bytes += entry.stored_bytes();
         if let Some(old) = self.entries.insert(key, entry) {
             self.bytes -= old.stored_bytes();
         }
     }
 
-    pub(crate) fn remove(&mut self, key: TicketKey) -> Option<BookEntry> {
+    pub(crate) fn remove(&mut self, key: TicketKey) -> Option<LedgerEntry> {
         let entry = self.entries.remove(&key)?;
         self.bytes -= entry.stored_bytes();
         Some(entry)
--- a/crates/membership/src/arrival.rs
+++ b/crates/membership/src/arrival.rs
@@ -42,11 +42,11 @@
 
 /// The announcements that a process knows of.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct ArrivalBook {
+pub(crate) struct ArrivalTracker {
     entries: BTreeMap<AgentAddress, ArrivalEntry>,
 }
 
-impl ArrivalBook {
+impl ArrivalTracker {
     /// Notes an announcement; whether it is worth passing on.
     pub(crate) fn note(&mut self, event: ArrivalEvent, now: Moment) -> bool {
         let held = self.entries.get(&event.agent);
--- a/crates/membership/src/departure.rs
+++ b/crates/membership/src/departure.rs
@@ -24,11 +24,11 @@
 /// They outlive the instance's place in the list, so that late word of a departure is known
 /// for what it is and does not spread a second time.
 #[derive(Clone, Debug, Default)]
-pub struct DepartureBook {
+pub struct DepartureTracker {
     entries: BTreeMap<(AgentAddress, Incarnation), DepartureEntry>,
 }
 
-impl DepartureBook {
+impl DepartureTracker {
     /// Notes a departure; whether that was news.
     pub fn note(&mut self, event: DepartureEvent, now: Moment) -> bool {
         let key = (event.agent, event.incarnation);
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -32,7 +32,7 @@
 pub use budget::{PACKET_OVERHEAD_BYTES, SendBudget, SendUrgency};
 pub use config::{ConfigDelta, ConfigError, ConfigKeeper, ConfigSource, ConfigVerdict};
 pub use delta::{RowChange, TableDelta, TableError, TableHead, TableRow};
-pub use departure::DepartureBook;
+pub use departure::DepartureTracker;
 pub use list::{InstanceDuty, InstanceKey, ListDelta, ListKeeper, ListedInstance, ZoneId};
 pub use lot::{LOT_EPOCH, READERS_PER_ZONE, epoch_at, is_reader};
 pub use member::{FleetMember, FleetStatus, LaggingPeer, MEMBER_TICK, PAUSE_LIMIT};
@@ -43,7 +43,8 @@
 pub use neighbour::{DueWord, NeighbourWatch, SILENCE_LIMIT};
 pub use ring::ring_neighbours;
 pub use suspicion::{
-    ACCUSATION_LIFETIME, ACCUSERS_NEEDED, AccusationBook, AccusationVerdict, ZONE_ACCUSERS_NEEDED,
+    ACCUSATION_LIFETIME, ACCUSERS_NEEDED, AccusationTracker, AccusationVerdict,
+    ZONE_ACCUSERS_NEEDED,
 };
 pub use table::TableIndex;
 pub use view::{FleetView, TargetStanding, ViewTarget};
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -30,17 +30,17 @@
 use rand::rngs::SmallRng;
 
 use crate::action::{MemberAction, MemberNotice, MemberSettings};
-use crate::arrival::ArrivalBook;
+use crate::arrival::ArrivalTracker;
 use crate::budget::SendBudget;
 use crate::config::ConfigKeeper;
 use crate::delta::RowChange;
-use crate::departure::DepartureBook;
+use crate::departure::DepartureTracker;
 use crate::list::{InstanceDuty, ListKeeper, ListedInstance, ZoneId};
 use crate::message::AccusedSubject;
 use crate::neighbour::NeighbourWatch;
 use crate::ring::ring_neighbours;
 use crate::rumor::RumorQueue;
-use crate::suspicion::AccusationBook;
+use crate::suspicion::AccusationTracker;
 use crate::view::{FleetView, TargetStanding, ViewTarget};
 
 use announce::AnnounceState;
@@ -74,10 +74,10 @@
     budget: SendBudget,
     config: ConfigKeeper,
     list: ListKeeper,
-    departures: DepartureBook,
-    arrivals: ArrivalBook,
+    departures: DepartureTracker,
+    arrivals: ArrivalTracker,
     announcing: AnnounceState,
-    accusations: AccusationBook,
+    accusations: AccusationTracker,
     neighbours: NeighbourWatch,
     rumors: RumorQueue,
     spread: SpreadState,
@@ -109,10 +109,10 @@
             budget: SendBudget::new(settings.send_rate, settings.send_burst, now),
             config: ConfigKeeper::default(),
             list: ListKeeper::default(),
-            departures: DepartureBook::default(),
-            arrivals: ArrivalBook::default(),
+            departures: DepartureTracker::default(),
+            arrivals: ArrivalTracker::default(),
             announcing: AnnounceState::default(),
-            accusations: AccusationBook::default(),
+            accusations: AccusationTracker::default(),
             neighbours: NeighbourWatch::default(),
             rumors: RumorQueue::default(),
             spread: SpreadState::new(now),
--- a/crates/membership/src/suspicion.rs
+++ b/crates/membership/src/suspicion.rs
@@ -46,7 +46,7 @@
 
 /// The accusations that a process knows of.
 #[derive(Clone, Debug, Default)]
-pub struct AccusationBook {
+pub struct AccusationTracker {
     subjects: BTreeMap<AccusedSubject, SmallVec<[AccusationEntry; 2]>>,
 }
 
@@ -59,7 +59,7 @@
     pub changed: Option<bool>,
 }
 
-impl AccusationBook {
+impl AccusationTracker {
     /// Notes an accusation or its end.
     pub fn note(&mut self, event: &AccusationEvent, now: Moment) -> AccusationVerdict {
         let before = self.is_suspected(event.subject, now);
--- a/crates/membership/tests/all/liveness.rs
+++ b/crates/membership/tests/all/liveness.rs
@@ -5,8 +5,8 @@
 use lovagelatch_capacity::{MemberRig, rig_address, rig_list, rig_text};
 use lovagelatch_domain::{AgentAddress, GateReport, Incarnation, Moment, ServiceId, ZoneName};
 use lovagelatch_membership::{
-    ACCUSATION_LIFETIME, AccusationBook, AccusationEvent, AccusedSubject, DepartureBook,
-    DepartureEvent, DueWord, MemberAction, MemberMessage, MemberNotice, NeighbourWatch,
+    ACCUSATION_LIFETIME, AccusationEvent, AccusationTracker, AccusedSubject, DepartureEvent,
+    DepartureTracker, DueWord, MemberAction, MemberMessage, MemberNotice, NeighbourWatch,
     PeerHeartbeat, PlatformCall, TargetStanding, ZoneId,
 };
 
@@ -77,19 +77,23 @@
         },
     ];
     for case in cases {
-        let mut book = AccusationBook::default();
+        let mut tracker = AccusationTracker::default();
         for event in &case.words {
-            book.note(event, NOW);
+            tracker.note(event, NOW);
         }
         let subject = AccusedSubject::Agent(rig_address(9));
         assert_eq!(
-            book.is_suspected(subject, NOW),
+            tracker.is_suspected(subject, NOW),
             case.suspected,
             "{}",
             case.name
         );
         let later = NOW + ACCUSATION_LIFETIME;
-        assert!(!book.is_suspected(subject, later), "{} expires", case.name);
+        assert!(
+            !tracker.is_suspected(subject, later),
+            "{} expires",
+            case.name
+        );
     }
 }
 
@@ -101,11 +105,11 @@
         ..word(accuser, service, 1, true)
     };
     for (services, lost) in [([1, 1, 1], false), ([1, 1, 2], true)] {
-        let mut book = AccusationBook::default();
+        let mut tracker = AccusationTracker::default();
         for (accuser, service) in (1..).zip(services) {
-            book.note(&about_zone(accuser, service), NOW);
+            tracker.note(&about_zone(accuser, service), NOW);
         }
-        assert_eq!(book.is_suspected(subject, NOW), lost, "{services:?}");
+        assert_eq!(tracker.is_suspected(subject, NOW), lost, "{services:?}");
     }
 }
 
@@ -117,11 +121,11 @@
         refuted,
     };
     for order in [[false, true], [true, false]] {
-        let mut book = DepartureBook::default();
+        let mut tracker = DepartureTracker::default();
         for refuted in order {
-            book.note(event(refuted), NOW);
+            tracker.note(event(refuted), NOW);
         }
-        assert!(!book.is_leaving(rig_address(1)), "{order:?}");
+        assert!(!tracker.is_leaving(rig_address(1)), "{order:?}");
     }
 }
 
--- a/crates/routing/benches/decision.rs
+++ b/crates/routing/benches/decision.rs
@@ -15,7 +15,7 @@
 use lovagelatch_keys::{FleetKeys, FlowToken, KeyGeneration, KeySecret};
 use lovagelatch_membership::{FleetView, TargetStanding};
 use lovagelatch_routing::{
-    AbsenceBook, FlowRouter, PacketView, RingTarget, RoutingTable, ServiceRing, TableBuilder,
+    AbsenceTracker, FlowRouter, PacketView, RingTarget, RoutingTable, ServiceRing, TableBuilder,
     ViewChange,
 };
 use lovagelatch_settings::ServiceText;
@@ -197,11 +197,11 @@
         group.bench_function(BenchmarkId::new("look for rows to make", services), |b| {
             b.iter(|| table.tend(usize::MAX));
         });
-        let mut book = AbsenceBook::new(Duration::from_secs(60));
+        let mut tracker = AbsenceTracker::new(Duration::from_secs(60));
         group.bench_function(BenchmarkId::new("one target", services), |b| {
             b.iter(|| {
                 let change = ViewChange::between(&first, &second);
-                book.note(&first, &second, &change, Moment::ZERO);
+                tracker.note(&first, &second, &change, Moment::ZERO);
                 table.follow(&second, &change)
             });
         });
--- a/crates/routing/src/absence.rs
+++ b/crates/routing/src/absence.rs
@@ -48,15 +48,15 @@
 
 /// Remembers the agents that have left the list.
 #[derive(Clone, Debug)]
-pub struct AbsenceBook {
+pub struct AbsenceTracker {
     drain_limit: Duration,
     absences: BTreeMap<AgentAddress, Absence>,
     /// Since when each listed agent is suspected alone, not with its whole zone.
     suspects: BTreeMap<AgentAddress, Moment>,
 }
 
-impl AbsenceBook {
-    /// An empty book; an agent off the list for longer than `drain_limit` is gone.
+impl AbsenceTracker {
+    /// An empty tracker; an agent off the list for longer than `drain_limit` is gone.
     #[must_use]
     pub fn new(drain_limit: Duration) -> Self {
         Self {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -27,7 +27,7 @@
 mod table;
 mod view;
 
-pub use absence::{AbsenceBook, SUSPICION_LIMIT};
+pub use absence::{AbsenceTracker, SUSPICION_LIMIT};
 pub use arrival::{ArrivalDecision, ArrivalPacket, FlowHolding};
 pub use builder::TableBuilder;
 pub use header::{HeaderFault, HeaderForm, QUIC_VERSION_1, QuicHeader};
--- a/crates/routing/tests/all/absence.rs
+++ b/crates/routing/tests/all/absence.rs
@@ -7,7 +7,7 @@
     AgentAddress, ConfigRevision, InstanceList, InstanceState, ListRevision, Moment, ServiceName,
 };
 use lovagelatch_membership::{FleetView, TargetStanding};
-use lovagelatch_routing::{AbsenceBook, RoutingTable, SUSPICION_LIMIT, ViewChange};
+use lovagelatch_routing::{AbsenceTracker, RoutingTable, SUSPICION_LIMIT, ViewChange};
 
 use crate::support::agent;
 use crate::view::record;
@@ -111,17 +111,17 @@
 /// zone taken for dead instances.
 #[test]
 fn a_zone_that_is_cut_off_is_not_gone() {
-    let mut book = AbsenceBook::new(DRAIN_LIMIT);
+    let mut tracker = AbsenceTracker::new(DRAIN_LIMIT);
     let cut =
         view(Some(TargetStanding::Suspected)).with_standing(agent(2), TargetStanding::Suspected);
     let start = FleetView::default();
-    book.note(
+    tracker.note(
         &start,
         &cut,
         &ViewChange::between(&start, &cut),
         Moment::ZERO,
     );
-    assert_eq!(book.gone(Moment::from_millis(60_000)).count(), 0);
+    assert_eq!(tracker.gone(Moment::from_millis(60_000)).count(), 0);
 }
 
 #[test]
@@ -135,15 +135,15 @@
 #[test]
 fn only_the_dead_are_gone() {
     for case in cases() {
-        let mut book = AbsenceBook::new(DRAIN_LIMIT);
+        let mut tracker = AbsenceTracker::new(DRAIN_LIMIT);
         let mut held = FleetView::default();
         for (second, sight) in case.sights {
             let next = view(sight);
             let change = ViewChange::between(&held, &next);
-            book.note(&held, &next, &change, Moment::from_millis(second * 1_000));
+            tracker.note(&held, &next, &change, Moment::from_millis(second * 1_000));
             held = next;
         }
-        let gone: Vec<AgentAddress> = book
+        let gone: Vec<AgentAddress> = tracker
             .gone(Moment::from_millis(case.asked_at * 1_000))
             .collect();
         assert_eq!(gone.contains(&agent(1)), case.gone, "{}", case.name);
@@ -173,7 +173,7 @@
         let name: ServiceName = name.parse().expect("a valid name");
         name.id()
     });
-    let mut book = AbsenceBook::new(DRAIN_LIMIT);
+    let mut tracker = AbsenceTracker::new(DRAIN_LIMIT);
     let mut held = FleetView::default();
     let mut table = RoutingTable::default();
     // Which service the list gives the address of agent 1, and for which it is gone then.
@@ -186,8 +186,8 @@
         let next = listed(service);
         let change = ViewChange::between(&held, &next);
         let now = Moment::from_millis(second * 1_000);
-        book.note(&held, &next, &change, now);
-        table = table.follow(&next, &change).with_gone(book.gone(now));
+        tracker.note(&held, &next, &change, now);
+        table = table.follow(&next, &change).with_gone(tracker.gone(now));
         held = next;
         let found = [claims, maps].map(|service| table.is_gone(agent(1), service));
         assert_eq!(found, gone, "listed for {service}");
--- a/tests/matrix/src/flows/agent.rs
+++ b/tests/matrix/src/flows/agent.rs
@@ -234,7 +234,7 @@
     }
 }
 
-/// Agents keep no book of who is gone: they judge by their view alone.
+/// Agents keep no record of who is gone: they judge by their view alone.
 fn table_of(view: &FleetTruth) -> RoutingTable {
     view.table().with_gone([])
 }
--- a/tests/matrix/src/flows/strike.rs
+++ b/tests/matrix/src/flows/strike.rs
@@ -81,7 +81,7 @@
             FlowFault::InstanceMoved => {
                 self.end_agent(holder);
                 self.truth.move_target(holder, MAPS);
-                // What the absence book makes of a list that names it for another service.
+                // What the absence tracker makes of a list that names it for another service.
                 if self.mechanisms.absence {
                     self.truth.gone.push(holder);
                 }
