--- a/bins/agent/src/upkeep.rs
+++ b/bins/agent/src/upkeep.rs
@@ -65,7 +65,7 @@
     }
 }
 
-/// Follows the backend server's own word and the platform's list.
+/// Follows the backend server's own announcement and the platform's list.
 ///
 /// Health answers lag and mislead, so own requests rank above them (`believed_word`). Silence
 /// changes nothing, because requests themselves show sooner than any probe whether the backend
--- a/bins/agent/tests/all/once.rs
+++ b/bins/agent/tests/all/once.rs
@@ -70,7 +70,7 @@
     }
 }
 
-// Symptom: a household is refused as a repeat filer. Sequence: its filing's answer is lost, it
+// Symptom: a filing runs twice. Sequence: its answer is lost, and its caller
 // files again over another flow, also while the first still runs. Cause: two runs.
 #[tokio::test]
 async fn one_ticket_over_several_flows_runs_once_and_is_replayed() {
--- a/crates/ledger/tests/all/faults.rs
+++ b/crates/ledger/tests/all/faults.rs
@@ -224,7 +224,7 @@
     assert!(!lied, "told not run although it ran, under {faults:?}");
 }
 
-// Symptom: a household is refused as a repeat filer, or a crew is sent to a mended fault.
+// Symptom: a filing runs twice.
 // Sequence: any fault at any step of the protocol, then retries. Cause: see each mechanism.
 #[test]
 fn every_fault_at_every_step() {
--- a/crates/membership/src/arrival.rs
+++ b/crates/membership/src/arrival.rs
@@ -1,7 +1,7 @@
 //! Agents that announced themselves before the list names them.
 //!
 //! What goes wrong without: the list lags. When the targets of a service are replaced one after
-//! the other within that lag, balancers hear of every departure by the agents' own word and of
+//! the other within that lag, balancers hear of every departure by the agents' own announcement and of
 //! no successor, until no target is left for new flows. It shows as refused flows during a
 //! planned replacement. So a fresh agent announces itself, a few times at most, until it is
 //! listed; an instance that was taken off the list on purpose does not come back by this.
--- a/crates/membership/src/config.rs
+++ b/crates/membership/src/config.rs
@@ -161,7 +161,7 @@
             self.source = ConfigSource::Platform;
             return Ok(ConfigVerdict::Known);
         }
-        // Two contents under one revision: the platform's word replaces a peer's, but never
+        // Two contents under one revision: the platform's answer replaces a peer's, but never
         // the platform's own earlier word, or two of its replicas could flip a fleet for ever.
         if offered == held && self.source == ConfigSource::Platform {
             return Err(ConfigError::Conflict { revision: offered });
--- a/crates/membership/src/member/liveness.rs
+++ b/crates/membership/src/member/liveness.rs
@@ -100,7 +100,7 @@
     }
 
     fn accept_accusation(&mut self, event: AccusationEvent, now: Moment) {
-        // Nobody is avoided on its own word about itself, nor on an old one about us.
+        // Nobody is avoided on its own announcement about itself, nor on an old one about us.
         if event.subject == AccusedSubject::Agent(self.settings.own) {
             return;
         }
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -179,7 +179,7 @@
         self.balancers = Arc::new(balancers);
     }
 
-    /// Changes what is held of one agent's target: its own word, or its peers'.
+    /// Changes what is held of one agent's target: its own announcement, or its peers'.
     #[must_use]
     pub fn with_standing(mut self, agent: AgentAddress, standing: TargetStanding) -> Self {
         for held in self.targets.values_mut() {
--- a/crates/membership/tests/all/spread.rs
+++ b/crates/membership/tests/all/spread.rs
@@ -158,7 +158,7 @@
 
 // Symptom: a service has no target left in the middle of a planned replacement.
 // Sequence: its targets are replaced one after the other; the list lags behind all of it.
-// Cause: departures were known by the agents' own word, successors by the list alone.
+// Cause: departures were known by the agents' own announcement, successors by the list alone.
 #[test]
 fn successors_are_known_before_the_list_names_them() {
     let mut rig = settled_fleet(8, 4, 10);
--- a/crates/placement/src/health.rs
+++ b/crates/placement/src/health.rs
@@ -1,4 +1,4 @@
-//! When a backend server's own word about its health is believed.
+//! When a backend server's own announcement about its health is believed.
 //!
 //! What goes wrong without it: a health endpoint that lags or misleads says "warming" while the
 //! server answers requests. The gate then stops for seconds, again and again, and the other
--- a/standins/history/src/facts.rs
+++ b/standins/history/src/facts.rs
@@ -1,9 +1,9 @@
 //! What the test itself did in a run.
 
-/// How long after the first word of its leaving a target may still be given new work.
+/// How long after the first notice of its leaving a target may still be given new work.
 pub const LEAVING_GRACE_MS: f64 = 3_000.0;
 
-/// The first word that a target is leaving.
+/// The first notice that a target is leaving.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TargetLeaving {
     /// The target.
--- a/standins/history/tests/all/checker.rs
+++ b/standins/history/tests/all/checker.rs
@@ -344,7 +344,7 @@
             expected: &[("new_work_after_leaving", 1)],
         },
         CheckerCase {
-            name: "the first word counts, not the last",
+            name: "the first notice counts, not the last",
             history: leaving(told_itself(), 4_000.0)
                 .sent("a", None)
                 .started(late, "a", None)
--- a/standins/local/src/rig.rs
+++ b/standins/local/src/rig.rs
@@ -37,7 +37,7 @@
     pub(crate) next_balancer: usize,
     /// Texts published so far.
     pub(crate) changes: u64,
-    /// First words of leaving.
+    /// First notices of leaving.
     pub(crate) leaving: Vec<TargetLeaving>,
     /// How long each configuration took; `None` for one that was not in force in time.
     pub(crate) config_times: Vec<Option<f64>>,
--- a/tests/matrix/src/leaving.rs
+++ b/tests/matrix/src/leaving.rs
@@ -1,4 +1,4 @@
-//! Leaving: no new work reaches an instance 3 s after its first word, though the list lags.
+//! Leaving: no new work reaches an instance 3 s after its first notice, though the list lags.
 //!
 //! From shortly before that limit on, every 200 ms, each balancer opens flows and each agent of
 //! the service places a request, with the view and the reports that its own member holds. What reaches the leaving agent is judged
@@ -79,12 +79,12 @@
     LeavingFault::MostLeave,
 ];
 
-/// The steps of leaving, each a time before or after the first word.
+/// The steps of leaving, each a time before or after the first notice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeavingStep {
-    /// A second before the first word.
+    /// A second before the first notice.
     Before,
-    /// With the first word.
+    /// With the first notice.
     FirstWord,
     /// Half a second later, while gossip carries it.
     Gossip,
--- a/tests/matrix/src/promise.rs
+++ b/tests/matrix/src/promise.rs
@@ -8,7 +8,7 @@
 
 use crate::history::{AgentStart, MatrixEvent, MatrixHistory};
 
-/// How long after its first word new work may still reach a leaving instance.
+/// How long after its first notice new work may still reach a leaving instance.
 pub const LEAVING_GRACE: Duration = Duration::from_secs(3);
 
 /// How long a published configuration may take to be in force on all that can be reached.
--- a/tests/matrix/tests/all/leaving.rs
+++ b/tests/matrix/tests/all/leaving.rs
@@ -10,7 +10,7 @@
 const SWITCHED_SEEDS: u64 = 4;
 
 // Symptom: a leaving instance is given new flows or requests.
-// Sequence: one fault before, at or after its first word; the list names it to the end.
+// Sequence: one fault before, at or after its first notice; the list names it to the end.
 // Cause: a view or a report that is believed although it is old.
 #[test]
 fn every_fault_at_every_step() {
@@ -33,7 +33,7 @@
 }
 
 // Symptom: the matrix passes whatever the code does.
-// Sequence: a mechanism is switched off, while a balancer sleeps through the first word or the
+// Sequence: a mechanism is switched off, while a balancer sleeps through the first notice or the
 // leaving agent's zone is not heard. Handing on is needed where the word did not arrive, and
 // enough there.
 // Cause: a check that cannot fail.
@@ -51,7 +51,7 @@
     let no_gate = LeavingMechanisms { gate: false, ..on };
     let cases = [
         ("handing flows on", no_hand_on),
-        ("handing on and the first word", no_word),
+        ("handing on and the first notice", no_word),
         ("refusal of a leaving gate", no_gate),
     ];
     let faults = [LeavingFault::BalancerSleeps, LeavingFault::ZoneUnheard];
