--- a/bins/balancer/src/batch.rs
+++ b/bins/balancer/src/batch.rs
@@ -10,6 +10,7 @@
 use std::ptr;
 
 use crate::address::{address_length, empty_address, from_system, to_system};
+use crate::option::enable_option;
 
 /// Datagrams in one system call.
 pub const BATCH_DATAGRAMS: usize = 32;
@@ -48,23 +49,7 @@
 ///
 /// What the operating system said.
 pub fn tell_destinations(socket: &UdpSocket) -> io::Result<()> {
-    let on: libc::c_int = 1;
-    #[allow(clippy::cast_possible_truncation)]
-    let length = mem::size_of_val(&on) as libc::socklen_t;
-    // SAFETY: `on` lives through the call, and `length` is its size.
-    let result = unsafe {
-        libc::setsockopt(
-            socket.as_raw_fd(),
-            libc::IPPROTO_IP,
-            libc::IP_PKTINFO,
-            ptr::from_ref(&on).cast(),
-            length,
-        )
-    };
-    match result {
-        0 => Ok(()),
-        _ => Err(io::Error::last_os_error()),
-    }
+    enable_option(socket, libc::IP_PKTINFO)
 }
 
 /// Receives up to [`BATCH_DATAGRAMS`] datagrams at a time.
--- a/bins/balancer/src/lib.rs
+++ b/bins/balancer/src/lib.rs
@@ -16,6 +16,7 @@
 mod forward;
 mod ingress;
 mod notice;
+mod option;
 mod process;
 mod refresh;
 mod refused;
--- a/bins/balancer/src/refused.rs
+++ b/bins/balancer/src/refused.rs
@@ -20,6 +20,7 @@
 use std::ptr;
 
 use crate::address::{address_length, empty_address, from_system};
+use crate::option::enable_option;
 
 /// Room for the quoted datagram, in bytes: more than any host quotes.
 const QUOTE_BYTES: usize = 2_048;
@@ -37,23 +38,7 @@
 ///
 /// What the operating system said.
 pub fn tell_refusals(socket: &UdpSocket) -> io::Result<()> {
-    let on: libc::c_int = 1;
-    #[allow(clippy::cast_possible_truncation)]
-    let length = mem::size_of_val(&on) as libc::socklen_t;
-    // SAFETY: `on` lives through the call, and `length` is its size.
-    let result = unsafe {
-        libc::setsockopt(
-            socket.as_raw_fd(),
-            libc::IPPROTO_IP,
-            libc::IP_RECVERR,
-            ptr::from_ref(&on).cast(),
-            length,
-        )
-    };
-    match result {
-        0 => Ok(()),
-        _ => Err(io::Error::last_os_error()),
-    }
+    enable_option(socket, libc::IP_RECVERR)
 }
 
 /// A datagram whose copy came back.
