Explain a flow from its own service's ring alone

The explanation made the routing table of the whole fleet and searched every service for each candidate; the service is known and RoutingTable::from_view_of is there.

--- a/crates/operations/src/explain.rs
+++ b/crates/operations/src/explain.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddrV4;
 
-use lovagelatch_domain::{AgentAddress, ConfigRevision};
+use lovagelatch_domain::{AgentAddress, ConfigRevision, ServiceId};
 use lovagelatch_membership::{FleetView, TargetStanding};
 use lovagelatch_routing::{FlowRouter, PacketView, RouteDecision, RoutingTable};
 use serde::{Deserialize, Serialize};
@@ -70,7 +70,8 @@
     }
 
     fn decide(&mut self, view: &FleetView, flow_key: &[u8], router: &FlowRouter) {
-        let table = RoutingTable::from_view(view, &RoutingTable::default());
+        let service = view.service_at(self.address);
+        let table = RoutingTable::from_view_of(service.as_slice(), view, &RoutingTable::default());
         let packet = PacketView {
             service_address: self.address,
             flow_key,
@@ -79,7 +80,7 @@
         let order = router.rendezvous_order(&packet, &table, MAX_CANDIDATES);
         self.candidates = order
             .iter()
-            .filter_map(|&agent| candidate(view, agent))
+            .filter_map(|&agent| candidate(view, service?, agent))
             .collect();
         self.reason = match router.route(&packet, &table) {
             RouteDecision::NewFlow { standing, .. } => {
@@ -100,7 +101,7 @@
         };
         let targets = view.targets(service).iter().take(MAX_CANDIDATES);
         self.candidates = targets
-            .filter_map(|target| candidate(view, target.agent))
+            .filter_map(|target| candidate(view, service, target.agent))
             .collect();
         self.reason = "give a flow key to see the order for one flow".to_owned();
     }
@@ -114,13 +115,9 @@
     }
 }
 
-fn candidate(view: &FleetView, agent: AgentAddress) -> Option<FlowCandidate> {
-    let mut services = view.services();
-    let target = services.find_map(|service| {
-        view.targets(service)
-            .iter()
-            .find(|target| target.agent == agent)
-    })?;
+fn candidate(view: &FleetView, service: ServiceId, agent: AgentAddress) -> Option<FlowCandidate> {
+    let mut targets = view.targets(service).iter();
+    let target = targets.find(|target| target.agent == agent)?;
     Some(FlowCandidate {
         target: target.id.0,
         agent,
