Ledger handover: peers that are still starting, or only listed, get it too

Cause: a stopping agent handed its ledger only to peers whose gate takes new work at that moment. A replacement whose backend server is still starting was left out; a moment later callers filed there with the old home's tickets, it answered for none of them, found the home gone, and told "unknown" until the list dropped the home (launcher test faults::replacing_every_target_breaks_no_flow).

Ruled out: the relay itself (the home had ended); the list's lag (it is allowed; the peer must be able to answer meanwhile).

Test: agent: peers::a_peer_that_is_still_starting_gets_the_ledger_too, seen failing first (502 unknown for 201).

--- a/bins/agent/src/handover.rs
+++ b/bins/agent/src/handover.rs
@@ -3,8 +3,9 @@
 use std::io;
 use std::time::Duration;
 
-use lovagelatch_domain::{AgentAddress, GateCondition};
+use lovagelatch_domain::{AgentAddress, GateCondition, PeerReport};
 use lovagelatch_ledger::{HandoverState, LedgerHandover};
+use lovagelatch_membership::TargetStanding;
 use lovagelatch_network::{StreamPath, read_frame, write_frame};
 use lovagelatch_telemetry::{info, warn};
 use lovagelatch_wire::{FrameKind, MAX_STREAM_FRAME_BYTES, seal_message};
@@ -41,12 +42,28 @@
     }
 }
 
+/// All peers that stay: those whose reports are known and those that are only listed. A
+/// replacement that was just started, or whose backend server is still starting, takes no new
+/// work yet, and yet callers file at it a moment later; without the ledger it can only tell them
+/// "unknown" for as long as the list names the home that has ended.
 fn successors(agent: &Agent) -> Vec<AgentAddress> {
-    let peers = agent.fleet.peer_reports();
-    let staying = peers
+    let reports = agent.fleet.peer_reports();
+    let stays =
+        |peer: &&PeerReport| !peer.suspected && peer.report.condition != GateCondition::Leaving;
+    let mut peers: Vec<_> = reports
         .iter()
-        .filter(|peer| !peer.suspected && peer.report.condition == GateCondition::Open);
-    staying.map(|peer| peer.agent).take(MAX_PEERS).collect()
+        .filter(stays)
+        .map(|peer| peer.agent)
+        .collect();
+    let view = agent.fleet.view();
+    let listed = view.targets(agent.service).iter();
+    let unheard = listed.filter(|target| {
+        let heard = reports.iter().any(|peer| peer.agent == target.agent);
+        target.standing == TargetStanding::Live && target.agent != agent.address() && !heard
+    });
+    peers.extend(unheard.map(|target| target.agent));
+    peers.truncate(MAX_PEERS);
+    peers
 }
 
 /// A handover travels whole: a successor that held a part of it would say "never run" of the
--- a/bins/agent/tests/all/peers.rs
+++ b/bins/agent/tests/all/peers.rs
@@ -103,6 +103,34 @@
     assert_eq!(rig.pairs[0].backend.started("/claims"), 0);
 }
 
+// Symptom: a filing that ran is told as unknown after a rolling replacement, until the home that
+// ended has left the list. Sequence: a replacement's backend server is still starting when its
+// peer hands the ledger over; it is ready a moment later, and the caller asks there again. Cause:
+// the ledger goes only to peers that take new work at that moment.
+#[tokio::test]
+async fn a_peer_that_is_still_starting_gets_the_ledger_too() {
+    let options = RigOptions {
+        limits: "drain_ms = 4000",
+        ..RigOptions::default()
+    };
+    let mut rig = TestRig::with_agents(2, options).await;
+    rig.acquainted().await;
+    rig.pairs[1].backend.record.lock().health = Some("warming");
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let caller = rig.caller().await;
+    let key = ticket_of(&caller).await;
+    let first = file_at(&caller, "/claims", &key).await;
+    assert_eq!(first.status, 201);
+    rig.pairs[0].agent.stop().await;
+    rig.pairs[1].backend.record.lock().health = None;
+    rig.gateway.forward_to(rig.pairs[1].address);
+    rig.kill(0);
+    let elsewhere = rig.caller().await;
+    let again = file_at(&elsewhere, "/claims", &key).await;
+    assert_eq!(again.status, 201);
+    assert_eq!(again.body, first.body);
+}
+
 // Symptom: requests end unknown, or hang until their deadlines, while a zone is cut off.
 // Sequence: a peer that looks free is cut off; the gateway still takes streams to it. Cause: a
 // stream that opened is taken for a peer that has the request.
