Soak: an open flow that falls silent is a broken promise

Now a client that sent on an open flow for two seconds or more without a packet of it reaching its target is a finding, unless the target, the balancer that took its last packet, or the store was disturbed within four seconds; disturbances of the store and of balancers are noted for as long as they last.

Test: soak: check::an_open_flow_may_not_fall_silent_while_all_is_well.

--- a/standins/soak/src/check.rs
+++ b/standins/soak/src/check.rs
@@ -1,6 +1,7 @@
 //! What callers and backend servers saw, and the promises over it.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::Ipv4Addr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -14,6 +15,10 @@
 /// after four seconds.
 const EXCUSE: Duration = Duration::from_secs(4);
 
+/// How long a client may send on an open flow before one of its packets must reach the target. A
+/// balancer that dies is taken out of rotation after a second at the most.
+const SILENCE_LIMIT: Duration = Duration::from_secs(2);
+
 /// The number of one start of a target.
 pub type TargetStart = u32;
 
@@ -45,6 +50,21 @@
     Disturbed(TargetStart),
     /// Every target is.
     AllDisturbed,
+    /// A balancer is: killed, or cut off from the store.
+    BalancerDisturbed(Ipv4Addr),
+    /// The store is.
+    StoreDisturbed,
+    /// A packet of an open flow reached its own target.
+    Reached(FlowKey),
+    /// A client has sent on an open flow since then, and nothing came back.
+    Silent {
+        /// The flow.
+        flow: FlowKey,
+        /// When the client began to send.
+        since: Instant,
+        /// The balancer that its last packet went to.
+        balancer: Ipv4Addr,
+    },
     /// A client took a reset of its open flow that no target sent.
     ResetOpen(FlowKey),
     /// A client took a reset of a flow that had not opened.
@@ -89,6 +109,10 @@
     leaving: HashMap<TargetStart, Instant>,
     disturbed: HashMap<TargetStart, Instant>,
     all_disturbed: Option<Instant>,
+    balancers_disturbed: HashMap<Ipv4Addr, Instant>,
+    store_disturbed: Option<Instant>,
+    /// When a packet last reached its flow's target.
+    reached: HashMap<FlowKey, Instant>,
     refused: HashMap<FlowKey, Instant>,
     runs: HashMap<u64, u32>,
     calm: bool,
@@ -179,6 +203,18 @@
                 self.disturbed.insert(target, now);
             }
             SoakEvent::AllDisturbed => self.all_disturbed = Some(now),
+            SoakEvent::BalancerDisturbed(balancer) => {
+                self.balancers_disturbed.insert(balancer, now);
+            }
+            SoakEvent::StoreDisturbed => self.store_disturbed = Some(now),
+            SoakEvent::Reached(flow) => {
+                self.reached.insert(flow, now);
+            }
+            SoakEvent::Silent {
+                flow,
+                since,
+                balancer,
+            } => return self.judge_silence(&flow, since, balancer, now),
             SoakEvent::ResetOpen(flow) => return self.judge_reset(&flow, now),
             SoakEvent::ResetBefore(flow) => {
                 self.refused.insert(flow, now);
@@ -204,6 +240,26 @@
         (lives && !self.is_excused(*home, now)).then_some("open_flow_reset")
     }
 
+    /// An open flow's packets must reach its target within [`SILENCE_LIMIT`], whichever balancer
+    /// takes them, unless the target, that balancer or the store was disturbed a moment ago.
+    fn judge_silence(
+        &self,
+        flow: &FlowKey,
+        since: Instant,
+        balancer: Ipv4Addr,
+        now: Instant,
+    ) -> Option<&'static str> {
+        let home = self.homes.get(flow)?;
+        let reached = self.reached.get(flow).is_some_and(|at| *at >= since);
+        let lives = !self.ended.contains_key(home);
+        let long = now.saturating_duration_since(since) >= SILENCE_LIMIT;
+        let recent = |at: &Instant| now.saturating_duration_since(*at) < EXCUSE;
+        let excused = self.is_excused(*home, now)
+            || self.store_disturbed.as_ref().is_some_and(recent)
+            || self.balancers_disturbed.get(&balancer).is_some_and(recent);
+        (lives && long && !reached && !excused).then_some("open_flow_silent")
+    }
+
     fn judge_run(&mut self, request: u64, flow: &FlowKey) -> Option<&'static str> {
         let runs = self.runs.entry(request).or_default();
         *runs += 1;
--- a/standins/soak/src/client.rs
+++ b/standins/soak/src/client.rs
@@ -146,9 +146,10 @@
             return AttemptEnd::FlowEnded { opened: false };
         };
         self.sent += 8;
+        let since = Instant::now();
         let mut wait = REPEAT;
         loop {
-            self.send_request(request, number);
+            let balancer = self.send_request(request, number);
             let next = (Instant::now() + wait).min(until);
             wait *= 2;
             while let Some((packet, data)) = self.receive(next) {
@@ -157,6 +158,13 @@
                 }
             }
             if Instant::now() >= until {
+                if let (Some(balancer), Some(_)) = (balancer, self.open) {
+                    self.log.note(SoakEvent::Silent {
+                        flow: self.flow(),
+                        since,
+                        balancer: *balancer.ip(),
+                    });
+                }
                 return AttemptEnd::TimeOver;
             }
         }
@@ -249,15 +257,16 @@
         self.send(flags, copy, &[]);
     }
 
-    fn send_request(&self, request: u64, number: u32) {
+    /// Sends a request; the balancer that it went to.
+    fn send_request(&self, request: u64, number: u32) -> Option<SocketAddrV4> {
         let flags = PacketFlags {
             ack: true,
             ..PacketFlags::default()
         };
-        self.send(flags, number.wrapping_add(1), &request.to_le_bytes());
+        self.send(flags, number.wrapping_add(1), &request.to_le_bytes())
     }
 
-    fn send(&self, flags: PacketFlags, acknowledged: u32, data: &[u8]) {
+    fn send(&self, flags: PacketFlags, acknowledged: u32, data: &[u8]) -> Option<SocketAddrV4> {
         let packet = FlowPacket {
             flow: self.flow(),
             flags,
@@ -266,11 +275,11 @@
             data_bytes: u16::try_from(data.len()).unwrap_or(u16::MAX),
             tag: 0,
         };
-        if let Some(balancer) = self.router.choose(&packet.flow) {
-            let bytes = encode_packet(&packet, PacketSender::Client, data);
-            // A balancer that is down loses it.
-            let _sent = self.socket.send_to(&bytes, balancer);
-        }
+        let balancer = self.router.choose(&packet.flow)?;
+        let bytes = encode_packet(&packet, PacketSender::Client, data);
+        // A balancer that is down loses it.
+        let _sent = self.socket.send_to(&bytes, balancer);
+        Some(balancer)
     }
 }
 
--- a/standins/soak/src/run.rs
+++ b/standins/soak/src/run.rs
@@ -14,7 +14,7 @@
 use crate::check::{SoakEvent, SoakFinding, SoakLog};
 use crate::client::{ClientPlan, begin_client};
 use crate::fault::{SoakFault, SoakPlan, SoakStrike};
-use crate::fleet::Fleet;
+use crate::fleet::{BalancerUnit, Fleet, MachineUnit};
 use crate::proxy::ProxyMode;
 use crate::router::Router;
 
@@ -232,6 +232,7 @@
                 Pending::Retire(at, start) => self.retire(at, start),
             }
         }
+        self.note_lasting();
         self.look_at_processes()
     }
 
@@ -265,12 +266,13 @@
         let machine = strike.draw as usize % self.fleet.machines.len();
         let fleet = &mut self.fleet;
         match strike.fault {
-            SoakFault::KillBalancer => fleet.balancers[balancer].process.kill(),
+            SoakFault::KillBalancer => {
+                self.disturb_balancer(balancer, |unit| unit.process.kill());
+            }
             SoakFault::KillBalancers => {
-                fleet
-                    .balancers
-                    .iter_mut()
-                    .for_each(|one| one.process.kill());
+                for number in 0..self.fleet.balancers.len() {
+                    self.disturb_balancer(number, |unit| unit.process.kill());
+                }
             }
             SoakFault::StopBalancer => fleet.balancers[balancer].process.stop(),
             SoakFault::RollBalancers => {
@@ -301,10 +303,18 @@
             SoakFault::ReplaceTarget => self.announce(machine),
             SoakFault::CutMachine => self.disturb(machine, |unit| unit.way.set(ProxyMode::Silent)),
             SoakFault::PoorWay => self.disturb(machine, |unit| unit.way.set(ProxyMode::Poor)),
-            SoakFault::SilentStore => fleet.balancers[balancer].store.set(ProxyMode::Silent),
-            SoakFault::ResetStore => fleet.balancers[balancer].store.set(ProxyMode::Reset),
-            SoakFault::OneWayStore => fleet.balancers[balancer].store.set(ProxyMode::OneWay),
-            SoakFault::PoorStore => fleet.balancers[balancer].store.set(ProxyMode::Poor),
+            SoakFault::SilentStore => {
+                self.disturb_balancer(balancer, |unit| unit.store.set(ProxyMode::Silent));
+            }
+            SoakFault::ResetStore => {
+                self.disturb_balancer(balancer, |unit| unit.store.set(ProxyMode::Reset));
+            }
+            SoakFault::OneWayStore => {
+                self.disturb_balancer(balancer, |unit| unit.store.set(ProxyMode::OneWay));
+            }
+            SoakFault::PoorStore => {
+                self.disturb_balancer(balancer, |unit| unit.store.set(ProxyMode::Poor));
+            }
             SoakFault::StoreRefuses => fleet.store.set_mode(StoreMode::Refusing),
             SoakFault::StoreLapse => self.lapse(machine),
             SoakFault::StoreForgets => fleet.store.forget_history(),
@@ -346,7 +356,9 @@
             SoakFault::SilentStore
             | SoakFault::ResetStore
             | SoakFault::OneWayStore
-            | SoakFault::PoorStore => fleet.balancers[balancer].store.set(ProxyMode::Open),
+            | SoakFault::PoorStore => {
+                self.disturb_balancer(balancer, |unit| unit.store.set(ProxyMode::Open));
+            }
             SoakFault::StoreRefuses | SoakFault::StoreLapse => {
                 fleet.store.set_mode(StoreMode::Serving);
                 for at in 0..fleet.machines.len() {
@@ -374,11 +386,40 @@
         Ok(())
     }
 
-    fn disturb(&mut self, at: usize, change: impl FnOnce(&mut crate::fleet::MachineUnit)) {
+    fn disturb(&mut self, at: usize, change: impl FnOnce(&mut MachineUnit)) {
         self.fleet.note_disturbed(at);
         change(&mut self.fleet.machines[at]);
     }
 
+    fn disturb_balancer(&mut self, number: usize, change: impl FnOnce(&mut BalancerUnit)) {
+        let balancer = &mut self.fleet.balancers[number];
+        self.log.note(SoakEvent::BalancerDisturbed(balancer.ip));
+        change(balancer);
+    }
+
+    /// A disturbance that lasts is one all the while.
+    fn note_lasting(&self) {
+        for (_, pending) in &self.pending {
+            let Pending::Heal(strike) = pending else {
+                continue;
+            };
+            match strike.fault {
+                SoakFault::StoreRefuses | SoakFault::StoreLapse => {
+                    self.log.note(SoakEvent::StoreDisturbed);
+                }
+                SoakFault::SilentStore
+                | SoakFault::ResetStore
+                | SoakFault::OneWayStore
+                | SoakFault::PoorStore => {
+                    let number = strike.draw as usize % self.fleet.balancers.len();
+                    let ip = self.fleet.balancers[number].ip;
+                    self.log.note(SoakEvent::BalancerDisturbed(ip));
+                }
+                _ => {}
+            }
+        }
+    }
+
     fn lose_power(&mut self) {
         self.log.note(SoakEvent::AllDisturbed);
         for balancer in &mut self.fleet.balancers {
--- a/standins/soak/src/target.rs
+++ b/standins/soak/src/target.rs
@@ -132,6 +132,7 @@
             let flow = packet.flow;
             self.log.note(SoakEvent::Opened { flow, target });
         }
+        self.log.note(SoakEvent::Reached(packet.flow));
         self.take_data(&packet, &bytes[HEADER_BYTES..]);
     }
 
--- a/standins/soak/tests/all/main.rs
+++ b/standins/soak/tests/all/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the soak's own parts, without processes.
 
+mod check;
 mod network;
