Tried: refuse a new flow whose request would be answered too late

An agent that knows its target's work (smoothed) refused a flow whose request would take more than 0.8 of its route's objective.

--- a/crates/flows/src/errand.rs
+++ b/crates/flows/src/errand.rs
@@ -57,6 +57,7 @@
                     service: group.service,
                     balancer: errand.balancer,
                     slots: 0,
+                    objective_ms: 0,
                     purpose: FramePurpose::Search,
                     asker: Some(own),
                     rest: SmallVec::new(),
--- a/crates/flows/src/lib.rs
+++ b/crates/flows/src/lib.rs
@@ -22,6 +22,7 @@
 mod load;
 mod memory;
 mod packet;
+mod progress;
 mod ring;
 mod view;
 
