--- a/crates/catalog/src/record.rs
+++ b/crates/catalog/src/record.rs
@@ -62,8 +62,6 @@
     /// Whether its requests may be run again: then a flow whose target is lost may be ended early,
     /// so that its client asks elsewhere.
     pub idempotent: bool,
-    /// How soon an answer is worth having in full; zero where the operator says nothing.
-    pub objective: Duration,
     /// Where new flows go.
     pub shares: SmallVec<[RouteShare; 2]>,
 }
--- a/crates/flows/benches/decision.rs
+++ b/crates/flows/benches/decision.rs
@@ -51,7 +51,6 @@
             address: route_address(),
             name: "r".to_owned(),
             idempotent: true,
-            objective: Duration::ZERO,
             shares: smallvec![RouteShare {
                 service: service(),
                 weight: 1,
--- a/crates/flows/benches/memory.rs
+++ b/crates/flows/benches/memory.rs
@@ -76,7 +76,6 @@
         address: SocketAddrV4::new(Ipv4Addr::from(0xc612_0000 + number / 8), 443),
         name: format!("r-{number}"),
         idempotent: true,
-        objective: Duration::ZERO,
         shares: smallvec![RouteShare {
             service: services[number as usize % services.len()].clone(),
             weight: 1,
--- a/crates/flows/src/agent.rs
+++ b/crates/flows/src/agent.rs
@@ -16,7 +16,6 @@
 };
 use crate::memory::{FlowMemory, Remembered};
 use crate::packet::{FlowKey, FlowPacket};
-use crate::progress::TargetProgress;
 
 /// Flows remembered at most. A target holds about 2,000; the rest are closed ones.
 const MAX_FLOWS: usize = 16_384;
@@ -35,6 +34,9 @@
 /// given up, and may have done so without a word.
 const PROGRESS_LIMIT: Duration = Duration::from_secs(4);
 
+/// Time constant of the average load.
+const AVERAGE_SPAN: Duration = Duration::from_secs(1);
+
 /// How long a balancer that sent a packet is told the load.
 const LISTENER_SPAN: Duration = Duration::from_secs(5);
 
@@ -45,6 +47,10 @@
 /// Balancers remembered as listeners at most.
 const MAX_LISTENERS: usize = 256;
 
+/// From this many times its slots in progress on, a target is passed over for a new flow. At
+/// twice its slots a new request waits for about one other.
+const BUSY_FACTOR: u16 = 2;
+
 /// How far a client's acknowledgement may be from the number that its target chose at the start.
 /// The first packet that opens a flow acknowledges that number itself or the next.
 const OPENING_WINDOW: u32 = 4;
@@ -128,8 +134,6 @@
     client_end: Option<u32>,
     /// Since when the target owes an answer.
     waiting: Option<Moment>,
-    /// How many requests the target had in progress with this one when it came.
-    together: u16,
 }
 
 impl Remembered for FlowEntry {
@@ -148,7 +152,6 @@
             told: false,
             client_end: None,
             waiting: None,
-            together: 0,
         }
     }
 }
@@ -159,7 +162,6 @@
     purpose: FramePurpose,
     balancer: AgentAddress,
     asker: Option<AgentAddress>,
-    objective_ms: u32,
     rest: SmallVec<[Candidate; 8]>,
 }
 
@@ -169,7 +171,6 @@
             purpose: frame.purpose,
             balancer: frame.balancer,
             asker: frame.asker,
-            objective_ms: frame.objective_ms,
             rest: frame.rest,
         }
     }
@@ -214,8 +215,10 @@
     absent: FlowMemory<Absence>,
     trials: Vec<Option<Trial>>,
     next_tag: u32,
-    progress: TargetProgress,
+    in_progress: u16,
     open: u32,
+    average: f32,
+    averaged: Moment,
     /// When the oldest first packet was handed over that the target has said nothing after.
     unanswered_since: Option<Moment>,
     refused_until: Moment,
@@ -253,8 +256,10 @@
             absent: FlowMemory::new(MAX_FLOWS),
             trials: vec![None; TRIALS],
             next_tag: 0,
-            progress: TargetProgress::new(now),
+            in_progress: 0,
             open: 0,
+            average: 0.0,
+            averaged: now,
             unanswered_since: None,
             refused_until: Moment::ZERO,
             leaving: false,
@@ -327,7 +332,6 @@
             service: errand.service,
             balancer: errand.balancer,
             slots: 0,
-            objective_ms: 0,
             purpose: FramePurpose::Search,
             asker: None,
             rest: SmallVec::new(),
@@ -342,7 +346,7 @@
         let own = self.settings.own;
         match word.event {
             FlowEvent::Absent => self.errands.note_absent(&word.flow, word.load.agent, own),
-            FlowEvent::Answered | FlowEvent::Opened | FlowEvent::Refused => None,
+            FlowEvent::Answered | FlowEvent::Opened => None,
         }
     }
 
@@ -428,7 +432,7 @@
             waiting = waiting.saturating_add(u16::from(entry.waiting.is_some()));
             open += u32::from(entry.state == EntryState::Open);
         });
-        self.progress.set(waiting);
+        self.in_progress = waiting;
         self.open = open;
     }
 
@@ -443,6 +447,13 @@
         !silent && now >= self.refused_until
     }
 
+    /// Whether another target should be asked first. Balancers place by reports of up to 250 ms
+    /// ago, and several of them may choose the same target meanwhile; only here is the load
+    /// known exactly.
+    fn is_busy(&self, slots: u16) -> bool {
+        self.in_progress >= slots.saturating_mul(BUSY_FACTOR).max(1)
+    }
+
     fn listen(&mut self, balancer: AgentAddress, now: Moment) {
         if self.listeners.len() >= MAX_LISTENERS && !self.listeners.contains_key(&balancer) {
             return;
@@ -459,17 +470,14 @@
         now: Moment,
     ) -> (AgentStep, Option<(AgentAddress, FlowNote)>) {
         let known = self.flows.get(&packet.flow).map(|entry| entry.state);
-        let objective = Duration::from_millis(frame.objective_ms.into());
-        let overloaded = self.progress.is_overloaded(frame.slots, objective, now);
-        let unable = self.leaving || !self.is_responsive(now) || self.progress.is_busy(frame.slots);
-        if known.is_none() && (overloaded || unable && !frame.rest.is_empty()) {
+        let unable = self.leaving || !self.is_responsive(now) || self.is_busy(frame.slots);
+        if known.is_none() && unable && !frame.rest.is_empty() {
             return self.pass_on(packet, frame.into(), now);
         }
         if known.is_none() {
             let entry = FlowEntry::new(EntryState::Offered, Some(frame.balancer), now);
             let lifetime = self.settings.flow_lifetime;
             self.flows.insert(packet.flow, entry, lifetime, now);
-            self.progress.note_taken(frame.slots, now);
         }
         self.unanswered_since.get_or_insert(now);
         let tag = self.try_target(frame);
@@ -550,7 +558,6 @@
                 service: next.service,
                 balancer,
                 slots: next.slots,
-                objective_ms: origin.objective_ms,
                 purpose,
                 asker: origin.asker,
                 rest,
@@ -559,10 +566,7 @@
             return (AgentStep::Pass { to, frame }, None);
         }
         match purpose {
-            FramePurpose::Offer if packet.opens() => {
-                let note = self.note(packet.flow, FlowEvent::Refused, now);
-                (AgentStep::Reset, Some((balancer, note)))
-            }
+            FramePurpose::Offer if packet.opens() => (AgentStep::Reset, None),
             FramePurpose::Known => (AgentStep::Return { to: balancer }, None),
             FramePurpose::Offer | FramePurpose::Search => {
                 let note = self.note(packet.flow, FlowEvent::Absent, now);
@@ -592,7 +596,7 @@
         }
         entry.client_end = Some(end);
         if entry.waiting.replace(now).is_none() {
-            entry.together = self.progress.begin(now);
+            self.count_progress(1, now);
         }
     }
 
@@ -625,9 +629,8 @@
             entry.state = EntryState::Closed;
         }
         if let Some(since) = since {
-            let after = now.since(since);
-            self.answered_after = Some(after);
-            self.progress.end(entry.together, after, now);
+            self.answered_after = Some(now.since(since));
+            self.count_progress(-1, now);
         }
         if ended && was_open {
             self.open = self.open.saturating_sub(1);
@@ -660,7 +663,7 @@
     fn forget(&mut self, flow: &FlowKey) -> Option<FlowEntry> {
         let entry = self.flows.remove(flow)?;
         if entry.waiting.is_some() {
-            self.progress.drop_one();
+            self.in_progress = self.in_progress.saturating_sub(1);
         }
         if entry.state == EntryState::Open {
             self.open = self.open.saturating_sub(1);
@@ -668,15 +671,27 @@
         Some(entry)
     }
 
+    fn count_progress(&mut self, change: i16, now: Moment) {
+        self.update_average(now);
+        self.in_progress = self.in_progress.saturating_add_signed(change);
+    }
+
+    fn update_average(&mut self, now: Moment) {
+        let span = now.since(self.averaged).as_secs_f32() / AVERAGE_SPAN.as_secs_f32();
+        let keep = (-span).exp();
+        self.average = self.average * keep + f32::from(self.in_progress) * (1.0 - keep);
+        self.averaged = now;
+    }
+
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     fn load(&mut self, now: Moment) -> LoadReport {
-        let average = self.progress.average(now);
+        self.update_average(now);
         LoadReport {
             agent: self.settings.own,
             service: self.settings.service,
-            in_progress: self.progress.count(),
+            in_progress: self.in_progress,
             flows: self.open,
-            average_milli: (average * 1_000.0) as u32,
+            average_milli: (self.average * 1_000.0) as u32,
             responsive: self.is_responsive(now),
             leaving: self.leaving,
         }
--- a/crates/flows/src/balancer/asking.rs
+++ b/crates/flows/src/balancer/asking.rs
@@ -252,7 +252,6 @@
         service: next.service,
         balancer: own,
         slots: next.slots,
-        objective_ms: 0,
         purpose: FramePurpose::Search,
         asker: None,
         rest: SmallVec::new(),
--- a/crates/flows/src/balancer/offer.rs
+++ b/crates/flows/src/balancer/offer.rs
@@ -1,7 +1,5 @@
 //! New flows: which target is asked first, and which next.
 
-use std::time::Duration;
-
 use lovagelatch_domain::{AgentAddress, Moment, ServiceId};
 use smallvec::SmallVec;
 
@@ -96,7 +94,6 @@
                 service: entry.service,
                 balancer: self.own,
                 slots: 0,
-                objective_ms: 0,
                 purpose: FramePurpose::Offer,
                 asker: None,
                 rest: SmallVec::new(),
@@ -138,7 +135,6 @@
                 service,
                 balancer: self.own,
                 slots: chosen.slots,
-                objective_ms: millis(route.objective),
                 purpose: FramePurpose::Offer,
                 asker: None,
                 rest,
@@ -220,10 +216,6 @@
     }
 }
 
-fn millis(span: Duration) -> u32 {
-    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
-}
-
 pub(super) fn candidate_of(target: &FlowTarget) -> Candidate {
     Candidate {
         agent: target.agent,
--- a/crates/flows/src/errand.rs
+++ b/crates/flows/src/errand.rs
@@ -57,7 +57,6 @@
                     service: group.service,
                     balancer: errand.balancer,
                     slots: 0,
-                    objective_ms: 0,
                     purpose: FramePurpose::Search,
                     asker: Some(own),
                     rest: SmallVec::new(),
--- a/crates/flows/src/frame.rs
+++ b/crates/flows/src/frame.rs
@@ -42,8 +42,6 @@
     pub balancer: AgentAddress,
     /// How many requests the receiver's target runs at once, as the sender knows it.
     pub slots: u16,
-    /// How soon an answer on a new flow is wanted, in milliseconds; 0 where nothing is said.
-    pub objective_ms: u32,
     /// Why it comes here.
     pub purpose: FramePurpose,
     /// Who counts the answers of a search; the balancer itself where nobody is named.
@@ -117,8 +115,6 @@
     Opened,
     /// The target does not hold the flow.
     Absent,
-    /// The new flow was refused, and its client told so.
-    Refused,
 }
 
 /// An agent's word about a flow.
--- a/crates/flows/src/lib.rs
+++ b/crates/flows/src/lib.rs
@@ -22,7 +22,6 @@
 mod load;
 mod memory;
 mod packet;
-mod progress;
 mod ring;
 mod view;
 
--- a/crates/flows/src/view.rs
+++ b/crates/flows/src/view.rs
@@ -31,8 +31,6 @@
     pub name: String,
     /// Whether its requests may be run again.
     pub idempotent: bool,
-    /// How soon an answer is worth having in full; zero where nothing is said.
-    pub objective: Duration,
     /// Where new flows go, with weights. Invariant: no weight is 0.
     pub shares: SmallVec<[(ServiceId, u32); 2]>,
     /// Services it sent flows to within a flow's lifetime, with the end of that. Mostly none, and
--- a/crates/flows/src/view/builder.rs
+++ b/crates/flows/src/view/builder.rs
@@ -300,7 +300,6 @@
         let next = route.map(|route| FlowRoute {
             name: route.name.clone(),
             idempotent: route.idempotent,
-            objective: route.objective,
             shares,
             former: self.former.get(&address).cloned().unwrap_or_default(),
         });
--- a/crates/flows/tests/all/agent.rs
+++ b/crates/flows/tests/all/agent.rs
@@ -41,7 +41,6 @@
         service: claims(),
         balancer: balancer(),
         slots: 3,
-        objective_ms: 0,
         purpose,
         asker: None,
         rest: rest.collect(),
--- a/crates/flows/tests/all/frame.rs
+++ b/crates/flows/tests/all/frame.rs
@@ -21,7 +21,6 @@
             service: claims(),
             balancer: balancer(),
             slots: 3,
-            objective_ms: 0,
             purpose: FramePurpose::Offer,
             asker: None,
             rest: smallvec![rest; 4],
--- a/crates/flows/tests/all/main.rs
+++ b/crates/flows/tests/all/main.rs
@@ -6,7 +6,6 @@
 mod frame;
 mod load;
 mod loss;
-mod overload;
 mod ring;
 mod search;
 mod support;
--- a/crates/flows/tests/all/support.rs
+++ b/crates/flows/tests/all/support.rs
@@ -65,7 +65,6 @@
         address,
         name: "r-1".to_owned(),
         idempotent: true,
-        objective: Duration::ZERO,
         shares: shares
             .iter()
             .map(|&(name, weight)| RouteShare {
--- a/standins/soak/src/fleet.rs
+++ b/standins/soak/src/fleet.rs
@@ -26,9 +26,6 @@
 /// How long the entry of a dead target stays: three heartbeats.
 pub(crate) const EXPIRY: Duration = Duration::from_millis(3_600);
 
-/// How soon answers are wanted; about what ten requests one after the other take.
-const OBJECTIVE: Duration = Duration::from_millis(150);
-
 /// A balancer under test.
 pub(crate) struct BalancerUnit {
     pub(crate) ip: Ipv4Addr,
@@ -265,7 +262,6 @@
                 address,
                 name: format!("r-{number}"),
                 idempotent: number != 1,
-                objective: OBJECTIVE,
                 shares: smallvec![RouteShare {
                     service: service_name(service),
                     weight: 1,
--- a/tests/matrix/src/opaque/world.rs
+++ b/tests/matrix/src/opaque/world.rs
@@ -804,7 +804,6 @@
         address: address(number),
         name: format!("r-{number}"),
         idempotent: number != 2,
-        objective: Duration::ZERO,
         shares: smallvec![RouteShare { service, weight: 1 }],
     }
 }
