A balancer hears of a refused flow and offers it to nobody else

Cause, found by reading while load shedding was tried: an agent that is the last of an offer's chain resets the client, and its balancer, which heard nothing, offers the first packet to the next target 60 ms after the first offer. That target opens a connection that no client uses. Now the agent's refusal is a note.

Test: flows: balancer::a_refused_flow_is_not_offered_again, seen failing before (it did not build: there was no such note). Not measured by itself.

--- a/crates/flows/src/agent.rs
+++ b/crates/flows/src/agent.rs
@@ -346,7 +346,7 @@
         let own = self.settings.own;
         match word.event {
             FlowEvent::Absent => self.errands.note_absent(&word.flow, word.load.agent, own),
-            FlowEvent::Answered | FlowEvent::Opened => None,
+            FlowEvent::Answered | FlowEvent::Opened | FlowEvent::Refused => None,
         }
     }
 
@@ -566,7 +566,10 @@
             return (AgentStep::Pass { to, frame }, None);
         }
         match purpose {
-            FramePurpose::Offer if packet.opens() => (AgentStep::Reset, None),
+            FramePurpose::Offer if packet.opens() => {
+                let note = self.note(packet.flow, FlowEvent::Refused, now);
+                (AgentStep::Reset, Some((balancer, note)))
+            }
             FramePurpose::Known => (AgentStep::Return { to: balancer }, None),
             FramePurpose::Offer | FramePurpose::Search => {
                 let note = self.note(packet.flow, FlowEvent::Absent, now);
--- a/crates/flows/src/balancer.rs
+++ b/crates/flows/src/balancer.rs
@@ -282,6 +282,7 @@
             FlowEvent::Answered => outcome.answered_after = self.note_answered(note, now),
             FlowEvent::Opened => self.note_opened(note, now),
             FlowEvent::Absent => outcome.reset = self.note_absent(note, now),
+            FlowEvent::Refused => self.note_refused(note),
         }
         outcome
     }
@@ -386,6 +387,15 @@
         Some(now.since(entry.created))
     }
 
+    /// The client has been told: nobody else is to be offered the flow.
+    fn note_refused(&self, note: &FlowNote) {
+        let mut shard = self.shard(note.flow.point()).lock();
+        let held = shard.flows.get(&note.flow);
+        if held.is_some_and(|entry| entry.state == EntryState::Offered) {
+            shard.flows.remove(&note.flow);
+        }
+    }
+
     fn note_opened(&self, note: &FlowNote, now: Moment) {
         let (agent, service) = (note.load.agent, note.load.service);
         let mut shard = self.shard(note.flow.point()).lock();
--- a/crates/flows/src/frame.rs
+++ b/crates/flows/src/frame.rs
@@ -115,6 +115,8 @@
     Opened,
     /// The target does not hold the flow.
     Absent,
+    /// The new flow was refused, and its client told so.
+    Refused,
 }
 
 /// An agent's word about a flow.
--- a/crates/flows/tests/all/balancer.rs
+++ b/crates/flows/tests/all/balancer.rs
@@ -18,6 +18,20 @@
     }
 }
 
+// Symptom: a target gets a connection that no client uses. Sequence: an agent refuses a new flow and
+// tells the client; the balancer has not heard of it, and offers the flow to the next target 60 ms
+// after the first offer. Cause: a refusal was told to the client alone.
+#[test]
+fn a_refused_flow_is_not_offered_again() {
+    let view = claims_view(7);
+    let decisions = FlowBalancer::new(balancer());
+    let step = decisions.take_packet(&opening(flow(1)), b"first", &view, at(0));
+    assert!(matches!(step, BalancerStep::Send { .. }));
+    // Whoever the offer was passed on to.
+    decisions.take_note(&note(flow(1), agent(7), FlowEvent::Refused), at(3));
+    assert_eq!(decisions.due_offers(&view, at(100)), []);
+}
+
 #[test]
 fn a_flow_stays_where_it_opened() {
     let view = claims_view(7);
