lovagelatch explain opaque: where a flow is, and who would be asked for it

What was missing for the engineers on call: a process's word about one flow. A balancer says the route, the service for a new flow, where it takes the flow to be, whether its view is complete, and each candidate's standing and load with its age; an agent says what its target holds. GET /explain/flow on the operations address, and the operators' command before it. Beside it, an errand asks 64 agents at most, whatever a frame names.

Tests: flows: outlook::*, errand::an_errand_asks_sixty_four_agents_at_most; operations: carrier::*; lovagelatch: instances::explain_opaque_*.

--- a/bins/agent/src/opaque/process.rs
+++ b/bins/agent/src/opaque/process.rs
@@ -7,11 +7,12 @@
 use std::time::Duration;
 
 use lovagelatch_adapter::READY_PATH;
-use lovagelatch_domain::AgentAddress;
+use lovagelatch_domain::{AgentAddress, ServiceName};
 use lovagelatch_fleet::ProcessClock;
-use lovagelatch_flows::{AgentSettings, FlowAgent};
+use lovagelatch_flows::{AgentSettings, FlowAgent, FlowKey};
 use lovagelatch_operations::{
-    CarrierError, ReadyFlag, SettingsWatch, open_datagrams, serve_carrier, start_packet_thread,
+    CarrierAnswers, CarrierError, ReadyFlag, SettingsWatch, open_datagrams, serve_carrier,
+    start_packet_thread,
 };
 use lovagelatch_settings::{OpaqueAgentSettings, read_settings};
 use lovagelatch_telemetry::{Logger, Meter, MetricsRegistry, info, warn};
@@ -139,9 +140,33 @@
 ) {
     let ready = ReadyFlag::default();
     ready.set(true);
-    let state = Arc::clone(state);
-    let status = move || status_of(&state);
-    serve_carrier(&settings.common, READY_PATH, ready, metrics, status, log);
+    let answers = AgentAnswers {
+        state: Arc::clone(state),
+        service: settings.service.clone(),
+    };
+    serve_carrier(&settings.common, READY_PATH, ready, metrics, answers, log);
+}
+
+/// What the agent tells its operators.
+struct AgentAnswers {
+    state: Arc<PacketState>,
+    service: ServiceName,
+}
+
+impl CarrierAnswers for AgentAnswers {
+    fn status(&self) -> serde_json::Value {
+        status_of(&self.state)
+    }
+
+    fn explain(&self, client: SocketAddrV4, address: SocketAddrV4) -> serde_json::Value {
+        let flow = FlowKey {
+            client,
+            service_address: address,
+        };
+        let held = self.state.agent.lock();
+        let held = held.explain(&flow, self.state.clock.now());
+        serde_json::json!({ "service": self.service.as_str(), "held": held })
+    }
 }
 
 /// Gauges that are read when metrics are asked for.
--- a/bins/balancer/src/opaque/process.rs
+++ b/bins/balancer/src/opaque/process.rs
@@ -1,5 +1,6 @@
 //! Start, run and stop of a balancer of opaque packets.
 
+use std::net::SocketAddrV4;
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -10,9 +11,10 @@
 use lovagelatch_catalog::{CatalogMember, MemberSettings};
 use lovagelatch_domain::AgentAddress;
 use lovagelatch_fleet::ProcessClock;
-use lovagelatch_flows::{FlowBalancer, FlowView, FlowViewBuilder, ViewSettings};
+use lovagelatch_flows::{FlowBalancer, FlowKey, FlowView, FlowViewBuilder, ViewSettings};
 use lovagelatch_operations::{
-    CarrierError, ReadyFlag, SettingsWatch, open_datagrams, serve_carrier, start_packet_thread,
+    CarrierAnswers, CarrierError, ReadyFlag, SettingsWatch, open_datagrams, serve_carrier,
+    start_packet_thread,
 };
 use lovagelatch_settings::{OpaqueBalancerSettings, read_settings};
 use lovagelatch_telemetry::{Logger, Meter, MetricsRegistry, info, warn};
@@ -177,10 +179,34 @@
     ready: ReadyFlag,
     log: &Logger,
 ) {
-    let tasks = Arc::clone(tasks);
-    let flag = ready.clone();
-    let status = move || status_of(&tasks, &flag);
-    serve_carrier(&settings.common, READY_PATH, ready, metrics, status, log);
+    let answers = BalancerAnswers {
+        tasks: Arc::clone(tasks),
+        ready: ready.clone(),
+    };
+    serve_carrier(&settings.common, READY_PATH, ready, metrics, answers, log);
+}
+
+/// What the balancer tells its operators.
+struct BalancerAnswers {
+    tasks: Arc<CatalogTasks>,
+    ready: ReadyFlag,
+}
+
+impl CarrierAnswers for BalancerAnswers {
+    fn status(&self) -> serde_json::Value {
+        status_of(&self.tasks, &self.ready)
+    }
+
+    fn explain(&self, client: SocketAddrV4, address: SocketAddrV4) -> serde_json::Value {
+        let packets = &self.tasks.state.packets;
+        let flow = FlowKey {
+            client,
+            service_address: address,
+        };
+        let now = packets.clock.now();
+        let outlook = packets.balancer.explain(&flow, &packets.view.load(), now);
+        serde_json::json!(outlook)
+    }
 }
 
 /// Gauges that are read when metrics are asked for.
--- a/bins/lovagelatch/src/command.rs
+++ b/bins/lovagelatch/src/command.rs
@@ -70,6 +70,21 @@
         #[bpaf(argument("HEX"))]
         flow_key: Option<String>,
     },
+    /// What a balancer or agent of opaque packets knows of one flow
+    #[bpaf(command)]
+    Opaque {
+        /// Print JSON
+        json: bool,
+        /// The process's operations address
+        #[bpaf(argument("IP:PORT"))]
+        instance: SocketAddrV4,
+        /// The client's address and port
+        #[bpaf(argument("IP:PORT"))]
+        client: SocketAddrV4,
+        /// The address and port that the client sends to
+        #[bpaf(argument("IP:PORT"))]
+        address: SocketAddrV4,
+    },
     /// What a request that comes now would cost at each gate
     #[bpaf(command)]
     Request {
--- a/bins/lovagelatch/src/explain.rs
+++ b/bins/lovagelatch/src/explain.rs
@@ -1,5 +1,7 @@
 //! `lovagelatch explain`: why a new flow or request goes where it goes, as one instance sees it.
 
+mod opaque;
+
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -19,6 +21,12 @@
             address,
             flow_key,
         } => explain_flow(*instance, *address, flow_key.as_deref(), *json),
+        ExplainCommand::Opaque {
+            json,
+            instance,
+            client,
+            address,
+        } => opaque::explain(*instance, *client, *address, *json),
         ExplainCommand::Request { json, instance } => explain_request(*instance, *json),
     }
 }
@@ -89,11 +97,6 @@
 }
 
 fn print_answer(answer: &Value) {
-    let word = |value: &Value| match value {
-        Value::String(text) => text.clone(),
-        Value::Null => "-".to_owned(),
-        other => other.to_string(),
-    };
     let revision = word(&answer["config_revision"]);
     let (address, service) = (word(&answer["address"]), word(&answer["service"]));
     let agency = word(&answer["agency"]);
@@ -126,3 +129,12 @@
     print_table(&rows);
     print_line(LineTone::Plain, &word(&answer["reason"]));
 }
+
+/// A value as a cell of a table.
+fn word(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        Value::Null => "-".to_owned(),
+        other => other.to_string(),
+    }
+}
--- a/bins/lovagelatch/tests/all/instances.rs
+++ b/bins/lovagelatch/tests/all/instances.rs
@@ -115,3 +115,73 @@
         "{said}"
     );
 }
+
+struct OutlookCase {
+    name: &'static str,
+    answer: &'static str,
+    code: i32,
+    /// What the command says, in parts.
+    says: &'static [&'static str],
+}
+
+#[test]
+fn explain_opaque_says_where_a_flow_is_and_who_is_asked_for_it() {
+    let cases = [
+        OutlookCase {
+            name: "a balancer that knows it",
+            answer: r#"{"version":7,"route":"r-1","service":"claims","agent":"10.1.0.3:7720",
+                "complete":true,"candidates":[{"agent":"10.1.0.3:7720","standing":"serving",
+                "listed":true,"near":true,"slots":3,"in_progress":2,"load_age_ms":40,
+                "suspected":false}]}"#,
+            code: 0,
+            says: &[
+                "r-1",
+                "claims",
+                "version 7",
+                "taken to be at 10.1.0.3:7720",
+                "serving",
+            ],
+        },
+        OutlookCase {
+            name: "a balancer that does not, just after trouble of the store",
+            answer: r#"{"version":7,"route":null,"service":null,"agent":null,"complete":false,
+                "candidates":[]}"#,
+            code: 1,
+            says: &["not known here", "may lack targets"],
+        },
+        OutlookCase {
+            name: "the agent that holds it",
+            answer: r#"{"service":"claims","held":{"state":"open","balancer":"10.2.0.1:7720",
+                "silent_ms":12,"waiting_ms":8}}"#,
+            code: 0,
+            says: &["open at the target", "claims", "10.2.0.1:7720", "8 ms"],
+        },
+        OutlookCase {
+            name: "another agent",
+            answer: r#"{"service":"claims","held":null}"#,
+            code: 1,
+            says: &["not known to hold"],
+        },
+    ];
+    for case in cases {
+        let instance = answer_once(case.answer).to_string();
+        let flow = [
+            "--client",
+            "100.64.0.7:40001",
+            "--address",
+            "198.18.0.1:443",
+        ];
+        let asked = ["explain", "opaque", "--instance", &instance];
+        let output = run(&[&asked[..], &flow[..]].concat());
+        let said = stdout(&output);
+        assert_eq!(
+            output.status.code(),
+            Some(case.code),
+            "{}: {said}",
+            case.name
+        );
+        for part in case.says {
+            assert!(said.contains(part), "{}: {part:?} in {said}", case.name);
+        }
+    }
+}
--- a/crates/flows/src/agent.rs
+++ b/crates/flows/src/agent.rs
@@ -15,6 +15,7 @@
     Candidate, ErrandWord, FlowEvent, FlowNote, FramePurpose, LoadReport, PacketFrame, SearchErrand,
 };
 use crate::memory::{FlowMemory, Remembered};
+use crate::outlook::{HeldFlow, millis};
 use crate::packet::{FlowKey, FlowPacket};
 
 /// Flows remembered at most. A target holds about 2,000; the rest are closed ones.
@@ -417,6 +418,23 @@
         }
     }
 
+    /// What is held of a flow; `None` for one that the target does not hold, as far as is known.
+    #[must_use]
+    pub fn explain(&self, flow: &FlowKey, now: Moment) -> Option<HeldFlow> {
+        let entry = self.flows.get(flow)?;
+        Some(HeldFlow {
+            state: match entry.state {
+                EntryState::Offered => "offered",
+                EntryState::Answered => "answered",
+                EntryState::Open => "open",
+                EntryState::Closed => "closed",
+            },
+            balancer: entry.balancer,
+            silent_ms: millis(now.since(entry.last)),
+            waiting_ms: entry.waiting.map(|since| millis(now.since(since))),
+        })
+    }
+
     /// Forgets silent flows and requests whose callers have given up.
     pub fn tend(&mut self, idle: Duration, now: Moment) {
         self.flows.tend(idle, now);
--- a/crates/flows/src/balancer.rs
+++ b/crates/flows/src/balancer.rs
@@ -20,7 +20,7 @@
 use std::time::Duration;
 
 use lovagelatch_domain::{AgentAddress, Moment, ServiceId};
-use parking_lot::Mutex;
+use parking_lot::{Mutex, MutexGuard};
 use smallvec::SmallVec;
 
 pub use self::asking::SearchFrames;
@@ -226,6 +226,10 @@
         shard.flows.get(flow).map(|entry| entry.agent)
     }
 
+    pub(crate) fn loads(&self) -> MutexGuard<'_, LoadBoard> {
+        self.loads.lock()
+    }
+
     /// Decides about a client's packet. `bytes` is the whole packet, kept while an offer or
     /// a search waits for answers.
     pub fn take_packet(
--- a/crates/flows/src/balancer/asking.rs
+++ b/crates/flows/src/balancer/asking.rs
@@ -9,6 +9,7 @@
 use super::budget::SearchBudget;
 use super::entry::{FlowSearch, OpenAsk};
 use super::offer::candidate_of;
+use crate::errand::ERRAND_AGENTS;
 use crate::frame::{Candidate, ErrandGroup, FramePurpose, PacketFrame, PeerFrame, SearchErrand};
 use crate::load::LoadBoard;
 use crate::packet::{FlowKey, FlowPacket};
@@ -30,9 +31,6 @@
 /// less than the way through another agent.
 const LEAST_ERRAND: usize = 6;
 
-/// Agents that one errand names at most: 256 bytes beside a packet of 1,236 at the most.
-const ERRAND_AGENTS: usize = 64;
-
 /// Agents that were heard this recently take errands, in turn; without any, the one that was heard
 /// last does. One that died meanwhile costs a search 150 ms.
 const DELEGATE_SPAN: Duration = Duration::from_millis(150);
--- a/crates/flows/src/errand.rs
+++ b/crates/flows/src/errand.rs
@@ -22,6 +22,10 @@
 /// is beyond.
 const MAX_ERRANDS: usize = 1_024;
 
+/// Agents that one errand names at most: 256 bytes beside a packet of 1,236 at the most. What a frame
+/// names beyond is not asked: one datagram must not make an agent send without a bound.
+pub(crate) const ERRAND_AGENTS: usize = 64;
+
 #[derive(Clone, Debug)]
 struct Errand {
     balancer: AgentAddress,
@@ -64,6 +68,7 @@
                 frames.push((agent, frame));
             }
         }
+        frames.truncate(ERRAND_AGENTS);
         let begun = Errand {
             balancer: errand.balancer,
             started: now,
--- a/crates/flows/src/lib.rs
+++ b/crates/flows/src/lib.rs
@@ -21,6 +21,7 @@
 mod frame;
 mod load;
 mod memory;
+mod outlook;
 mod packet;
 mod ring;
 mod view;
@@ -35,6 +36,7 @@
     PacketFrame, PeerFrame, SearchErrand, open_frame, write_frame,
 };
 pub use load::{LoadBoard, TargetLoad};
+pub use outlook::{CandidateOutlook, FlowOutlook, HeldFlow};
 pub use packet::{FlowKey, FlowPacket, PacketFlags};
 pub use ring::{CANDIDATES, FlowStanding, FlowTarget, PLACES, ServiceTargets, TargetKey};
 pub use view::{FlowRoute, FlowView, FlowViewBuilder, ViewSettings};
--- a/crates/flows/tests/all/errand.rs
+++ b/crates/flows/tests/all/errand.rs
@@ -107,3 +107,12 @@
     let ended: Vec<_> = word(smallvec![agent(2), agent(3)]).into_iter().collect();
     assert_eq!(decisions.due_errands(at(100)), ended);
 }
+
+// Symptom: one datagram makes an agent send hundreds. Cause: whatever a frame named was asked.
+#[test]
+fn an_errand_asks_sixty_four_agents_at_most() {
+    let mut decisions = new_agent();
+    let all: Vec<u8> = (0..=255).collect();
+    let step = decisions.take_errand(&errand(&all, &all), &data(flow(1)), at(0));
+    assert_eq!(step.others.len(), 64);
+}
--- a/crates/flows/tests/all/main.rs
+++ b/crates/flows/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod frame;
 mod load;
 mod loss;
+mod outlook;
 mod ring;
 mod search;
 mod support;
--- /dev/null
+++ b/crates/flows/tests/all/outlook.rs
@@ -0,0 +1,62 @@
+//! What operators are told of one flow.
+
+use lovagelatch_flows::{AgentSettings, FlowAgent, FlowBalancer, FlowEvent};
+use std::time::Duration;
+
+use crate::balancer::sent;
+use crate::support::{
+    agent, at, balancer, claims, claims_view, data, flow, idle_load, note, opening,
+};
+
+#[test]
+fn a_balancer_tells_where_a_flow_is_and_who_may_hold_it() {
+    let view = claims_view(3);
+    let decisions = FlowBalancer::new(balancer());
+    decisions.take_load(&idle_load(agent(2)), at(0));
+    let outlook = decisions.explain(&flow(1), &view, at(30));
+    assert_eq!(outlook.service.as_deref(), Some("claims"));
+    assert_eq!(
+        (outlook.version, outlook.agent, outlook.complete),
+        (1, None, true)
+    );
+    assert_eq!(outlook.candidates.len(), 3);
+    let heard = outlook.candidates.iter().find(|one| one.agent == agent(2));
+    let heard = heard.expect("the second one");
+    assert_eq!((heard.load_age_ms, heard.in_progress), (Some(30), Some(0)));
+    let others = outlook
+        .candidates
+        .iter()
+        .filter(|one| one.agent != agent(2));
+    assert!(others.into_iter().all(|one| one.load_age_ms.is_none()));
+    let (to, _) = sent(decisions.take_packet(&opening(flow(1)), b"first", &view, at(31)));
+    decisions.take_note(&note(flow(1), to, FlowEvent::Opened), at(32));
+    assert_eq!(decisions.explain(&flow(1), &view, at(33)).agent, Some(to));
+}
+
+#[test]
+fn an_address_without_a_route_has_no_outlook() {
+    let mut stray = flow(1);
+    stray.service_address.set_port(9);
+    let outlook = FlowBalancer::new(balancer()).explain(&stray, &claims_view(3), at(0));
+    assert_eq!((outlook.route, outlook.service), (None, None));
+    assert!(outlook.candidates.is_empty());
+}
+
+#[test]
+fn an_agent_tells_what_its_target_holds() {
+    let settings = AgentSettings {
+        own: agent(1),
+        service: claims(),
+        sees_all: false,
+        flow_lifetime: Duration::from_secs(60),
+    };
+    let mut decisions = FlowAgent::new(settings, at(0));
+    assert_eq!(decisions.explain(&flow(1), at(0)), None);
+    // The target sends on a flow that opened before the agent was started.
+    decisions.take_target_packet(&data(flow(1)), at(5));
+    let held = decisions.explain(&flow(1), at(25)).expect("held");
+    assert_eq!(
+        (held.state, held.silent_ms, held.balancer),
+        ("open", 20, None)
+    );
+}
--- a/crates/operations/src/carrier.rs
+++ b/crates/operations/src/carrier.rs
@@ -7,7 +7,7 @@
 use lovagelatch_telemetry::{Logger, MetricsError, MetricsRegistry, error, write_waiting_lines};
 use thiserror::Error;
 
-use crate::ready::{ReadyFlag, serve_pages, serve_ready};
+use crate::ready::{CarrierAnswers, ReadyFlag, serve_pages, serve_ready};
 
 /// Why a process that carries opaque packets could not run.
 #[derive(Debug, Error)]
@@ -64,13 +64,13 @@
     Ok(())
 }
 
-/// Serves readiness at `path`, and metrics and status, on the addresses of the settings.
+/// Serves readiness at `path`, and metrics, status and explanations, on the addresses of the settings.
 pub fn serve_carrier(
     settings: &OpaqueSettings,
     path: &'static str,
     ready: ReadyFlag,
     metrics: MetricsRegistry,
-    status: impl Fn() -> serde_json::Value + Send + Sync + 'static,
+    answers: impl CarrierAnswers,
     log: &Logger,
 ) {
     let (address, failed) = (settings.ready, log.clone());
@@ -81,7 +81,7 @@
     });
     let (address, failed) = (settings.operations, log.clone());
     tokio::spawn(async move {
-        if let Err(failure) = serve_pages(address, metrics, status).await {
+        if let Err(failure) = serve_pages(address, metrics, answers).await {
             error!(failed, "operations not served"; "error" => failure.to_string());
         }
     });
--- a/crates/operations/src/lib.rs
+++ b/crates/operations/src/lib.rs
@@ -24,7 +24,7 @@
 
 pub use carrier::{CarrierError, open_datagrams, serve_carrier, start_packet_thread};
 pub use explain::{FlowCandidate, FlowExplanation};
-pub use ready::ReadyFlag;
+pub use ready::{CarrierAnswers, ReadyFlag};
 pub use reload::SettingsWatch;
 pub use server::{OperationsError, OperationsServer};
 pub use start::{run_on_one_thread, run_on_threads};
--- a/crates/operations/src/ready.rs
+++ b/crates/operations/src/ready.rs
@@ -57,15 +57,22 @@
     }
 }
 
-type StatusReader = Arc<dyn Fn() -> serde_json::Value + Send + Sync>;
+/// What a process that carries opaque packets tells its operators, asked once a request of theirs.
+pub trait CarrierAnswers: Send + Sync + 'static {
+    /// What it holds now.
+    fn status(&self) -> serde_json::Value;
 
-/// Metrics and status of one process. The reader is called once a request of an operator.
+    /// What it knows of the flow from `client` to `address`.
+    fn explain(&self, client: SocketAddrV4, address: SocketAddrV4) -> serde_json::Value;
+}
+
+/// Metrics, status and explanations of one process.
 struct ProcessPages {
     metrics: MetricsRegistry,
-    status: StatusReader,
+    answers: Arc<dyn CarrierAnswers>,
 }
 
-/// Serves `/metrics` and `/status` until the runtime ends.
+/// Serves `/metrics`, `/status` and `/explain/flow` until the runtime ends.
 ///
 /// # Errors
 ///
@@ -73,15 +80,15 @@
 pub(crate) async fn serve_pages(
     address: SocketAddrV4,
     metrics: MetricsRegistry,
-    status: impl Fn() -> serde_json::Value + Send + Sync + 'static,
+    answers: impl CarrierAnswers,
 ) -> Result<(), OperationsError> {
     let pages = ProcessPages {
         metrics,
-        status: Arc::new(status),
+        answers: Arc::new(answers),
     };
     let server = rocket::custom(server_settings(address))
         .manage(pages)
-        .mount("/", routes![metrics_page, status_page]);
+        .mount("/", routes![metrics_page, status_page, explain_page]);
     server.launch().await.map_err(Box::new)?;
     Ok(())
 }
@@ -93,5 +100,19 @@
 
 #[get("/status")]
 fn status_page(pages: &State<ProcessPages>) -> (ContentType, String) {
-    (ContentType::JSON, (pages.status)().to_string())
+    (ContentType::JSON, pages.answers.status().to_string())
+}
+
+#[get("/explain/flow?<client>&<address>")]
+fn explain_page(
+    pages: &State<ProcessPages>,
+    client: &str,
+    address: &str,
+) -> (Status, (ContentType, String)) {
+    let (Ok(client), Ok(address)) = (client.parse(), address.parse()) else {
+        let fault = serde_json::json!({ "error": "client and address are IP:PORT" });
+        return (Status::BadRequest, (ContentType::JSON, fault.to_string()));
+    };
+    let answer = pages.answers.explain(client, address);
+    (Status::Ok, (ContentType::JSON, answer.to_string()))
 }
--- a/crates/operations/tests/all/main.rs
+++ b/crates/operations/tests/all/main.rs
@@ -1,5 +1,7 @@
 //! What a process answers to operators.
 
+mod carrier;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
