--- a/crates/flows/src/balancer.rs
+++ b/crates/flows/src/balancer.rs
@@ -15,6 +15,7 @@
 mod offer;
 mod schedule;
 mod search;
+mod search_frames;
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -23,11 +24,11 @@
 use parking_lot::{Mutex, MutexGuard};
 use smallvec::SmallVec;
 
-pub use self::asking::SearchFrames;
 use self::budget::SearchBudget;
 use self::entry::{EntryState, FlowEntry, FlowSearch};
 use self::schedule::SearchSchedule;
 pub use self::search::DueSearch;
+pub use self::search_frames::SearchFrames;
 use crate::frame::{ErrandWord, FlowEvent, FlowNote, FramePurpose, LoadReport, PacketFrame};
 use crate::load::LoadBoard;
 use crate::memory::FlowMemory;
--- a/crates/flows/src/balancer/search.rs
+++ b/crates/flows/src/balancer/search.rs
@@ -27,8 +27,9 @@
 
 use lovagelatch_domain::{AgentAddress, Moment};
 
-use super::asking::{self, AskedList, FrameMaker, SearchFrames};
+use super::asking::{self, AskedList};
 use super::entry::{EntryState, FlowEntry, FlowSearch};
+use super::search_frames::{FrameMaker, SearchFrames, errand_bytes};
 use super::{BalancerStep, COPY_SPAN, FlowBalancer, FlowReset, FlowShard, LossReason};
 use crate::frame::{ErrandWord, FlowNote};
 use crate::packet::{FlowKey, FlowPacket};
@@ -229,7 +230,7 @@
         if all.len() > asking::LARGE_FLEET {
             return Widening::Never;
         }
-        let bytes = asking::errand_bytes(all.len(), search.bytes.len());
+        let bytes = errand_bytes(all.len(), search.bytes.len());
         if !self.budget.lock().has(bytes, now) {
             return Widening::Later;
         }
