--- a/crates/flows/src/agent.rs
+++ b/crates/flows/src/agent.rs
@@ -4,19 +4,21 @@
 //! was started while the target ran. Then it offers packets of flows it does not know to its own
 //! target first; the target holds the flow and answers, or returns the packet.
 
+mod entry;
+mod inward;
+mod outward;
+
 use std::collections::HashMap;
 use std::time::Duration;
 
 use lovagelatch_domain::{AgentAddress, Moment, ServiceId};
-use smallvec::SmallVec;
 
+use self::entry::{Absence, EntryState, FlowEntry, Trial};
 use crate::errand::ErrandBook;
-use crate::frame::{
-    Candidate, ErrandWord, FlowEvent, FlowNote, FramePurpose, LoadReport, PacketFrame, SearchErrand,
-};
-use crate::memory::{FlowMemory, Remembered};
+use crate::frame::{FlowEvent, FlowNote, LoadReport, PacketFrame};
+use crate::memory::FlowMemory;
 use crate::outlook::{HeldFlow, millis};
-use crate::packet::{FlowKey, FlowPacket};
+use crate::packet::FlowKey;
 
 /// Flows remembered at most. A target holds about 2,000; the rest are closed ones.
 const MAX_FLOWS: usize = 16_384;
@@ -52,10 +54,6 @@
 /// twice its slots a new request waits for about one other.
 const BUSY_FACTOR: u16 = 2;
 
-/// How far a client's acknowledgement may be from the number that its target chose at the start.
-/// The first packet that opens a flow acknowledges that number itself or the next.
-const OPENING_WINDOW: u32 = 4;
-
 /// What an agent is told at its start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AgentSettings {
@@ -109,81 +107,6 @@
     Silence(SilenceReason),
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum EntryState {
-    /// The first packet was handed to the target.
-    Offered,
-    /// The target answered.
-    Answered,
-    /// The flow lives here.
-    Open,
-    /// It ended; the target still answers its last packets.
-    Closed,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct FlowEntry {
-    state: EntryState,
-    last: Moment,
-    /// The number that the target chose for its end, once it has answered.
-    number: Option<u32>,
-    /// The balancer that sent the flow's last packet.
-    balancer: Option<AgentAddress>,
-    /// Whether that balancer has been told that the flow lives here.
-    told: bool,
-    /// The end of the client's data so far, to tell new data from a retransmission.
-    client_end: Option<u32>,
-    /// Since when the target owes an answer.
-    waiting: Option<Moment>,
-}
-
-impl Remembered for FlowEntry {
-    fn last(&self) -> Moment {
-        self.last
-    }
-}
-
-impl FlowEntry {
-    fn new(state: EntryState, balancer: Option<AgentAddress>, now: Moment) -> Self {
-        Self {
-            state,
-            last: now,
-            number: None,
-            balancer,
-            told: false,
-            client_end: None,
-            waiting: None,
-        }
-    }
-}
-
-/// Where a packet came from, and where it goes when it is not for this target.
-#[derive(Clone, Debug)]
-struct FrameOrigin {
-    purpose: FramePurpose,
-    balancer: AgentAddress,
-    asker: Option<AgentAddress>,
-    rest: SmallVec<[Candidate; 8]>,
-}
-
-impl From<PacketFrame> for FrameOrigin {
-    fn from(frame: PacketFrame) -> Self {
-        Self {
-            purpose: frame.purpose,
-            balancer: frame.balancer,
-            asker: frame.asker,
-            rest: frame.rest,
-        }
-    }
-}
-
-/// A packet that was handed to the target without knowing whether it holds the flow.
-#[derive(Clone, Debug)]
-struct Trial {
-    tag: u32,
-    origin: FrameOrigin,
-}
-
 /// What to do for a balancer that wants a flow searched for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ErrandStep {
@@ -237,15 +160,6 @@
     told: Moment,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Absence(Moment);
-
-impl Remembered for Absence {
-    fn last(&self) -> Moment {
-        self.0
-    }
-}
-
 impl FlowAgent {
     /// An agent that has seen nothing yet.
     #[must_use]
@@ -275,119 +189,6 @@
         self.leaving = true;
     }
 
-    /// Decides about a client's packet that came in a frame, and what to tell its balancer.
-    pub fn take_frame(
-        &mut self,
-        frame: PacketFrame,
-        packet: &FlowPacket,
-        now: Moment,
-    ) -> (AgentStep, Option<(AgentAddress, FlowNote)>) {
-        self.listen(frame.balancer, now);
-        if frame.service != self.settings.service {
-            return self.pass_on(packet, frame.into(), now);
-        }
-        if packet.opens() {
-            return self.take_offer(frame, packet, now);
-        }
-        let Some(entry) = self.flows.get_mut(&packet.flow) else {
-            return self.take_stranger(frame, packet, now);
-        };
-        if entry.state == EntryState::Answered {
-            let number = entry.number.unwrap_or_default();
-            if packet.acknowledged.wrapping_sub(number) > OPENING_WINDOW {
-                // The client took another target's answer.
-                return self.pass_on(packet, frame.into(), now);
-            }
-            entry.state = EntryState::Open;
-            self.open += 1;
-        }
-        if entry.state == EntryState::Offered {
-            return self.pass_on(packet, frame.into(), now);
-        }
-        entry.last = now;
-        if entry.balancer != Some(frame.balancer) {
-            entry.balancer = Some(frame.balancer);
-            entry.told = false;
-        }
-        let tell = !std::mem::replace(&mut entry.told, true);
-        self.note_request(packet, now);
-        let note = tell.then(|| {
-            (
-                frame.balancer,
-                self.note(packet.flow, FlowEvent::Opened, now),
-            )
-        });
-        (AgentStep::Deliver { tag: 0 }, note)
-    }
-
-    /// Looks for a flow on behalf of a balancer: here, and at the others that it names.
-    pub fn take_errand(
-        &mut self,
-        errand: &SearchErrand,
-        packet: &FlowPacket,
-        now: Moment,
-    ) -> ErrandStep {
-        let own = self.settings.own;
-        let others = self.errands.begin(errand, packet.flow, own, now);
-        let frame = PacketFrame {
-            service: errand.service,
-            balancer: errand.balancer,
-            slots: 0,
-            purpose: FramePurpose::Search,
-            asker: None,
-            rest: SmallVec::new(),
-        };
-        let (own, note) = self.take_frame(frame, packet, now);
-        ErrandStep { own, note, others }
-    }
-
-    /// Takes another agent's word about a flow that this one looks for; what to tell the balancer
-    /// when that was the last one.
-    pub fn take_word(&mut self, word: &FlowNote) -> Option<(AgentAddress, ErrandWord)> {
-        let own = self.settings.own;
-        match word.event {
-            FlowEvent::Absent => self.errands.note_absent(&word.flow, word.load.agent, own),
-            FlowEvent::Answered | FlowEvent::Opened | FlowEvent::Refused => None,
-        }
-    }
-
-    /// The errands whose time is over, each with its balancer.
-    pub fn due_errands(&mut self, now: Moment) -> Vec<(AgentAddress, ErrandWord)> {
-        self.errands.due(self.settings.own, now)
-    }
-
-    /// When [`due_errands`](Self::due_errands) has something to do next.
-    #[must_use]
-    pub fn next_errand(&self) -> Option<Moment> {
-        self.errands.next_due()
-    }
-
-    /// Decides about a packet that the target sent, and what to tell the flow's balancer.
-    pub fn take_target_packet(
-        &mut self,
-        packet: &FlowPacket,
-        now: Moment,
-    ) -> (AgentStep, Option<(AgentAddress, FlowNote)>) {
-        self.unanswered_since = None;
-        self.refused_until = Moment::ZERO;
-        if packet.flags.returned {
-            return self.take_returned(packet, now);
-        }
-        let note = self.note_target_packet(packet, now);
-        (AgentStep::ToClient, note)
-    }
-
-    /// How long the target took from a request to the first of its answer, once for each request
-    /// that was answered since the last call.
-    pub fn take_answered_after(&mut self) -> Option<Duration> {
-        self.answered_after.take()
-    }
-
-    /// Takes the operating system's word that nobody listens where the target should: it is gone.
-    pub fn take_refusal(&mut self, now: Moment) {
-        self.refused_until = now + REFUSED_SPAN;
-    }
-
     /// The balancers that are to be told the load, and the load.
     pub fn report(&mut self, now: Moment) -> (Vec<AgentAddress>, LoadReport) {
         self.listeners
@@ -481,206 +282,6 @@
         listener.or_insert(Listener { heard: now, told }).heard = now;
     }
 
-    fn take_offer(
-        &mut self,
-        frame: PacketFrame,
-        packet: &FlowPacket,
-        now: Moment,
-    ) -> (AgentStep, Option<(AgentAddress, FlowNote)>) {
-        let known = self.flows.get(&packet.flow).map(|entry| entry.state);
-        let unable = self.leaving || !self.is_responsive(now) || self.is_busy(frame.slots);
-        if known.is_none() && unable && !frame.rest.is_empty() {
-            return self.pass_on(packet, frame.into(), now);
-        }
-        if known.is_none() {
-            let entry = FlowEntry::new(EntryState::Offered, Some(frame.balancer), now);
-            let lifetime = self.settings.flow_lifetime;
-            self.flows.insert(packet.flow, entry, lifetime, now);
-        }
-        self.unanswered_since.get_or_insert(now);
-        let tag = self.try_target(frame);
-        (AgentStep::Deliver { tag }, None)
-    }
-
-    fn take_stranger(
-        &mut self,
-        frame: PacketFrame,
-        packet: &FlowPacket,
-        now: Moment,
-    ) -> (AgentStep, Option<(AgentAddress, FlowNote)>) {
-        let absent = self.knows_all(now) || self.absent.get(&packet.flow).is_some();
-        if absent {
-            return self.pass_on(packet, frame.into(), now);
-        }
-        let tag = self.try_target(frame);
-        (AgentStep::Deliver { tag }, None)
-    }
-
-    fn try_target(&mut self, frame: PacketFrame) -> u32 {
-        self.next_tag = self.next_tag.wrapping_add(1).max(1);
-        let tag = self.next_tag;
-        self.trials[tag as usize % TRIALS] = Some(Trial {
-            tag,
-            origin: frame.into(),
-        });
-        tag
-    }
-
-    fn take_trial(&mut self, tag: u32) -> Option<Trial> {
-        self.trials[tag as usize % TRIALS].take_if(|trial| trial.tag == tag)
-    }
-
-    fn take_returned(
-        &mut self,
-        packet: &FlowPacket,
-        now: Moment,
-    ) -> (AgentStep, Option<(AgentAddress, FlowNote)>) {
-        if let Some(trial) = self.take_trial(packet.tag) {
-            if packet.opens() {
-                let known = self.flows.get(&packet.flow).map(|entry| entry.state);
-                if known.is_some_and(|state| state != EntryState::Offered) {
-                    // A late copy: the flow opened long ago, and nobody else must be offered it.
-                    return (AgentStep::Silence(SilenceReason::Ended), None);
-                }
-                self.forget(&packet.flow);
-            } else {
-                let lifetime = self.settings.flow_lifetime;
-                self.absent.insert(packet.flow, Absence(now), lifetime, now);
-            }
-            return self.pass_on(packet, trial.origin, now);
-        }
-        // A flow that was here and that the target no longer holds: it restarted, or let an old
-        // flow go. Nobody else holds it either.
-        let Some(entry) = self.forget(&packet.flow) else {
-            return (AgentStep::Silence(SilenceReason::Forgotten), None);
-        };
-        let balancer = entry.balancer;
-        let note = balancer.map(|to| (to, self.note(packet.flow, FlowEvent::Absent, now)));
-        if packet.flags.rst {
-            return (AgentStep::Silence(SilenceReason::Ended), note);
-        }
-        (AgentStep::Reset, note)
-    }
-
-    /// Sends a packet that is not for this target on to the next agent, or says that it is not.
-    fn pass_on(
-        &mut self,
-        packet: &FlowPacket,
-        origin: FrameOrigin,
-        now: Moment,
-    ) -> (AgentStep, Option<(AgentAddress, FlowNote)>) {
-        let (purpose, balancer, mut rest) = (origin.purpose, origin.balancer, origin.rest);
-        if !rest.is_empty() {
-            let next = rest.remove(0);
-            let frame = PacketFrame {
-                service: next.service,
-                balancer,
-                slots: next.slots,
-                purpose,
-                asker: origin.asker,
-                rest,
-            };
-            let to = next.agent;
-            return (AgentStep::Pass { to, frame }, None);
-        }
-        match purpose {
-            FramePurpose::Offer if packet.opens() => {
-                let note = self.note(packet.flow, FlowEvent::Refused, now);
-                (AgentStep::Reset, Some((balancer, note)))
-            }
-            FramePurpose::Known => (AgentStep::Return { to: balancer }, None),
-            FramePurpose::Offer | FramePurpose::Search => {
-                let note = self.note(packet.flow, FlowEvent::Absent, now);
-                let asker = origin.asker.unwrap_or(balancer);
-                (
-                    AgentStep::Silence(SilenceReason::Unheld),
-                    Some((asker, note)),
-                )
-            }
-        }
-    }
-
-    /// Counts a client's packet with new data as a request, unless one is in progress.
-    fn note_request(&mut self, packet: &FlowPacket, now: Moment) {
-        if packet.data_bytes == 0 {
-            return;
-        }
-        let end = packet.sequence.wrapping_add(packet.data_bytes.into());
-        let Some(entry) = self.flows.get_mut(&packet.flow) else {
-            return;
-        };
-        let is_new = entry
-            .client_end
-            .is_none_or(|known| end.wrapping_sub(known).cast_signed() > 0);
-        if !is_new {
-            return;
-        }
-        entry.client_end = Some(end);
-        if entry.waiting.replace(now).is_none() {
-            self.count_progress(1, now);
-        }
-    }
-
-    fn note_target_packet(
-        &mut self,
-        packet: &FlowPacket,
-        now: Moment,
-    ) -> Option<(AgentAddress, FlowNote)> {
-        let flow = packet.flow;
-        let answers = packet.flags.syn && packet.flags.ack;
-        let Some(entry) = self.flows.get_mut(&flow) else {
-            // This agent was started while the flow was open.
-            if !answers && !packet.flags.rst {
-                let entry = FlowEntry::new(EntryState::Open, None, now);
-                let lifetime = self.settings.flow_lifetime;
-                self.flows.insert(flow, entry, lifetime, now);
-                self.open += 1;
-            }
-            return None;
-        };
-        entry.last = now;
-        if answers {
-            return self.note_answer(packet, now);
-        }
-        let answered = packet.data_bytes > 0 || packet.flags.fin || packet.flags.rst;
-        let since = if answered { entry.waiting.take() } else { None };
-        let ended = packet.flags.fin || packet.flags.rst;
-        let was_open = entry.state == EntryState::Open;
-        if ended {
-            entry.state = EntryState::Closed;
-        }
-        if let Some(since) = since {
-            self.answered_after = Some(now.since(since));
-            self.count_progress(-1, now);
-        }
-        if ended && was_open {
-            self.open = self.open.saturating_sub(1);
-        }
-        None
-    }
-
-    /// The target answered a first packet. The number that it chose tells a new flow from a
-    /// repeated answer: a late copy of a first packet must not make an open flow a new one.
-    fn note_answer(
-        &mut self,
-        packet: &FlowPacket,
-        now: Moment,
-    ) -> Option<(AgentAddress, FlowNote)> {
-        let entry = self.flows.get_mut(&packet.flow)?;
-        let unknown = entry.state == EntryState::Open && entry.number.is_none();
-        if unknown || entry.number == Some(packet.sequence) {
-            entry.number = Some(packet.sequence);
-            return None;
-        }
-        let balancer = entry.balancer;
-        self.forget(&packet.flow);
-        let mut entry = FlowEntry::new(EntryState::Answered, balancer, now);
-        entry.number = Some(packet.sequence);
-        let lifetime = self.settings.flow_lifetime;
-        self.flows.insert(packet.flow, entry, lifetime, now);
-        balancer.map(|to| (to, self.note(packet.flow, FlowEvent::Answered, now)))
-    }
-
     fn forget(&mut self, flow: &FlowKey) -> Option<FlowEntry> {
         let entry = self.flows.remove(flow)?;
         if entry.waiting.is_some() {
