--- a/standins/soak/src/process.rs
+++ b/standins/soak/src/process.rs
@@ -71,8 +71,14 @@
         }
     }
 
+    /// Whether it was told to stop and has not been started since.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.is_some()
+    }
+
     pub(crate) fn kill(&mut self) {
         self.signal(libc::SIGKILL);
+        self.stopping = None;
         if let Some(mut child) = self.child.take() {
             // It cannot refuse.
             let _status = child.wait();
--- a/standins/soak/src/run.rs
+++ b/standins/soak/src/run.rs
@@ -254,7 +254,9 @@
             if due <= now {
                 process.start()?;
             }
-            if let Some(at) = number.checked_sub(balancers) {
+            // What was planned excuses nothing.
+            let planned = process.is_stopping();
+            if let Some(at) = number.checked_sub(balancers).filter(|_| !planned) {
                 self.fleet.note_disturbed(at);
             }
         }
@@ -292,7 +294,7 @@
                     self.disturb(at, |unit| unit.process.kill());
                 }
             }
-            SoakFault::StopAgent => self.disturb(machine, |unit| unit.process.stop()),
+            SoakFault::StopAgent => fleet.machines[machine].process.stop(),
             SoakFault::PauseAgent => self.disturb(machine, |unit| unit.process.pause()),
             SoakFault::LosePower => self.lose_power(),
             SoakFault::CrashTarget | SoakFault::ReuseAddress => {
