--- a/crates/flows/src/balancer.rs
+++ b/crates/flows/src/balancer.rs
@@ -15,19 +15,20 @@
 mod offer;
 mod schedule;
 mod search;
+mod search_frames;
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use lovagelatch_domain::{AgentAddress, Moment, ServiceId};
-use parking_lot::Mutex;
+use parking_lot::{Mutex, MutexGuard};
 use smallvec::SmallVec;
 
-pub use self::asking::SearchFrames;
 use self::budget::SearchBudget;
 use self::entry::{EntryState, FlowEntry, FlowSearch};
 use self::schedule::SearchSchedule;
 pub use self::search::DueSearch;
+pub use self::search_frames::SearchFrames;
 use crate::frame::{ErrandWord, FlowEvent, FlowNote, FramePurpose, LoadReport, PacketFrame};
 use crate::load::LoadBoard;
 use crate::memory::FlowMemory;
@@ -226,6 +227,10 @@
         shard.flows.get(flow).map(|entry| entry.agent)
     }
 
+    pub(crate) fn loads(&self) -> MutexGuard<'_, LoadBoard> {
+        self.loads.lock()
+    }
+
     /// Decides about a client's packet. `bytes` is the whole packet, kept while an offer or
     /// a search waits for answers.
     pub fn take_packet(
