Holders tell a restarted balancer again, and a search that proved nothing ends; soak by the right addresses

A holder remembered that a balancer had been told where a flow lives, by address. Started anew at that address, the balancer searched, got no word from the holder, and showed every further packet of each long flow to all agents for as long as it lived. A search is now always answered by the holder. 2. A search in which everybody has said no, while the view may lack targets, was kept for two seconds and went on with those who had not answered: none. The flow's target, listed a moment later, was not asked. Such a search now ends, and the flow's next packet after 150 ms begins another. 3. In the soak, agents named themselves by where they listen and the store's list by the proxy before it, so no "not here" was ever counted and no load report belonged to a target: nothing was known to be lost there. Agents have a setting for the address that others know them by, and the soak uses it.

Tests, both seen failing first: flows: agent::a_balancer_that_searches_is_told_again_where_the_flow_lives, search::a_search_that_proved_nothing_begins_again_with_the_next_packet.

--- a/bins/agent/src/opaque/process.rs
+++ b/bins/agent/src/opaque/process.rs
@@ -46,7 +46,7 @@
     let common = &settings.common;
     let clock = ProcessClock::new();
     let agent = AgentSettings {
-        own: AgentAddress(common.frames),
+        own: AgentAddress(settings.advertised),
         service: settings.service.id(),
         sees_all: settings.first_start,
         flow_lifetime: common.flow_lifetime,
@@ -120,7 +120,7 @@
         target,
         target_address: settings.backend,
         client_port: common.packets.port(),
-        own: AgentAddress(common.frames),
+        own: AgentAddress(settings.advertised),
     };
     let state = Arc::clone(state);
     let idle = common.flow_lifetime;
--- a/crates/flows/src/agent/inward.rs
+++ b/crates/flows/src/agent/inward.rs
@@ -43,7 +43,10 @@
             return self.pass_on(packet, frame.into(), now);
         }
         entry.last = now;
-        if entry.balancer != Some(frame.balancer) {
+        // A balancer that searches does not know, whatever it was told: it has been started anew at
+        // the same address. Not told again, it showed every further packet of the flow to everybody.
+        let searched = frame.purpose == FramePurpose::Search;
+        if searched || entry.balancer != Some(frame.balancer) {
             entry.balancer = Some(frame.balancer);
             entry.told = false;
         }
--- a/crates/flows/src/balancer/asking.rs
+++ b/crates/flows/src/balancer/asking.rs
@@ -78,6 +78,7 @@
         complete: false,
         repeated: false,
         certain: view.complete,
+        exhausted: false,
     };
     let all = everybody(view, now);
     let targets: SmallVec<[&FlowTarget; CANDIDATES]> = if all.len() <= SMALL_FLEET {
--- a/crates/flows/src/balancer/entry.rs
+++ b/crates/flows/src/balancer/entry.rs
@@ -88,6 +88,8 @@
     pub(super) repeated: bool,
     /// Whether the view that it began with held every living target.
     pub(super) certain: bool,
+    /// Whether everybody has said no without proving anything.
+    pub(super) exhausted: bool,
 }
 
 impl Remembered for FlowEntry {
--- a/crates/flows/src/balancer/search.rs
+++ b/crates/flows/src/balancer/search.rs
@@ -54,6 +54,12 @@
 /// left, and for as long as any had left within three seconds, no flow was known to be lost.
 const SILENT_SPAN: Duration = Duration::from_millis(250);
 
+/// When a flow is searched for again after everybody has said no and that proved nothing, because
+/// the view may lack targets: the flow's own may be in the view by then. Less than the 200 ms after
+/// which a client repeats itself; a client in the middle of a download sends dozens of packets in
+/// that time.
+const EXHAUSTED_PAUSE: Duration = Duration::from_millis(150);
+
 /// When a search that has no budget to ask everybody tries again.
 const BUDGET_PAUSE: Duration = Duration::from_millis(40);
 
@@ -97,8 +103,11 @@
         };
         let mut shard = self.shard(packet.flow.point()).lock();
         let known = shard.searches.get_mut(&packet.flow);
-        let known = known.filter(|search| now.since(search.started) < SEARCH_SPAN);
+        let known = known.filter(|search| !is_over(search, now));
         if let Some(search) = known {
+            if search.exhausted {
+                return BalancerStep::Drop;
+            }
             if now.since(search.last) < REPEAT_SPAN && packet.data_bytes == 0 {
                 return BalancerStep::Drop;
             }
@@ -148,7 +157,7 @@
     fn go_on(&self, flow: FlowKey, view: &FlowView, now: Moment) -> Option<DueSearch> {
         let mut shard = self.shard(flow.point()).lock();
         let search = shard.searches.get_mut(&flow)?;
-        if now < search.due || now.since(search.started) >= SEARCH_SPAN {
+        if now < search.due || search.exhausted || is_over(search, now) {
             return None;
         }
         let unanswered = unanswered(search);
@@ -278,6 +287,12 @@
     }
 }
 
+/// Whether the flow's next packet begins another search.
+fn is_over(search: &FlowSearch, now: Moment) -> bool {
+    let again = search.exhausted && now.since(search.last) >= EXHAUSTED_PAUSE;
+    again || now.since(search.started) >= SEARCH_SPAN
+}
+
 fn unanswered(search: &FlowSearch) -> AskedList {
     search.open.iter().map(|open| open.candidate).collect()
 }
@@ -285,8 +300,12 @@
 impl FlowShard {
     /// Ends a search for a flow that nobody holds; `None` while that is not known.
     fn end_search(&mut self, flow: FlowKey, now: Moment) -> Option<FlowReset> {
-        let search = self.searches.get(&flow)?;
-        if !search.open.is_empty() || !search.complete || !search.certain {
+        let search = self.searches.get_mut(&flow)?;
+        if !search.open.is_empty() || !search.complete {
+            return None;
+        }
+        if !search.certain {
+            search.exhausted = true;
             return None;
         }
         let acknowledged = search.acknowledged;
--- a/crates/flows/tests/all/agent.rs
+++ b/crates/flows/tests/all/agent.rs
@@ -462,3 +462,22 @@
     assert_eq!(note.expect("it opens").1.event, FlowEvent::Opened);
     assert_eq!(agent.status(at(1_003)).load.flows, 1);
 }
+
+// Symptom: after a rolling restart of balancers every packet of the long flows is shown to all
+// agents, for as long as the flows live. Sequence: a balancer is told where a flow lives, is started
+// anew at the same address and forgets it; it searches, and the holder delivers the packet and
+// says nothing. Cause: the holder remembered that this balancer had been told.
+#[test]
+fn a_balancer_that_searches_is_told_again_where_the_flow_lives() {
+    let mut agent = old_agent();
+    open(&mut agent, flow(1), at(0));
+    let search = || frame(FramePurpose::Search, &[]);
+    for millis in [100, 200] {
+        let (step, note) = agent.take_frame(search(), &data(flow(1)), at(millis));
+        delivered(step);
+        let told = note.map(|(to, note)| (to, note.event));
+        assert_eq!(told, Some((balancer(), FlowEvent::Opened)));
+    }
+    let (_, note) = agent.take_frame(frame(FramePurpose::Known, &[]), &data(flow(1)), at(300));
+    assert_eq!(note, None);
+}
--- a/crates/flows/tests/all/search.rs
+++ b/crates/flows/tests/all/search.rs
@@ -544,3 +544,32 @@
     let step = decisions.take_packet(&data(flow(1)), b"data", &view, at(401));
     assert_eq!(sent(step).0, agent(2));
 }
+
+// Symptom: for two seconds an open flow's packets reach nobody. Sequence: a balancer that has just
+// started reads a list that lacks the flow's target; all others say no; the target is listed a
+// moment later, and the client sends again. Cause: the search that had found nobody was still
+// there, and went on with those who had not answered: none.
+#[test]
+fn a_search_that_proved_nothing_begins_again_with_the_next_packet() {
+    let mut builder = builder();
+    builder.note_trouble(at(0));
+    builder.take(
+        &catalog(vec![target(1, "claims"), target(2, "claims")]),
+        at(0),
+    );
+    let view = builder.build(at(0));
+    let decisions = FlowBalancer::new(balancer());
+    ask_all(&decisions, &view);
+    for number in [1, 2] {
+        let word = note(flow(1), agent(number), FlowEvent::Absent);
+        assert_eq!(decisions.take_note(&word, at(1)).reset, None);
+    }
+    // Not with each of a download's acknowledgements.
+    let early = decisions.take_packet(&data(flow(1)), b"data", &view, at(50));
+    assert_eq!(early, BalancerStep::Drop);
+    let all = (1..=3).map(|number| target(number, "claims")).collect();
+    builder.take(&catalog(all), at(100));
+    let view = builder.build(at(100));
+    let step = decisions.take_packet(&data(flow(1)), b"data", &view, at(200));
+    assert_eq!(asked(step), agents(3));
+}
--- a/crates/settings/src/opaque.rs
+++ b/crates/settings/src/opaque.rs
@@ -158,6 +158,22 @@
     pub store: SocketAddrV4,
 }
 
+/// An address that may be left out.
+struct AddressOrNone(Option<SocketAddrV4>);
+
+impl FromStr for AddressOrNone {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        if text == "none" {
+            return Ok(Self(None));
+        }
+        text.parse()
+            .map(|address| Self(Some(address)))
+            .map_err(|_| ())
+    }
+}
+
 /// What an agent is told.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OpaqueAgentSettings {
@@ -169,6 +185,8 @@
     pub backend: SocketAddrV4,
     /// Where its backend server sends all of its own packets.
     pub outbound: SocketAddrV4,
+    /// Where other processes reach its `frames`, and so its name among them.
+    pub advertised: SocketAddrV4,
     /// Whether the whole fleet starts now, so that no flow can be older than this process.
     pub first_start: bool,
 }
@@ -266,8 +284,16 @@
         let backend = reader.value("agent", "backend", "an address IP:PORT", None);
         let outbound = reader.value("agent", "outbound", "an address IP:PORT", None);
         let first_start = reader.value("agent", "first_start", "true or false", Some("false"));
+        let advertised: Option<AddressOrNone> = reader.value(
+            "agent",
+            "advertised",
+            "an address IP:PORT or none",
+            Some("none"),
+        );
+        let common = common?;
         Some(Self {
-            common: common?,
+            advertised: advertised?.0.unwrap_or(common.frames),
+            common,
             service: service?,
             backend: backend?,
             outbound: outbound?,
--- a/standins/soak/src/fleet.rs
+++ b/standins/soak/src/fleet.rs
@@ -138,8 +138,11 @@
         first: bool,
     ) -> io::Result<SoakProcess> {
         let ip = self.network.machine(number);
+        // Others know it by the proxy before it, as the store lists its target.
+        let proxy = self.network.machine_proxy(number);
         let own = format!(
             "[agent]\nservice = {}\nbackend = {ip}:{APP}\noutbound = {ip}:{OUTBOUND}\n\
+             advertised = {proxy}:{FRAMES}\n\
              first_start = {first}\n",
             SERVICES[usize::from(service)]
         );
