A search ends by itself when the view turns out complete, and balancers that start find each other

The view of a balancer that has just started counts as incomplete until another balancer has spoken or a second has passed; a search that began in it proved nothing, however complete the view became. And the balancers named in the settings started last: the others' greetings were repeated every 500 ms only, put off by each change of the catalog, so they knew nobody for 0.6 to 1.2 s.

Change: a search that everybody has answered looks every 25 ms whether the view is complete by now, asks whoever is new in it, and ends; a balancer that knows nobody greets its seeds every 50 ms, for a second at most. What proves a loss is the same as before.

Ruled out: a wait for agents that are still starting (they answered within 2 ms once they ran, and the ask is repeated after 150 ms).

--- a/bins/balancer/src/opaque/catalog.rs
+++ b/bins/balancer/src/opaque/catalog.rs
@@ -16,7 +16,7 @@
 use lovagelatch_telemetry::{DecisionKind, Logger, info, warn};
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use tokio::time::MissedTickBehavior;
 
 use super::count::StoreCounts;
@@ -56,6 +56,7 @@
         state,
         socket,
         calls,
+        answered: Notify::new(),
     });
     tokio::spawn(make_calls(Arc::clone(&tasks), queue, store));
     tokio::spawn(take_datagrams(Arc::clone(&tasks)));
@@ -69,6 +70,8 @@
     pub(crate) state: CatalogState,
     socket: UdpSocket,
     calls: mpsc::Sender<StoreCall>,
+    /// Wakes whoever waits for the member's next due moment.
+    answered: Notify,
 }
 
 impl CatalogTasks {
@@ -100,6 +103,7 @@
         let now = self.state.packets.clock.now();
         let actions = self.state.member.lock().store_answered(call, outcome, now);
         self.carry_out(actions);
+        self.answered.notify_one();
     }
 
     fn carry_out(self: &Arc<Self>, actions: Vec<CatalogAction>) {
@@ -203,16 +207,37 @@
     postcard::to_stdvec(message).unwrap_or_default()
 }
 
-/// Lets time pass for the member and for the view.
+/// Lets time pass for the member and for the view: at each tick, and when the member has something to
+/// do before the next one.
 async fn tick(tasks: Arc<CatalogTasks>) {
     let mut interval = tokio::time::interval(MEMBER_TICK);
     interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        interval.tick().await;
+        tokio::select! {
+            _ = interval.tick() => {
+                let now = tasks.state.packets.clock.now();
+                let idle = tasks.state.packets.view.load().idle_timeout;
+                tasks.state.packets.balancer.tend(idle.max(MIN_IDLE), now);
+            }
+            () = wait_for_due(&tasks) => {}
+        }
         tasks.advance();
+    }
+}
+
+/// Waits until the member has something to do; what that is may change with an answer of the store.
+async fn wait_for_due(tasks: &CatalogTasks) {
+    loop {
         let now = tasks.state.packets.clock.now();
-        let idle = tasks.state.packets.view.load().idle_timeout;
-        tasks.state.packets.balancer.tend(idle.max(MIN_IDLE), now);
+        let due = tasks.state.member.lock().next_due(now);
+        let Some(due) = due else {
+            tasks.answered.notified().await;
+            continue;
+        };
+        tokio::select! {
+            () = tokio::time::sleep(due.since(now)) => return,
+            () = tasks.answered.notified() => {}
+        }
     }
 }
 
@@ -239,17 +264,7 @@
     address: SocketAddrV4,
 ) {
     let mut client = StoreClient::new(StoreSettings { address });
-    loop {
-        let call = tokio::select! {
-            call = queue.recv() => call,
-            () = wait_for_due(&tasks) => {
-                tasks.advance();
-                continue;
-            }
-        };
-        let Some(call) = call else {
-            return;
-        };
+    while let Some(call) = queue.recv().await {
         let outcome = client.call(call).await.map_err(|error| {
             info!(tasks.state.log, "store call failed"; "error" => error.to_string());
             error.failure()
@@ -259,16 +274,6 @@
     }
 }
 
-/// Waits until a call to the store is due; for ever while none is known to be.
-async fn wait_for_due(tasks: &CatalogTasks) {
-    let now = tasks.state.packets.clock.now();
-    let due = tasks.state.member.lock().next_due(now);
-    match due {
-        Some(due) => tokio::time::sleep(due.since(now)).await,
-        None => std::future::pending().await,
-    }
-}
-
 async fn ask_by_stream(tasks: Arc<CatalogTasks>, to: SocketAddrV4, ask: CatalogMessage) {
     let exchange = async {
         let mut stream = TcpStream::connect(to).await?;
--- a/crates/catalog/src/member.rs
+++ b/crates/catalog/src/member.rs
@@ -21,6 +21,12 @@
 /// Time between two regular heads.
 const HEAD_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The same while a fresh process knows of nobody. Where all start at once, those whom the settings
+/// name may start last; the others find each other only through them, and until then they cannot
+/// know of trouble that the store had. It ends with [`INFORM_SPAN`], so at twenty small datagrams
+/// to each of three.
+const GREETING_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Up to this many balancers, each head goes to all others; above, to [`LARGE_FANOUT`].
 const SMALL_FANOUT: usize = 12;
 
@@ -224,12 +230,14 @@
         self.take_actions()
     }
 
-    /// When [`advance`](Self::advance) has a call to the store to make, if that is known: the end of
-    /// a pause between two calls. What goes wrong if it only comes with the next tick: a fleet that
+    /// When [`advance`](Self::advance) has something to do that is not to wait for the next tick: a
+    /// call to the store, or a greeting while nobody is known. What goes wrong without it: a fleet that
     /// lost power waited a quarter of a second with its processes running and the store answering.
     #[must_use]
     pub fn next_due(&self, now: Moment) -> Option<Moment> {
-        self.reading.next_due(now)
+        let greeting = (!self.is_informed(now)).then_some(self.next_head);
+        let greeting = greeting.filter(|due| now < *due);
+        self.reading.next_due(now).into_iter().chain(greeting).min()
     }
 
     /// Lets time pass.
@@ -478,7 +486,12 @@
     }
 
     fn send_heads(&mut self, now: Moment) {
-        self.next_head = now + HEAD_INTERVAL;
+        let interval = if self.is_informed(now) {
+            HEAD_INTERVAL
+        } else {
+            GREETING_INTERVAL
+        };
+        self.next_head = now + interval;
         let small = self.peers.alive_count(now) <= SMALL_FANOUT;
         let fanout = if small { SMALL_FANOUT } else { LARGE_FANOUT };
         let message = self.head_message(now);
--- a/crates/flows/src/balancer/search.rs
+++ b/crates/flows/src/balancer/search.rs
@@ -22,6 +22,10 @@
 //!        +--- some silent for 150 ms ----+--> silent ones asked again --250 ms--> lost, if the
 //!                                                             store lists none of them any more
 //! ```
+//!
+//! While the view may lack targets, that everybody said no proves nothing. Their words stay good: a
+//! flow that is open does not come to a target that does not hold it. So the search waits for the view
+//! to be complete, asks whoever is new in it, and ends.
 
 use std::time::Duration;
 
@@ -60,6 +64,11 @@
 /// that time.
 const EXHAUSTED_PAUSE: Duration = Duration::from_millis(150);
 
+/// How often a search that everybody has answered looks whether the view is complete by now, so that
+/// their answers prove something. A tenth of what a client waits before it repeats itself; the
+/// searches of a moment are looked at together.
+const DOUBT_PAUSE: Duration = Duration::from_millis(25);
+
 /// When a search that has no budget to ask everybody tries again.
 const BUDGET_PAUSE: Duration = Duration::from_millis(40);
 
@@ -157,9 +166,16 @@
     fn go_on(&self, flow: FlowKey, view: &FlowView, now: Moment) -> Option<DueSearch> {
         let mut shard = self.shard(flow.point()).lock();
         let search = shard.searches.get_mut(&flow)?;
-        if now < search.due || search.exhausted || is_over(search, now) {
+        if now < search.due || is_stale(search, now) {
             return None;
         }
+        if search.exhausted {
+            if !view.complete {
+                self.go_on_at(now + DOUBT_PAUSE, flow, search);
+                return None;
+            }
+            search.resume();
+        }
         let unanswered = unanswered(search);
         let asked = if !search.complete {
             match self.widen(search, view, now) {
@@ -180,10 +196,10 @@
             search
                 .open
                 .retain(|open| view.lists_agent(open.candidate.agent));
-            return shard.end_search(flow, now).map(DueSearch::Lost);
+            return self.end_search(&mut shard, flow, now).map(DueSearch::Lost);
         };
         if search.open.is_empty() {
-            return shard.end_search(flow, now).map(DueSearch::Lost);
+            return self.end_search(&mut shard, flow, now).map(DueSearch::Lost);
         }
         let wait = if search.repeated {
             SILENT_SPAN
@@ -283,40 +299,61 @@
             self.go_on_at(now, flow, search);
             return None;
         }
-        shard.end_search(flow, now)
+        self.end_search(shard, flow, now)
+    }
+
+    /// Ends a search for a flow that nobody holds; `None` while that is not known.
+    fn end_search(&self, shard: &mut FlowShard, flow: FlowKey, now: Moment) -> Option<FlowReset> {
+        let search = shard.searches.get_mut(&flow)?;
+        if !search.open.is_empty() || !search.complete {
+            return None;
+        }
+        if !search.certain {
+            search.exhausted = true;
+            self.go_on_at(now + DOUBT_PAUSE, flow, search);
+            return None;
+        }
+        Some(shard.note_lost(flow, now))
     }
 }
 
 /// Whether the flow's next packet begins another search.
 fn is_over(search: &FlowSearch, now: Moment) -> bool {
     let again = search.exhausted && now.since(search.last) >= EXHAUSTED_PAUSE;
-    again || now.since(search.started) >= SEARCH_SPAN
+    again || is_stale(search, now)
+}
+
+/// Whether a search is so old that its answers count no more.
+fn is_stale(search: &FlowSearch, now: Moment) -> bool {
+    now.since(search.started) >= SEARCH_SPAN
 }
 
 fn unanswered(search: &FlowSearch) -> AskedList {
     search.open.iter().map(|open| open.candidate).collect()
 }
 
+impl FlowSearch {
+    /// Goes on in a view that is complete, after everybody in an earlier one has said no.
+    fn resume(&mut self) {
+        self.exhausted = false;
+        self.certain = true;
+        self.complete = false;
+        self.repeated = false;
+    }
+}
+
 impl FlowShard {
-    /// Ends a search for a flow that nobody holds; `None` while that is not known.
-    fn end_search(&mut self, flow: FlowKey, now: Moment) -> Option<FlowReset> {
-        let search = self.searches.get_mut(&flow)?;
-        if !search.open.is_empty() || !search.complete {
-            return None;
-        }
-        if !search.certain {
-            search.exhausted = true;
-            return None;
-        }
-        let acknowledged = search.acknowledged;
-        self.searches.remove(&flow);
+    /// Notes that nobody holds a flow that was searched for.
+    fn note_lost(&mut self, flow: FlowKey, now: Moment) -> FlowReset {
+        let search = self.searches.remove(&flow);
+        let acknowledged = search.map_or(0, |search| search.acknowledged);
         let mut entry = FlowEntry::lost(now);
         entry.acknowledged = acknowledged;
         self.flows.insert(flow, entry, COPY_SPAN * 10, now);
-        Some(FlowReset {
+        FlowReset {
             flow,
             acknowledged,
             reason: LossReason::Unheld,
-        })
+        }
     }
 }
--- a/crates/flows/tests/all/search.rs
+++ b/crates/flows/tests/all/search.rs
@@ -545,6 +545,60 @@
     assert_eq!(sent(step).0, agent(2));
 }
 
+struct ResumeCase {
+    name: &'static str,
+    /// How many targets the view lists when it is complete; two were asked before.
+    listed: u8,
+}
+
+// Symptom: after a loss of power clients hear only from their third or fourth copy that a flow is lost,
+// or not before their deadlines. Sequence: a balancer that has just started asks everybody; all say no
+// within two milliseconds; a little later it learns that the store had no trouble. Cause: a search
+// that began while the view could lack targets proved nothing, however complete the view became,
+// and another one began only with the client's next packet.
+#[test]
+fn a_search_ends_when_the_view_turns_out_to_be_complete() {
+    let cases = [
+        ResumeCase {
+            name: "nobody else is listed",
+            listed: 2,
+        },
+        ResumeCase {
+            name: "one more is listed meanwhile: it is asked first",
+            listed: 3,
+        },
+    ];
+    for case in cases {
+        let targets = |count| catalog((1..=count).map(|n| target(n, "claims")).collect());
+        let mut builder = builder();
+        builder.set_informed(false);
+        builder.take(&targets(2), at(0));
+        let view = builder.build(at(0));
+        let decisions = FlowBalancer::new(balancer());
+        ask_all(&decisions, &view);
+        for number in [1, 2] {
+            let word = note(flow(1), agent(number), FlowEvent::Absent);
+            assert_eq!(decisions.take_note(&word, at(1)).reset, None);
+        }
+        let doubtful = decisions.due_searches(&view, at(40));
+        assert_eq!(doubtful, [], "{}", case.name);
+        builder.take(&targets(case.listed), at(50));
+        builder.set_informed(true);
+        let view = builder.build(at(50));
+        let due = decisions.next_due().expect("a step");
+        assert!(due <= at(75), "{}: {due:?}", case.name);
+        let mut next = decisions.due_searches(&view, due);
+        if case.listed > 2 {
+            assert_eq!(goes_on_to(next), BTreeSet::from([agent(3)]));
+            let word = note(flow(1), agent(3), FlowEvent::Absent);
+            let reset = decisions.take_note(&word, due).reset;
+            next = reset.map(DueSearch::Lost).into_iter().collect();
+        }
+        let lost = matches!(next[..], [DueSearch::Lost(_)]);
+        assert!(lost, "{}: {next:?}", case.name);
+    }
+}
+
 // Symptom: for two seconds an open flow's packets reach nobody. Sequence: a balancer that has just
 // started reads a list that lacks the flow's target; all others say no; the target is listed a
 // moment later, and the client sends again. Cause: the search that had found nobody was still
