Targets of a route's other services are tried when those of the drawn one are busy

Cause, from the same logs: the operator's weights send three quarters of the feeds to the service with two targets of seven slots; after a loss of power all clients open flows there at once. Both targets are over capacity for seconds (503: 343 of 5,283 arrivals) while the route's other service, seven targets, has one to five requests in progress at each.

Change: behind the next best targets of the drawn service an offer names the best one of each other service of the route. An agent whose target has twice its slots in progress passes the flow on, as before; so the weights hold as long as they can be kept. A drawn service without targets no longer refuses. The test was red before.

Ruled out: the balancers' choice between the two targets (their loads were equal later).

--- a/crates/flows/src/balancer/offer.rs
+++ b/crates/flows/src/balancer/offer.rs
@@ -119,20 +119,22 @@
     ) -> Option<BalancerStep> {
         let point = flow.point();
         let service = route.service_for(point)?;
-        let ordered = self.order(service, tried, view, point, now);
+        let mut ordered = self.order(service, tried, view, point, now);
+        ordered.truncate(1 + OFFER_REST);
+        ordered.extend(self.spill(route, service, tried, view, point, now));
         let &(score, chosen) = ordered.first()?;
         let mut loads = self.loads.lock();
         let load_age = loads.load(chosen.agent).map(|load| now.since(load.heard));
         loads.note_offer(chosen);
         loads.note_sent(chosen.agent, chosen.service, now);
         drop(loads);
-        let rest = ordered.iter().skip(1).take(OFFER_REST);
+        let rest = ordered.iter().skip(1);
         let rest = rest.map(|(_, target)| candidate_of(target)).collect();
         self.remember_offer(flow, chosen, tried, now);
         Some(BalancerStep::Send {
             to: chosen.agent,
             frame: PacketFrame {
-                service,
+                service: chosen.service,
                 balancer: self.own,
                 slots: chosen.slots,
                 purpose: FramePurpose::Offer,
@@ -141,7 +143,7 @@
             },
             placed: Some(PlacedFlow {
                 agent: chosen.agent,
-                service,
+                service: chosen.service,
                 score,
                 choices: ordered.len(),
                 load_age,
@@ -150,6 +152,28 @@
         })
     }
 
+    /// The best target of each other service that the route sends flows to, for when those of the one
+    /// that was drawn are all busy. What goes wrong without it: a route sends most of its flows to the
+    /// service with the fewest targets; after a loss of power all clients ask at once, and that
+    /// service refuses a tenth of them for seconds while the other one idles.
+    fn spill<'v>(
+        &self,
+        route: &FlowRoute,
+        drawn: ServiceId,
+        tried: &[Candidate],
+        view: &'v FlowView,
+        point: u64,
+        now: Moment,
+    ) -> SmallVec<[(f32, &'v FlowTarget); 2]> {
+        let services = route.shares.iter().map(|&(service, _)| service);
+        let others = services.filter(|service| *service != drawn);
+        let best = others.filter_map(|service| {
+            let ordered = self.order(service, tried, view, point, now);
+            ordered.first().copied()
+        });
+        best.collect()
+    }
+
     fn remember_offer(
         &self,
         flow: &FlowKey,
--- a/crates/flows/tests/all/balancer.rs
+++ b/crates/flows/tests/all/balancer.rs
@@ -1,5 +1,7 @@
 //! New flows at a balancer.
 
+use std::collections::BTreeSet;
+
 use lovagelatch_domain::AgentAddress;
 use lovagelatch_flows::{
     BalancerStep, FlowBalancer, FlowEvent, FlowView, FramePurpose, LoadReport, PacketFrame,
@@ -7,8 +9,8 @@
 };
 
 use crate::support::{
-    agent, at, balancer, catalog, claims_view, data, flow, idle_load, note, opening, target,
-    view_of,
+    agent, at, balancer, catalog, claims_address, claims_view, data, flow, idle_load, note,
+    opening, route, service, target, view_of,
 };
 
 pub(crate) fn sent(step: BalancerStep) -> (AgentAddress, PacketFrame) {
@@ -61,6 +63,43 @@
     assert_eq!(step, BalancerStep::Reset(RefusalReason::NoTarget));
 }
 
+// Symptom: after a loss of power a service refuses a tenth of its requests for seconds, while another
+// one that the same route may use idles. Sequence: three quarters of a route's flows go to the
+// service with two targets; all clients ask at once. Cause: only targets of the service that was
+// drawn for a flow were ever tried.
+#[test]
+fn the_last_to_be_tried_is_a_target_of_the_routes_other_service() {
+    let both = |targets| {
+        let mut catalog = catalog(targets);
+        catalog.routes = vec![route(claims_address(), &[("claims", 3), ("vault", 1)])].into();
+        view_of(catalog)
+    };
+    let targets = [
+        target(1, "claims"),
+        target(2, "claims"),
+        target(3, "vault"),
+        target(4, "vault"),
+    ];
+    let decisions = FlowBalancer::new(balancer());
+    let view = both(targets.to_vec());
+    let mut drawn = BTreeSet::new();
+    for port in 0..100 {
+        let step = decisions.take_packet(&opening(flow(port)), b"syn", &view, at(0));
+        let (_, frame) = sent(step);
+        let (last, rest) = frame.rest.split_last().expect("others to try");
+        assert!(rest.iter().all(|next| next.service == frame.service));
+        assert_ne!(last.service, frame.service);
+        drawn.insert(frame.service);
+    }
+    assert_eq!(drawn.len(), 2);
+    // One service without targets is no reason to refuse.
+    let view = both(targets[2..].to_vec());
+    for port in 100..200 {
+        let step = decisions.take_packet(&opening(flow(port)), b"syn", &view, at(0));
+        assert_eq!(sent(step).1.service, service("vault").id());
+    }
+}
+
 // Symptom: a flow that opened a moment ago is refused. Sequence: it opens; its route is dropped; a
 // late copy of its first packet arrives. Cause: the route was looked up before the flow.
 #[test]
