A flow that was offered twice is not lost with one of its targets

Change: while only answers are known, the end of one target makes the balancer ask another one that it had offered the flow to.

--- a/crates/flows/src/balancer/entry.rs
+++ b/crates/flows/src/balancer/entry.rs
@@ -53,6 +53,22 @@
         }
     }
 
+    /// Takes the flow to be at another one of those that it was offered to, because the agent that it
+    /// was taken to be at is lost; whether there is one. Several may have accepted the offer, and
+    /// only the client's choice tells where the flow lives: the end of one is not its end.
+    pub(super) fn try_other(&mut self) -> bool {
+        if self.state != EntryState::Answered {
+            return false;
+        }
+        self.offered.retain(|offered| offered.agent != self.agent);
+        let Some(other) = self.offered.first() else {
+            return false;
+        };
+        self.agent = other.agent;
+        self.service = other.service;
+        true
+    }
+
     /// A flow that nobody holds.
     pub(super) fn lost(now: Moment) -> Self {
         let nobody = AgentAddress(SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0));
--- a/crates/flows/src/balancer/loss.rs
+++ b/crates/flows/src/balancer/loss.rs
@@ -38,6 +38,9 @@
                 let Some(&reason) = lost.get(&entry.agent) else {
                     return;
                 };
+                if entry.try_other() {
+                    return;
+                }
                 let lives = matches!(entry.state, EntryState::Answered | EntryState::Open);
                 let current = now.since(entry.last) < CURRENT_SPAN;
                 let route = view.route(flow);
--- a/crates/flows/tests/all/loss.rs
+++ b/crates/flows/tests/all/loss.rs
@@ -3,6 +3,7 @@
 use lovagelatch_catalog::Catalog;
 use lovagelatch_flows::{FlowBalancer, FlowEvent, FlowView, LoadReport, LossReason};
 
+use crate::balancer::sent;
 use crate::support::{
     agent, at, balancer, builder, catalog, data, flow, idle_load, note, opening, target,
 };
@@ -30,7 +31,7 @@
         builder.note_trouble(at(900));
     }
     if !listed {
-        let targets = vec![target(2, "claims")].into();
+        let targets = catalog(vec![target(2, "claims")]).targets;
         builder.take(&Catalog { targets, ..all }, at(1_000));
     }
     builder.build(at(1_000))
@@ -137,3 +138,43 @@
         );
     }
 }
+
+// Symptom: an open flow is reset while its target serves it. Sequence: a flow is offered to one target,
+// whose word does not reach the balancer, and 60 ms later to another one, which answers too; the client
+// takes the first; the second leaves in order seconds later. Cause: the balancer took the flow to be
+// where it had heard an answer, and the end of that target for the end of the flow.
+#[test]
+fn a_flow_that_may_be_at_another_target_is_not_lost_with_one() {
+    let both = catalog(vec![target(1, "claims"), target(2, "claims")]);
+    let mut builder = builder();
+    builder.take(&both, at(0));
+    let view = builder.build(at(0));
+    let decisions = FlowBalancer::new(balancer());
+    let step = decisions.take_packet(&opening(flow(1)), b"syn", &view, at(0));
+    let (first, _) = sent(step);
+    let second = decisions.due_offers(&view, at(100))[0].to;
+    decisions.take_note(&note(flow(1), second, FlowEvent::Answered), at(101));
+    let stops = LoadReport {
+        leaving: true,
+        ..idle_load(second)
+    };
+    decisions.take_load(&stops, at(1_000));
+    let left = both.targets.iter().filter_map(|row| row.target());
+    let left = left.filter(|target| *target.address.ip() == *first.0.ip());
+    builder.take(&catalog(left.cloned().collect()), at(1_000));
+    let view = builder.build(at(1_000));
+    assert_eq!(decisions.lost_flows(&view, at(1_001)), []);
+    // From now on the other one is asked.
+    let step = decisions.take_packet(&data(flow(1)), b"data", &view, at(1_002));
+    assert_eq!(sent(step).0, first);
+    // Once the flow is known to live somewhere, it is lost with that target.
+    decisions.take_note(&note(flow(1), first, FlowEvent::Opened), at(1_003));
+    let stops = LoadReport {
+        leaving: true,
+        ..idle_load(first)
+    };
+    decisions.take_load(&stops, at(2_000));
+    builder.take(&catalog(Vec::new()), at(2_000));
+    let view = builder.build(at(2_000));
+    assert_eq!(decisions.lost_flows(&view, at(2_001)).len(), 1);
+}
