Another start under the same name is another target; entries of other writers name none

A target may start again under its name: the record names its start, and the number of a target is made from both, so nothing known of the former start counts for the new one (place on the ring, warm-up, standing, flows that may be there); a start that names less than the one before, or nothing, is another one too. An entry with a field missing or of another type, an unknown state, or bytes that cannot be read is a row of its own that names no target; one of a service that the configuration does not name is not asked for flows.

Before, one such entry kept every view in doubt for as long as it stood.

Beside it: what a balancer holds now depends on the store alone. One that kept a target's last good record differed from one that had started since, and both took the whole list again and again.

--- a/bins/balancer/src/opaque/catalog.rs
+++ b/bins/balancer/src/opaque/catalog.rs
@@ -142,7 +142,7 @@
     fn note_doubts(&self) -> bool {
         let now = self.state.packets.clock.now();
         let member = self.state.member.lock();
-        let (ready, trouble) = (member.is_ready(), member.trouble(now));
+        let (ready, trouble) = (member.is_ready(), member.trouble());
         let informed = member.is_informed(now);
         drop(member);
         let mut builder = self.state.builder.lock();
--- a/crates/catalog/src/answer.rs
+++ b/crates/catalog/src/answer.rs
@@ -29,7 +29,8 @@
     Target(PublishedTarget),
     /// A target's entry is gone.
     TargetRemoved(TargetName),
-    /// A value that could not be read; what is held of that key stays.
+    /// A value that could not be read. A target's entry names no target then; of the configuration
+    /// what is held stays.
     Unreadable {
         /// The key.
         key: String,
--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -1,17 +1,16 @@
 //! The newest routes and targets that this process knows.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 
-use lovagelatch_domain::ConfigRevision;
+use lovagelatch_domain::{ConfigRevision, ServiceName};
 use lovagelatch_membership::{RowChange, TableDelta, TableError, TableIndex};
 use thiserror::Error;
 
 use crate::answer::{StoreAnswer, StoreEvent};
 use crate::message::{CatalogDelta, CatalogHead, ConfigDelta};
-use crate::record::{PublishedConfig, PublishedRoute, PublishedTarget, TargetName};
+use crate::record::{PublishedConfig, PublishedRoute, TargetName, TargetRow};
 
 /// Why a change was not taken. What is held stays.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
@@ -39,7 +38,9 @@
     /// Invariant: sorted by address.
     pub routes: Arc<Vec<PublishedRoute>>,
     /// Invariant: sorted by name.
-    pub targets: Arc<Vec<PublishedTarget>>,
+    pub targets: Arc<Vec<TargetRow>>,
+    /// Services that the configuration names and sends no route's flows to.
+    pub unrouted: Arc<Vec<ServiceName>>,
 }
 
 /// What changed from one catalog to the next.
@@ -48,7 +49,7 @@
     /// These rows. A row may be named more than once, in the order of its changes.
     Rows {
         /// Changes of targets.
-        targets: Vec<RowChange<PublishedTarget>>,
+        targets: Vec<RowChange<TargetRow>>,
         /// Changes of routes.
         routes: Vec<RowChange<PublishedRoute>>,
     },
@@ -70,7 +71,7 @@
 const MUCH: usize = 1_024;
 
 impl CatalogChanges {
-    fn add_targets(&mut self, changes: Vec<RowChange<PublishedTarget>>) {
+    fn add_targets(&mut self, changes: Vec<RowChange<TargetRow>>) {
         if let Self::Rows { targets, .. } = self {
             targets.extend(changes);
         }
@@ -104,9 +105,6 @@
     targets: TableIndex<TargetName>,
     /// What changed since [`take_changes`](Self::take_changes) was last called.
     changes: CatalogChanges,
-    /// Targets of which the store holds an entry that cannot be read, and that were not known
-    /// before: they may live, and hold flows. Invariant: none of them is in the catalog.
-    unread: BTreeSet<TargetName>,
 }
 
 impl CatalogKeeper {
@@ -125,12 +123,6 @@
         &self.catalog
     }
 
-    /// Whether the store lists targets that the catalog lacks.
-    #[must_use]
-    pub fn lacks_targets(&self) -> bool {
-        !self.unread.is_empty()
-    }
-
     /// What changed in the catalog since the last call.
     pub fn take_changes(&mut self) -> CatalogChanges {
         std::mem::take(&mut self.changes)
@@ -143,6 +135,7 @@
         let config = (held.routes.revision > head.routes.revision).then(|| ConfigDelta {
             version: self.catalog.version,
             idle_timeout: self.catalog.idle_timeout,
+            unrouted: self.catalog.unrouted.to_vec(),
             routes: self
                 .routes
                 .delta_since(&self.catalog.routes, head.routes.revision),
@@ -173,7 +166,7 @@
 
     fn merge_targets(
         &mut self,
-        targets: TableDelta<TargetName, PublishedTarget>,
+        targets: TableDelta<TargetName, TargetRow>,
     ) -> Result<bool, CatalogError> {
         if targets.to.revision <= self.targets.head().revision {
             return Ok(false);
@@ -181,9 +174,6 @@
         let rows = Arc::make_mut(&mut self.catalog.targets);
         let changes = self.targets.apply(rows, targets)?;
         self.changes.add_targets(changes);
-        let mut unread = std::mem::take(&mut self.unread);
-        unread.retain(|name| self.held_target(name).is_none());
-        self.unread = unread;
         Ok(true)
     }
 
@@ -196,6 +186,7 @@
         self.changes.add_routes(changes);
         self.catalog.version = config.version;
         self.catalog.idle_timeout = config.idle_timeout;
+        self.catalog.unrouted = config.unrouted.into();
         Ok(true)
     }
 
@@ -208,24 +199,19 @@
         let mut errors = Vec::new();
         let mut changed = false;
         let mut targets = Vec::new();
-        self.unread.clear();
         for (revision, event) in answer.events {
             match event {
                 StoreEvent::Config(config) => {
                     changed |= self.take_config(revision, config, &mut errors);
                 }
-                StoreEvent::Target(target) => targets.push(target),
+                StoreEvent::Target(target) => targets.push(TargetRow::Published(target)),
                 StoreEvent::TargetRemoved(_) => {}
                 StoreEvent::Unreadable {
                     key,
                     reason,
                     target,
                 } => {
-                    let held = target.as_ref().and_then(|name| self.held_target(name));
-                    if held.is_none() {
-                        self.unread.extend(target);
-                    }
-                    targets.extend(held);
+                    targets.extend(target.map(TargetRow::Unreadable));
                     errors.push(CatalogError::Unreadable { key, reason });
                 }
             }
@@ -245,39 +231,34 @@
         let mut errors = Vec::new();
         let mut changed = false;
         let known = self.targets.head().revision;
-        let (mut written, mut removed, mut last) = (Vec::new(), Vec::new(), known);
+        let mut news = TargetNews::default();
         for (revision, event) in answer.events {
             match event {
                 StoreEvent::Config(config) => {
                     changed |= self.take_config(revision, config, &mut errors);
                 }
-                // A peer may have told of this change before the watch did.
-                StoreEvent::Target(_) | StoreEvent::TargetRemoved(_) if revision <= known => {}
-                StoreEvent::Target(target) => {
-                    self.unread.remove(&target.name);
-                    last = last.max(revision);
-                    removed.retain(|(_, name)| *name != target.name);
-                    written.retain(|(_, row): &(u64, PublishedTarget)| row.name != target.name);
-                    written.push((revision, target));
-                }
-                StoreEvent::TargetRemoved(name) => {
-                    self.unread.remove(&name);
-                    last = last.max(revision);
-                    written.retain(|(_, row)| row.name != name);
-                    removed.retain(|(_, known)| *known != name);
-                    removed.push((revision, name));
-                }
                 StoreEvent::Unreadable {
                     key,
                     reason,
                     target,
                 } => {
-                    let unknown = target.filter(|name| self.held_target(name).is_none());
-                    self.unread.extend(unknown);
+                    let row = target.map(TargetRow::Unreadable);
+                    news.written(row.filter(|_| revision > known), revision);
                     errors.push(CatalogError::Unreadable { key, reason });
                 }
+                // A peer may have told of this change before the watch did.
+                StoreEvent::Target(_) | StoreEvent::TargetRemoved(_) if revision <= known => {}
+                StoreEvent::Target(target) => {
+                    news.written(Some(TargetRow::Published(target)), revision);
+                }
+                StoreEvent::TargetRemoved(name) => news.removed(name, revision),
             }
         }
+        let TargetNews {
+            written,
+            removed,
+            last,
+        } = news;
         if last > known {
             let rows = Arc::make_mut(&mut self.catalog.targets);
             let delta = self.targets.delta_of(rows, written, removed, last);
@@ -292,20 +273,14 @@
         (changed, errors)
     }
 
-    fn held_target(&self, name: &TargetName) -> Option<PublishedTarget> {
-        let rows = &self.catalog.targets;
-        let at = rows.binary_search_by(|row| row.name.cmp(name)).ok()?;
-        Some(rows[at].clone())
-    }
-
     fn replace_targets(
         &mut self,
-        mut next: Vec<PublishedTarget>,
+        mut next: Vec<TargetRow>,
         revision: u64,
         errors: &mut Vec<CatalogError>,
     ) -> bool {
-        next.sort_by(|a, b| a.name.cmp(&b.name));
-        next.dedup_by(|a, b| a.name == b.name);
+        next.sort_by(|a, b| a.name().cmp(b.name()));
+        next.dedup_by(|a, b| a.name() == b.name());
         let rows = Arc::make_mut(&mut self.catalog.targets);
         let delta = self.targets.delta_to(rows, next, revision);
         match self.targets.apply(rows, delta) {
@@ -344,6 +319,38 @@
         }
         self.catalog.version = config.version;
         self.catalog.idle_timeout = config.idle_timeout;
+        self.catalog.unrouted = config.unrouted.into();
         true
     }
 }
+
+/// What a watch brought about targets: the last event of each.
+#[derive(Default)]
+struct TargetNews {
+    written: Vec<(u64, TargetRow)>,
+    removed: Vec<(u64, TargetName)>,
+    /// The newest revision of them; 0 when there are none.
+    last: u64,
+}
+
+impl TargetNews {
+    fn written(&mut self, row: Option<TargetRow>, revision: u64) {
+        let Some(row) = row else {
+            return;
+        };
+        self.forget(row.name());
+        self.written.push((revision, row));
+        self.last = self.last.max(revision);
+    }
+
+    fn removed(&mut self, name: TargetName, revision: u64) {
+        self.forget(&name);
+        self.removed.push((revision, name));
+        self.last = self.last.max(revision);
+    }
+
+    fn forget(&mut self, name: &TargetName) {
+        self.removed.retain(|(_, known)| known != name);
+        self.written.retain(|(_, row)| row.name() != name);
+    }
+}
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -27,4 +27,7 @@
 };
 pub use message::{CatalogDelta, CatalogHead, CatalogMessage, ConfigDelta, HeadMessage};
 pub use reading::{RETRY_LIMIT, WATCH_WAIT};
-pub use record::{PublishedConfig, PublishedRoute, PublishedTarget, RouteShare, TargetName};
+pub use record::{
+    PublishedConfig, PublishedRoute, PublishedTarget, RouteShare, TargetName, TargetRow,
+    TargetStart,
+};
--- a/crates/catalog/src/member.rs
+++ b/crates/catalog/src/member.rs
@@ -208,13 +208,10 @@
         self.peers.alive_count(now) > 0 || now.since(self.started) >= INFORM_SPAN
     }
 
-    /// When the store last failed this process or another, or listed a target that could not be
-    /// read: by what is held then, nobody can be known not to live.
+    /// When the store last failed this process or another: entries that vanish around that time
+    /// prove nothing.
     #[must_use]
-    pub fn trouble(&self, now: Moment) -> Option<Moment> {
-        if self.keeper.lacks_targets() {
-            return Some(now);
-        }
+    pub fn trouble(&self) -> Option<Moment> {
         self.trouble
     }
 
@@ -506,7 +503,7 @@
             head: self.keeper.head(),
             age: self.age(now).unwrap_or(Duration::MAX),
             reads: self.reading.reads(),
-            trouble: self.trouble(now).map(|at| now.since(at)),
+            trouble: self.trouble.map(|at| now.since(at)),
             leaving: self.leaving,
             peers: self.peers.sample(now, &mut self.random),
         }
--- a/crates/catalog/src/message.rs
+++ b/crates/catalog/src/message.rs
@@ -10,12 +10,12 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use lovagelatch_domain::ConfigRevision;
+use lovagelatch_domain::{ConfigRevision, ServiceName};
 use lovagelatch_membership::{TableDelta, TableHead};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-use crate::record::{PublishedRoute, PublishedTarget, TargetName};
+use crate::record::{PublishedRoute, TargetName, TargetRow};
 
 /// Which state of the catalog a balancer holds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -53,6 +53,8 @@
     pub version: ConfigRevision,
     /// The idle timeout of the result.
     pub idle_timeout: Duration,
+    /// The services of the result that no route sends flows to; mostly none.
+    pub unrouted: Vec<ServiceName>,
     /// The routes.
     pub routes: TableDelta<SocketAddrV4, PublishedRoute>,
 }
@@ -63,7 +65,7 @@
     /// The configuration, when it changed.
     pub config: Option<ConfigDelta>,
     /// The targets, when they changed.
-    pub targets: Option<TableDelta<TargetName, PublishedTarget>>,
+    pub targets: Option<TableDelta<TargetName, TargetRow>>,
 }
 
 /// A message between balancers.
--- a/crates/catalog/src/record.rs
+++ b/crates/catalog/src/record.rs
@@ -8,7 +8,8 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-/// The store's name of one start of a backend server; a restart has another.
+/// The store's name of a backend server. A restart mostly has another; where it has the same,
+/// [`TargetStart`] tells them apart.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct TargetName(
@@ -16,6 +17,12 @@
     pub Box<str>,
 );
 
+/// Which start of a backend server a record is of: the Unix millisecond that it names, 0 where it names
+/// none. Only compared for equality: a clock may be set back, so a later start may name less.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct TargetStart(pub u64);
+
 /// One backend server as it registered itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PublishedTarget {
@@ -33,13 +40,47 @@
     pub leaving: bool,
     /// How long it stays slow after its start, counted from when the record was written.
     pub warming: Duration,
+    /// Which of its starts this is: another one holds none of the flows of the one before.
+    pub start: TargetStart,
+}
+
+/// What the store holds under a target's name.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TargetRow {
+    /// A target.
+    Published(PublishedTarget),
+    /// Something that cannot be read, perhaps of another writer: no target to use. It is a row all
+    /// the same, so that what balancers hold depends on what the store holds and on nothing else:
+    /// one that kept its last good record would differ from one that started since, and both would
+    /// take the store's list again and again.
+    Unreadable(TargetName),
+}
+
+impl TargetRow {
+    /// Under which name it lies in the store.
+    #[must_use]
+    pub fn name(&self) -> &TargetName {
+        match self {
+            Self::Published(target) => &target.name,
+            Self::Unreadable(name) => name,
+        }
+    }
+
+    /// The target, if it could be read.
+    #[must_use]
+    pub fn target(&self) -> Option<&PublishedTarget> {
+        match self {
+            Self::Published(target) => Some(target),
+            Self::Unreadable(_) => None,
+        }
+    }
 }
 
-impl TableRow for PublishedTarget {
+impl TableRow for TargetRow {
     type Key = TargetName;
 
     fn key(&self) -> TargetName {
-        self.name.clone()
+        self.name().clone()
     }
 }
 
@@ -83,4 +124,7 @@
     pub idle_timeout: Duration,
     /// Its routes, in any order.
     pub routes: Vec<PublishedRoute>,
+    /// The services that it names and sends no route's flows to. Targets of services that it does
+    /// not name at all are not this system's.
+    pub unrouted: Vec<ServiceName>,
 }
--- a/crates/flows/src/balancer/offer.rs
+++ b/crates/flows/src/balancer/offer.rs
@@ -253,6 +253,7 @@
     match target.standing {
         FlowStanding::Serving if !loads.is_suspected(target.agent, now) => Some(0),
         FlowStanding::Serving | FlowStanding::Lapsed => Some(1),
+        FlowStanding::Unreadable => None,
         FlowStanding::Leaving => {
             let recent = now.since(target.since) < LAST_RESORT_SPAN;
             (recent && target.listed).then_some(2)
--- a/crates/flows/src/lib.rs
+++ b/crates/flows/src/lib.rs
@@ -38,5 +38,5 @@
 pub use load::{LoadBoard, TargetLoad};
 pub use outlook::{CandidateOutlook, FlowOutlook, HeldFlow};
 pub use packet::{FlowKey, FlowPacket, PacketFlags};
-pub use ring::{CANDIDATES, FlowStanding, FlowTarget, PLACES, ServiceTargets, TargetKey};
+pub use ring::{CANDIDATES, FlowStanding, FlowTarget, NameKey, PLACES, ServiceTargets, TargetKey};
 pub use view::{FlowRoute, FlowView, FlowViewBuilder, ViewSettings};
--- a/crates/flows/src/outlook.rs
+++ b/crates/flows/src/outlook.rs
@@ -104,6 +104,7 @@
     match standing {
         FlowStanding::Serving => "serving",
         FlowStanding::Lapsed => "lapsed",
+        FlowStanding::Unreadable => "unreadable",
         FlowStanding::Leaving => "leaving",
     }
 }
--- a/crates/flows/src/ring.rs
+++ b/crates/flows/src/ring.rs
@@ -13,6 +13,7 @@
 
 use std::hash::Hasher;
 
+use lovagelatch_catalog::TargetStart;
 use lovagelatch_domain::{AgentAddress, Moment, ServiceId};
 use siphasher::sip::SipHasher13;
 use smallvec::SmallVec;
@@ -33,15 +34,31 @@
 pub struct TargetKey(pub u64);
 
 impl TargetKey {
-    /// The number of a target's name.
+    /// The number of a start of the target with this name. Another start under the same name is
+    /// another target: it holds nothing of the former one's flows, and is slow again.
     #[must_use]
-    pub fn from_name(name: &str) -> Self {
+    pub fn of(name: &str, start: TargetStart) -> Self {
         let mut hasher = SipHasher13::new_with_keys(TARGET_KEYS.0, TARGET_KEYS.1);
         hasher.write(name.as_bytes());
+        if start != TargetStart::default() {
+            hasher.write(&start.0.to_be_bytes());
+        }
         Self(hasher.finish())
     }
 }
 
+/// A number for a name in the store, whichever start of a target it is of.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct NameKey(pub u64);
+
+impl NameKey {
+    /// The number of a name.
+    #[must_use]
+    pub fn of(name: &str) -> Self {
+        Self(TargetKey::of(name, TargetStart::default()).0)
+    }
+}
+
 /// Whether a target may be given new flows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum FlowStanding {
@@ -49,6 +66,8 @@
     Serving,
     /// Its entry vanished while the store had trouble, which proves nothing yet.
     Lapsed,
+    /// Its entry cannot be read: it is no target to use, and may live all the same.
+    Unreadable,
     /// It has announced that it will stop, or is gone; it may still hold flows.
     Leaving,
 }
@@ -58,6 +77,8 @@
 pub struct FlowTarget {
     /// Its number.
     pub key: TargetKey,
+    /// The number of its name.
+    pub name: NameKey,
     /// The agent beside it.
     pub agent: AgentAddress,
     /// Its service.
--- a/crates/flows/src/view.rs
+++ b/crates/flows/src/view.rs
@@ -5,7 +5,7 @@
 
 mod builder;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
@@ -75,6 +75,8 @@
     routes: Arc<RouteMap>,
     services: Arc<ServiceMap>,
     names: Arc<HashMap<ServiceId, ServiceName>>,
+    /// The services that the configuration names: entries of others are another writer's.
+    named: Arc<HashSet<ServiceId>>,
     /// Targets that the store lists no more, beside agents of which it lists none.
     unlisted: Vec<FlowTarget>,
 }
@@ -103,11 +105,22 @@
         self.services.values().map(Arc::as_ref)
     }
 
-    /// Whether the store lists a target beside an agent.
+    /// The targets of each service that the configuration names, in no order.
+    pub(crate) fn named_rings(&self) -> impl Iterator<Item = &ServiceTargets> {
+        let named = self.services.iter();
+        let named = named.filter(|(service, _)| self.named.contains(service));
+        named.map(|(_, ring)| ring.as_ref())
+    }
+
+    /// Whether the store has an entry for a target beside an agent, readable or not: then silence of
+    /// the agent is no proof that the target is gone.
     #[must_use]
     pub fn lists_agent(&self, agent: AgentAddress) -> bool {
         let mut targets = self.rings().flat_map(ServiceTargets::targets);
-        targets.any(|target| target.agent == agent && target.listed)
+        targets.any(|target| {
+            let entry = target.listed || target.standing == FlowStanding::Unreadable;
+            target.agent == agent && entry
+        })
     }
 
     /// Agents all of whose targets vanished from the store and have this standing.
--- a/crates/flows/src/view/builder.rs
+++ b/crates/flows/src/view/builder.rs
@@ -4,17 +4,19 @@
 //! A change of the catalog changes the ring of its service and the address of its route; all others
 //! are shared with the views before.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 
-use lovagelatch_catalog::{Catalog, CatalogChanges, PublishedRoute, PublishedTarget};
-use lovagelatch_domain::{AgentAddress, Moment, ServiceId, ZoneName};
+use lovagelatch_catalog::{
+    Catalog, CatalogChanges, PublishedRoute, PublishedTarget, TargetName, TargetRow,
+};
+use lovagelatch_domain::{AgentAddress, Moment, ServiceId, ServiceName, ZoneName};
 use smallvec::SmallVec;
 
 use super::{FlowRoute, FlowView, RouteMap, ServiceMap};
-use crate::ring::{FlowStanding, FlowTarget, ServiceTargets, TargetKey};
+use crate::ring::{FlowStanding, FlowTarget, NameKey, ServiceTargets, TargetKey};
 
 /// How long a target whose entry vanished while the store was in trouble may still be given new
 /// flows. Live targets are listed again within about two seconds of the store's return.
@@ -25,6 +27,12 @@
 /// store is.
 const TROUBLE_SPAN: Duration = Duration::from_secs(6);
 
+/// How long an entry that cannot be read may stand for a target that lives. A living target writes its entry anew with every heartbeat (1.2 s), so what stands for
+/// three of them, after which the store itself takes a silent target for gone, is another
+/// writer's. Without the bound one such entry kept every lost flow from being told, for as long as
+/// it stood.
+const UNREADABLE_SPAN: Duration = Duration::from_secs(4);
+
 /// What a view depends on besides the catalog.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ViewSettings {
@@ -42,6 +50,7 @@
 /// A target that the store lists no more.
 #[derive(Clone, Copy, Debug)]
 struct VanishedTarget {
+    key: TargetKey,
     service: ServiceId,
     at: Moment,
 }
@@ -52,6 +61,8 @@
     Listed(FlowTarget),
     /// The store lists it no more.
     Vanished(TargetKey),
+    /// Its entry cannot be read: it may live, but is no target to use.
+    Unreadable(TargetKey),
     /// It belongs to another service now, or is forgotten.
     Removed(TargetKey),
     /// Its lapse is over.
@@ -68,8 +79,13 @@
     /// What the next view is made of; its parts are shared with the views made so far.
     view: FlowView,
     /// Invariant: the targets of the view that are not listed.
-    vanished: HashMap<TargetKey, VanishedTarget>,
+    vanished: HashMap<NameKey, VanishedTarget>,
     former: HashMap<SocketAddrV4, FormerServices>,
+    /// The services that the configuration names and sends no route's flows to.
+    unrouted: Arc<Vec<ServiceName>>,
+    /// Entries that cannot be read. Where the target's place was not known then, with when it was
+    /// first seen: until [`UNREADABLE_SPAN`] has passed a living target may be behind it.
+    unreadable: HashMap<NameKey, Option<Moment>>,
     /// When the store was last known to be in trouble.
     trouble: Option<Moment>,
     /// Whether trouble from before this process's start would be known.
@@ -85,6 +101,8 @@
             view: FlowView::default(),
             vanished: HashMap::new(),
             former: HashMap::new(),
+            unrouted: Arc::default(),
+            unreadable: HashMap::new(),
             trouble: None,
             informed: true,
         }
@@ -105,24 +123,34 @@
         let CatalogChanges::Rows { targets, routes } = changes else {
             return self.take(catalog, now);
         };
-        self.view.version = catalog.version;
-        self.view.idle_timeout = catalog.idle_timeout;
         let mut edits = ServiceEdits::new();
         for change in targets {
-            let old = change.old.as_ref();
+            let old = change.old.as_ref().and_then(TargetRow::target);
             match &change.new {
-                Some(row) => {
-                    let moved = old.filter(|old| old.service != row.service);
-                    if let Some(old) = moved {
-                        let key = TargetKey::from_name(&old.name.0);
-                        push(&mut edits, old.service.id(), TargetEdit::Removed(key));
+                Some(TargetRow::Published(row)) => {
+                    // Its former start is gone, and its flows with it.
+                    let replaced =
+                        old.filter(|old| old.service != row.service || key_of(old) != key_of(row));
+                    if let Some(old) = replaced {
+                        let edit = TargetEdit::Removed(key_of(old));
+                        push(&mut edits, old.service.id(), edit);
                     }
                     self.list_target(row, &mut edits, now);
                 }
+                Some(TargetRow::Unreadable(name)) => {
+                    if let Some(old) = old {
+                        let edit = TargetEdit::Unreadable(key_of(old));
+                        push(&mut edits, old.service.id(), edit);
+                    }
+                    self.note_unreadable(name, now);
+                }
                 None => {
                     if let Some(old) = old {
-                        let key = TargetKey::from_name(&old.name.0);
-                        push(&mut edits, old.service.id(), TargetEdit::Vanished(key));
+                        let edit = TargetEdit::Vanished(key_of(old));
+                        push(&mut edits, old.service.id(), edit);
+                    }
+                    if let Some(row) = &change.old {
+                        self.unreadable.remove(&NameKey::of(&row.name().0));
                     }
                 }
             }
@@ -134,30 +162,71 @@
                 self.set_route(address, change.new.as_ref(), now);
             }
         }
+        self.take_head(catalog);
     }
 
     /// Takes a whole catalog.
     pub fn take(&mut self, catalog: &Catalog, now: Moment) {
-        self.view.version = catalog.version;
-        self.view.idle_timeout = catalog.idle_timeout;
         self.take_targets(&catalog.targets, now);
         self.take_routes(&catalog.routes, now);
+        self.take_head(catalog);
+    }
+
+    /// Takes what the configuration says besides its routes.
+    fn take_head(&mut self, catalog: &Catalog) {
+        let changed = self.view.version != catalog.version || self.unrouted != catalog.unrouted;
+        self.view.version = catalog.version;
+        self.view.idle_timeout = catalog.idle_timeout;
+        if changed {
+            self.unrouted = Arc::clone(&catalog.unrouted);
+            self.view.named = Arc::new(self.named_services(catalog));
+        }
+    }
+
+    /// The services that the configuration names, or named within a flow's lifetime.
+    fn named_services(&self, catalog: &Catalog) -> HashSet<ServiceId> {
+        let unrouted = catalog.unrouted.iter().map(ServiceName::id);
+        let routed = self.view.routes.values().flat_map(|route| &route.shares);
+        let former = self.former.values().flatten();
+        let known = routed.map(|(service, _)| *service);
+        let known = known.chain(former.map(|(service, _)| *service));
+        unrouted.chain(known).collect()
     }
 
-    /// When the first lapse that is under way ends.
+    /// When the first lapse that is under way ends, or an entry has been unreadable for so long that
+    /// its target counts as gone.
     #[must_use]
     pub fn next_lapse_end(&self) -> Option<Moment> {
-        let vanished = self.vanished.iter();
-        let targets = vanished.filter_map(|(key, held)| self.target(held.service, *key));
-        let lapsed = targets.filter(|target| target.standing == FlowStanding::Lapsed);
-        lapsed.map(|target| target.since + LAPSE_SPAN).min()
+        let vanished = self.vanished.values();
+        let targets = vanished.filter_map(|held| self.target(held.service, held.key));
+        let ends = targets.filter_map(|target| {
+            let span = doubt_span(target.standing)?;
+            Some(target.since + span)
+        });
+        ends.min()
     }
 
     /// Whether every living target is known: the store has had no trouble for long enough.
     #[must_use]
     pub fn is_complete(&self, now: Moment) -> bool {
         let calm = self.trouble.is_none_or(|at| now.since(at) >= TROUBLE_SPAN);
-        calm && self.informed
+        calm && self.informed && !self.may_lack_targets(now)
+    }
+
+    /// Whether a living target may be behind an entry that cannot be read.
+    fn may_lack_targets(&self, now: Moment) -> bool {
+        let mut since = self.unreadable.values().flatten();
+        since.any(|&since| now.since(since) < UNREADABLE_SPAN)
+    }
+
+    /// Notes that a target's entry cannot be read. Whoever knows where the target is asks it, and needs no
+    /// doubt.
+    fn note_unreadable(&mut self, name: &TargetName, now: Moment) {
+        let name = NameKey::of(&name.0);
+        let mut targets = self.view.rings().flat_map(ServiceTargets::targets);
+        let known = targets.any(|target| target.name == name);
+        let since = (!known).then_some(now);
+        self.unreadable.entry(name).or_insert(since);
     }
 
     /// The view now.
@@ -170,8 +239,8 @@
 
     /// Targets that vanished beside agents that have no listed one.
     fn unlisted(&self) -> Vec<FlowTarget> {
-        let vanished = self.vanished.iter();
-        let targets = vanished.filter_map(|(key, held)| self.target(held.service, *key));
+        let vanished = self.vanished.values();
+        let targets = vanished.filter_map(|held| self.target(held.service, held.key));
         let mut unlisted: Vec<FlowTarget> = targets.copied().collect();
         if unlisted.is_empty() {
             return unlisted;
@@ -193,20 +262,32 @@
         self.view.services.get(&service)?.target(key)
     }
 
-    fn take_targets(&mut self, rows: &[PublishedTarget], now: Moment) {
+    fn take_targets(&mut self, rows: &[TargetRow], now: Moment) {
         let mut edits = ServiceEdits::new();
         let mut listed = Vec::with_capacity(rows.len());
+        let mut unreadable = Vec::new();
         for row in rows {
-            listed.push(self.list_target(row, &mut edits, now));
+            match row {
+                TargetRow::Published(row) => listed.push(self.list_target(row, &mut edits, now)),
+                TargetRow::Unreadable(name) => unreadable.push(name),
+            }
         }
         listed.sort_unstable();
+        let strange: HashSet<NameKey> =
+            unreadable.iter().map(|name| NameKey::of(&name.0)).collect();
+        self.unreadable.retain(|name, _| strange.contains(name));
+        for name in unreadable {
+            self.note_unreadable(name, now);
+        }
         for target in self.view.rings().flat_map(ServiceTargets::targets) {
-            let at = listed.binary_search_by_key(&target.key, |(key, _)| *key);
+            let at = listed.binary_search_by_key(&target.name, |(name, ..)| *name);
             let edit = match at {
-                Ok(at) if listed[at].1 == target.service => continue,
+                Ok(at) if listed[at] == (target.name, target.key, target.service) => continue,
+                // It moved, or this was a former start of it.
                 Ok(_) => TargetEdit::Removed(target.key),
-                Err(_) if target.listed => TargetEdit::Vanished(target.key),
-                Err(_) => continue,
+                Err(_) if !target.listed => continue,
+                Err(_) if strange.contains(&target.name) => TargetEdit::Unreadable(target.key),
+                Err(_) => TargetEdit::Vanished(target.key),
             };
             push(&mut edits, target.service, edit);
         }
@@ -218,21 +299,23 @@
         row: &PublishedTarget,
         edits: &mut ServiceEdits,
         now: Moment,
-    ) -> (TargetKey, ServiceId) {
+    ) -> (NameKey, TargetKey, ServiceId) {
         let target = self.target_of(row, now);
+        self.unreadable.remove(&target.name);
         if !self.view.names.contains_key(&target.service) {
             Arc::make_mut(&mut self.view.names).insert(target.service, row.service.clone());
         }
-        let before = self.vanished.get(&target.key);
-        if let Some(before) = before.filter(|before| before.service != target.service) {
-            push(edits, before.service, TargetEdit::Removed(target.key));
+        let before = self.vanished.get(&target.name);
+        let place = (target.key, target.service);
+        if let Some(before) = before.filter(|before| (before.key, before.service) != place) {
+            push(edits, before.service, TargetEdit::Removed(before.key));
         }
         push(edits, target.service, TargetEdit::Listed(target));
-        (target.key, target.service)
+        (target.name, target.key, target.service)
     }
 
     fn target_of(&self, row: &PublishedTarget, now: Moment) -> FlowTarget {
-        let (key, service) = (TargetKey::from_name(&row.name.0), row.service.id());
+        let (key, service) = (key_of(row), row.service.id());
         let standing = if row.leaving {
             FlowStanding::Leaving
         } else {
@@ -249,6 +332,7 @@
         let agent = SocketAddrV4::new(*row.address.ip(), self.settings.agent_port);
         FlowTarget {
             key,
+            name: NameKey::of(&row.name.0),
             agent: AgentAddress(agent),
             service,
             listed: true,
@@ -328,15 +412,17 @@
 
     fn forget_targets(&mut self, now: Moment) {
         let mut edits = ServiceEdits::new();
-        for (key, held) in &self.vanished {
-            let Some(target) = self.target(held.service, *key) else {
+        for held in self.vanished.values() {
+            let key = held.key;
+            let Some(target) = self.target(held.service, key) else {
                 continue;
             };
-            let lapsed = target.standing == FlowStanding::Lapsed;
+            let span = doubt_span(target.standing);
+            let over = span.is_some_and(|span| now.since(target.since) >= span);
             if now.since(held.at) >= self.settings.flow_lifetime {
-                push(&mut edits, held.service, TargetEdit::Removed(*key));
-            } else if lapsed && now.since(target.since) >= LAPSE_SPAN {
-                push(&mut edits, held.service, TargetEdit::Gone(*key));
+                push(&mut edits, held.service, TargetEdit::Removed(key));
+            } else if over {
+                push(&mut edits, held.service, TargetEdit::Gone(key));
             }
         }
         self.edit_targets(edits, now);
@@ -365,6 +451,19 @@
     }
 }
 
+/// How long a target of this standing may still turn out to live; `None` where that is not the question.
+fn doubt_span(standing: FlowStanding) -> Option<Duration> {
+    match standing {
+        FlowStanding::Lapsed => Some(LAPSE_SPAN),
+        FlowStanding::Unreadable => Some(UNREADABLE_SPAN),
+        FlowStanding::Serving | FlowStanding::Leaving => None,
+    }
+}
+
+fn key_of(row: &PublishedTarget) -> TargetKey {
+    TargetKey::of(&row.name.0, row.start)
+}
+
 fn push(edits: &mut ServiceEdits, service: ServiceId, edit: TargetEdit) {
     edits.entry(service).or_default().push(edit);
 }
@@ -383,7 +482,7 @@
     service: ServiceId,
     edits: Vec<TargetEdit>,
     doubtful: bool,
-    vanished: &mut HashMap<TargetKey, VanishedTarget>,
+    vanished: &mut HashMap<NameKey, VanishedTarget>,
     now: Moment,
 ) {
     let held = services.get(&service);
@@ -395,20 +494,22 @@
     for edit in edits {
         match edit {
             TargetEdit::Listed(target) => {
-                forget_vanished(vanished, target.key, service);
+                forget_vanished(vanished, &target);
                 targets.insert(target.key, target);
             }
-            TargetEdit::Vanished(key) => {
+            TargetEdit::Vanished(key) | TargetEdit::Unreadable(key) => {
+                let readable = matches!(edit, TargetEdit::Vanished(_));
                 if let Some(target) = targets.get_mut(&key) {
                     let lapses = doubtful && target.standing == FlowStanding::Serving;
                     target.listed = false;
-                    target.standing = if lapses {
-                        FlowStanding::Lapsed
-                    } else {
-                        FlowStanding::Leaving
+                    target.standing = match (readable, lapses) {
+                        (false, _) => FlowStanding::Unreadable,
+                        (true, true) => FlowStanding::Lapsed,
+                        (true, false) => FlowStanding::Leaving,
                     };
                     target.since = now;
-                    vanished.insert(key, VanishedTarget { service, at: now });
+                    let at = now;
+                    vanished.insert(target.name, VanishedTarget { key, service, at });
                 }
             }
             TargetEdit::Gone(key) => {
@@ -417,12 +518,8 @@
                 }
             }
             TargetEdit::Removed(key) => {
-                targets.remove(&key);
-                if vanished
-                    .get(&key)
-                    .is_some_and(|held| held.service == service)
-                {
-                    vanished.remove(&key);
+                if let Some(target) = targets.remove(&key) {
+                    forget_vanished(vanished, &target);
                 }
             }
         }
@@ -435,15 +532,10 @@
     }
 }
 
-fn forget_vanished(
-    vanished: &mut HashMap<TargetKey, VanishedTarget>,
-    key: TargetKey,
-    service: ServiceId,
-) {
-    if vanished
-        .get(&key)
-        .is_some_and(|held| held.service == service)
-    {
-        vanished.remove(&key);
+fn forget_vanished(vanished: &mut HashMap<NameKey, VanishedTarget>, target: &FlowTarget) {
+    let held = vanished.get(&target.name);
+    let place = (target.key, target.service);
+    if held.is_some_and(|held| (held.key, held.service) == place) {
+        vanished.remove(&target.name);
     }
 }
--- a/crates/flows/tests/all/search.rs
+++ b/crates/flows/tests/all/search.rs
@@ -161,6 +161,21 @@
     }
 }
 
+// Symptom: no lost flow is told for the whole day. Sequence: an entry of another writer stands in the
+// store: it reads like a target's, of a service that no configuration names, at an address where
+// nobody listens. Cause: a listed target that is silent was taken to be one that may hold the flow.
+#[test]
+fn an_entry_of_a_service_that_nobody_names_holds_up_no_search() {
+    let mut catalog = catalog(vec![target(1, "claims"), target(2, "elsewhere")]);
+    catalog.unrouted = Vec::new().into();
+    let view = view_of(catalog);
+    let decisions = FlowBalancer::new(balancer());
+    let step = decisions.take_packet(&data(flow(1)), b"data", &view, at(0));
+    assert_eq!(asked(step), agents(1));
+    let word = note(flow(1), agent(1), FlowEvent::Absent);
+    assert!(decisions.take_note(&word, at(1)).reset.is_some());
+}
+
 #[test]
 fn in_a_large_fleet_a_search_proves_nothing() {
     let mut targets: Vec<_> = (0..=250).map(|n| target(n, "claims")).collect();
--- a/standins/soak/src/fleet.rs
+++ b/standins/soak/src/fleet.rs
@@ -9,7 +9,7 @@
 
 use lovagelatch_adapter_standin::{StoreMode, StoreStandin};
 use lovagelatch_catalog::{
-    PublishedConfig, PublishedRoute, PublishedTarget, RouteShare, TargetName,
+    PublishedConfig, PublishedRoute, PublishedTarget, RouteShare, TargetName, TargetStart,
 };
 use lovagelatch_domain::{ConfigRevision, ServiceName};
 use smallvec::smallvec;
@@ -221,6 +221,7 @@
             slots: 8,
             leaving,
             warming: Duration::ZERO,
+            start: TargetStart::default(),
         });
     }
 
@@ -275,6 +276,7 @@
             version: ConfigRevision(self.version),
             idle_timeout: Duration::from_secs(15),
             routes: routes.collect(),
+            unrouted: (0..2).map(service_name).collect(),
         };
         drop(allowed);
         self.store.put_config(&config);
--- a/tests/matrix/src/opaque/process.rs
+++ b/tests/matrix/src/opaque/process.rs
@@ -72,6 +72,12 @@
     pub(crate) held: Vec<Datagram>,
     /// Whether the store lists the target.
     pub(crate) listed: bool,
+    /// The number in its name there: that of its first start under it.
+    pub(crate) name: u32,
+    /// Whether its next start has the same name.
+    pub(crate) reborn: bool,
+    /// Whether its entry can be read.
+    pub(crate) readable: bool,
     /// Until when something was wrong with the machine or the way to it.
     pub(crate) disturbed: Moment,
 }
@@ -79,6 +85,7 @@
 impl Machine {
     pub(crate) fn new(agent: AgentAddress, target: Target) -> Self {
         let decisions = new_agent(agent, target.service, true, Moment::ZERO);
+        let name = target.start;
         Self {
             agent,
             decisions,
@@ -87,6 +94,9 @@
             paused: false,
             held: Vec::new(),
             listed: true,
+            name,
+            reborn: false,
+            readable: true,
             disturbed: Moment::ZERO,
         }
     }
--- a/tests/matrix/src/opaque/strike.rs
+++ b/tests/matrix/src/opaque/strike.rs
@@ -1,8 +1,9 @@
 //! What the faults do, and how they end.
 
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
-use lovagelatch_catalog::RouteShare;
+use lovagelatch_catalog::{PublishedTarget, RouteShare, TargetName, TargetRow, TargetStart};
 use lovagelatch_domain::Moment;
 use rand::Rng;
 use smallvec::smallvec;
@@ -114,9 +115,50 @@
                 self.version += 1;
                 self.publish();
             }
+            OpaqueFault::TargetReborn => self.crash_target(home),
+            OpaqueFault::TargetRebornWithAgent => {
+                self.machines[home].reborn = true;
+                self.cut_power(home);
+            }
+            OpaqueFault::EntryUnreadable => {
+                self.machines[home].readable = false;
+                self.publish();
+            }
+            OpaqueFault::ForeignEntries => self.write_foreign_entries(),
         }
     }
 
+    /// The target ends without a word; it starts again under its name, mostly before its entry ends.
+    fn crash_target(&mut self, machine: usize) {
+        if !self.machines[machine].target.running {
+            return;
+        }
+        self.machines[machine].reborn = true;
+        self.end_target(machine);
+        let gone = self.machines[machine].target.start;
+        self.queue.push(EXPIRY, WorldEvent::Expire(machine, gone));
+        let delay = self.rng.random_range(LASTS);
+        self.queue.push(delay, WorldEvent::StartMachine(machine));
+    }
+
+    fn write_foreign_entries(&mut self) {
+        let unnamed = PublishedTarget {
+            name: TargetName("foreign-2".into()),
+            service: "elsewhere".parse().expect("a service"),
+            address: SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, 250), 8_000),
+            zone: "hall-a".parse().expect("a zone"),
+            slots: 3,
+            leaving: false,
+            warming: Duration::ZERO,
+            start: TargetStart::default(),
+        };
+        self.foreign = vec![
+            TargetRow::Unreadable(TargetName("foreign-1".into())),
+            TargetRow::Published(unnamed),
+        ];
+        self.publish();
+    }
+
     pub(crate) fn heal(&mut self, fault: OpaqueFault, machine: usize, number: usize) {
         match fault {
             OpaqueFault::Drop
@@ -142,6 +184,10 @@
                 self.publish();
             }
             OpaqueFault::Cut => self.balancers[number].cut_from = None,
+            OpaqueFault::EntryUnreadable => {
+                self.machines[machine].readable = true;
+                self.publish();
+            }
             OpaqueFault::RouteDropped => {
                 let mut route = self.routes[0].clone();
                 route.address.set_port(8_001);
@@ -257,6 +303,9 @@
         }
         one.target.restart(start);
         one.listed = true;
+        if !std::mem::take(&mut one.reborn) {
+            one.name = start;
+        }
         self.start_agent(machine, false);
         self.publish();
     }
@@ -312,6 +361,7 @@
         self.starts += 1;
         let one = &mut self.machines[machine];
         one.target = Target::new(self.starts, vault().id());
+        one.name = self.starts;
         one.listed = true;
         self.start_agent(machine, false);
         self.publish();
