A balancer that no agent answers is not ready

Change: three agents or more that were sent frames and two probes, and nobody heard for 500 ms, and the balancer says that it is not ready; a word of any agent ends it (probes go on). Readiness changes are logged with their reason. The test was red before (there was no such judgement).

Ruled out: judging by other balancers' heads (a balancer may be cut off from those and not from agents).

--- a/bins/balancer/src/opaque/catalog.rs
+++ b/bins/balancer/src/opaque/catalog.rs
@@ -130,8 +130,8 @@
                 CatalogAction::Notice(notice) => log_notice(&self.state.log, &notice),
             }
         }
-        if ready && !self.state.ready.is_set() {
-            self.become_ready();
+        if ready {
+            self.tell_routers();
         }
         self.publish_if_due();
     }
@@ -155,10 +155,16 @@
         ready
     }
 
-    fn become_ready(&self) {
+    /// Says whether routers may send packets here.
+    fn tell_routers(&self) {
+        let now = self.state.packets.clock.now();
         let leaving = self.state.packets.leaving.load(Ordering::Relaxed);
-        if !leaving {
-            self.state.ready.set(true);
+        let isolated = self.state.packets.balancer.is_isolated(now);
+        let ready = !leaving && !isolated;
+        if ready != self.state.ready.is_set() {
+            info!(self.state.log, "readiness changed"; "ready" => ready,
+                "leaving" => leaving, "isolated" => isolated);
+            self.state.ready.set(ready);
         }
     }
 
--- a/crates/flows/src/balancer.rs
+++ b/crates/flows/src/balancer.rs
@@ -341,6 +341,12 @@
         self.loads.lock().due_probes(now)
     }
 
+    /// Whether this balancer is cut off from all agents, and better sends its clients elsewhere.
+    #[must_use]
+    pub fn is_isolated(&self, now: Moment) -> bool {
+        self.loads.lock().is_isolated(now)
+    }
+
     /// Forgets silent flows and targets, now and then.
     pub fn tend(&self, idle: Duration, now: Moment) {
         for shard in &self.shards {
--- a/crates/flows/src/load.rs
+++ b/crates/flows/src/load.rs
@@ -30,6 +30,14 @@
 /// fifty times a calm round trip.
 const PROBES_NEEDED: u8 = 2;
 
+/// How long nobody must have been heard for a balancer to take itself for cut off: fifty calm round
+/// trips, with two probes of each agent in it.
+const ISOLATION_SPAN: Duration = Duration::from_millis(500);
+
+/// How many agents must be silent for that. One that is may be dead; three at once are not, unless
+/// machines share a fate.
+const ISOLATION_AGENTS: usize = 3;
+
 /// How long an agent that said it stops may be silent before that counts against it.
 const RESTART_SPAN: Duration = Duration::from_secs(6);
 
@@ -148,6 +156,27 @@
         silent.map(|(&agent, _)| agent).collect()
     }
 
+    /// Whether nobody answers this process any more: several agents were sent frames and probes and none
+    /// of them was heard, nor any other, for [`ISOLATION_SPAN`].
+    ///
+    /// What goes wrong without it: a balancer that is cut off from the fleet, and not from routers,
+    /// says that it is ready, and every flow of its clients fails until the cut heals. Routers that
+    /// are told go to others; where all balancers say so, because all agents are down, routers that
+    /// have no choice go on as before.
+    #[must_use]
+    pub fn is_isolated(&self, now: Moment) -> bool {
+        let heard = |load: &TargetLoad| now.since(load.heard) < ISOLATION_SPAN;
+        if self.loads.values().any(heard) {
+            return false;
+        }
+        let silent = self.loads.values().filter(|load| {
+            let asked = load.asked_since;
+            let asked = asked.is_some_and(|asked| now.since(asked) >= ISOLATION_SPAN);
+            asked && load.probes >= PROBES_NEEDED
+        });
+        silent.count() >= ISOLATION_AGENTS
+    }
+
     /// Notes that a flow was offered.
     pub fn note_offer(&mut self, target: &FlowTarget) {
         let load = self.entry(target.agent, target.service);
--- a/crates/flows/tests/all/load.rs
+++ b/crates/flows/tests/all/load.rs
@@ -178,3 +178,68 @@
         assert_eq!(silent.contains(&agent(1)), case.expected, "{}", case.name);
     }
 }
+
+struct IsolationCase {
+    name: &'static str,
+    /// Agents that are sent frames and stay silent.
+    silent: u8,
+    /// When another one was last heard, in milliseconds.
+    heard: Option<u64>,
+    expected: bool,
+}
+
+// Symptom: a third of a zone's requests fail for five seconds. Sequence: the zone's only balancer is cut off
+// from all other machines, and not from the platform's routers; it says that it is ready. Cause: readiness
+// meant that the configuration is known, and nothing about the way to the targets.
+#[test]
+fn a_balancer_that_hears_nobody_is_isolated() {
+    let cases = [
+        IsolationCase {
+            name: "nobody answers",
+            silent: 4,
+            heard: None,
+            expected: true,
+        },
+        IsolationCase {
+            name: "somebody does",
+            silent: 4,
+            heard: Some(1_700),
+            expected: false,
+        },
+        IsolationCase {
+            name: "somebody did, before the silence",
+            silent: 4,
+            heard: Some(900),
+            expected: true,
+        },
+        IsolationCase {
+            name: "two agents may be dead",
+            silent: 2,
+            heard: None,
+            expected: false,
+        },
+        IsolationCase {
+            name: "nobody was asked: there is no traffic",
+            silent: 0,
+            heard: None,
+            expected: false,
+        },
+    ];
+    for case in cases {
+        let mut board = LoadBoard::default();
+        for number in 1..=case.silent {
+            board.note_sent(agent(number), claims(), at(1_000));
+        }
+        for probed in [1_250, 1_450] {
+            board.due_probes(at(probed));
+        }
+        if let Some(heard) = case.heard {
+            board.take(&idle_load(agent(9)), at(heard));
+        }
+        assert!(!board.is_isolated(at(1_300)), "{}: too early", case.name);
+        assert_eq!(board.is_isolated(at(2_000)), case.expected, "{}", case.name);
+        // A word of anybody ends it.
+        board.take(&idle_load(agent(1)), at(2_100));
+        assert!(!board.is_isolated(at(2_101)), "{}", case.name);
+    }
+}
