The silence of a lapsed target proves nothing, and what proves a target gone stands in one place

Found in reading the whole change: searches and the ending of known flows each had their own rule for a target that the store lists no more and whose agent stopped or is silent. They differed for one whose entry vanished in the store's trouble: known flows were kept, a search took it for gone. Since doubt ends three seconds after the store's return, a view can be complete while such a lapse (two seconds) is under way, so an open flow could be reset by an agent that stops to start again beside a living target.

Change: FlowTarget::may_live says whose silence is no proof (listed, lapsed, unreadable), for views and searches alike; LoadBoard::is_gone is the other half, for searches and known flows alike. It looks the one agent up instead of listing all silent ones at each search. Silence, isolation and probes share their conditions. A flow is ended no earlier than before in any case.

--- a/crates/flows/src/balancer/asking.rs
+++ b/crates/flows/src/balancer/asking.rs
@@ -9,7 +9,7 @@
 use super::offer::candidate_of;
 use crate::frame::Candidate;
 use crate::packet::FlowPacket;
-use crate::ring::{CANDIDATES, FlowStanding, FlowTarget};
+use crate::ring::{CANDIDATES, FlowTarget};
 use crate::view::{FlowRoute, FlowView};
 
 /// In a fleet with at most so many targets everybody is asked at once.
@@ -52,10 +52,9 @@
     }
 }
 
-/// Whether a target may live: the store lists it, or did a moment ago.
+/// Whether a target is likely enough to live that its word is waited for.
 fn is_likely(target: &FlowTarget, now: Moment) -> bool {
-    let entry = target.listed || target.standing == FlowStanding::Unreadable;
-    entry || now.since(target.since) < VANISHED_SPAN
+    target.may_live() || now.since(target.since) < VANISHED_SPAN
 }
 
 /// Begins a search at the flow's candidates.
@@ -99,8 +98,8 @@
 }
 
 /// All agents whose targets may live, of all services that the configuration names: a route may have
-/// been sent to another service a moment ago, and a balancer that has just started cannot know from where. Beyond
-/// [`LARGE_FLEET`] they are not counted.
+/// been sent to another service a moment ago, and a balancer that has just started cannot know from
+/// where. Beyond [`LARGE_FLEET`] they are not counted.
 pub(super) fn everybody(view: &FlowView, now: Moment) -> SmallVec<[&FlowTarget; CANDIDATES]> {
     let mut all: SmallVec<[&FlowTarget; CANDIDATES]> = SmallVec::new();
     for ring in view.named_rings() {
--- a/crates/flows/src/balancer/loss.rs
+++ b/crates/flows/src/balancer/loss.rs
@@ -68,9 +68,8 @@
         if !view.complete {
             return lost;
         }
-        let quiet = loads.silent_agents(GONE_SPAN, now);
         for agent in view.unlisted_agents(FlowStanding::Leaving) {
-            if quiet.contains(&agent) || loads.is_stopped(agent, now) {
+            if loads.is_gone(agent, GONE_SPAN, now) {
                 lost.insert(agent, LossReason::TargetGone);
             }
         }
--- a/crates/flows/src/balancer/search.rs
+++ b/crates/flows/src/balancer/search.rs
@@ -198,7 +198,7 @@
         } else {
             search
                 .open
-                .retain(|open| view.lists_agent(open.candidate.agent));
+                .retain(|open| view.may_live_beside(open.candidate.agent));
             return self.end_search(&mut shard, flow, now).map(DueSearch::Lost);
         };
         if search.open.is_empty() {
@@ -245,15 +245,10 @@
     /// were. The same ends the flows that are known to be at such a target. A search by itself waits
     /// 400 ms to learn it, and did so anew for each lost flow, for three seconds after a target left.
     fn drop_gone(&self, search: &mut FlowSearch, view: &FlowView, now: Moment) {
-        if search.open.is_empty() {
-            return;
-        }
         let loads = self.loads.lock();
-        let silent = loads.silent_agents(GONE_SPAN, now);
         search.open.retain(|open| {
             let agent = open.candidate.agent;
-            let gone = silent.contains(&agent) || loads.is_stopped(agent, now);
-            !gone || view.lists_agent(agent)
+            !loads.is_gone(agent, GONE_SPAN, now) || view.may_live_beside(agent)
         });
     }
 
--- a/crates/flows/src/frame.rs
+++ b/crates/flows/src/frame.rs
@@ -108,6 +108,23 @@
     pub leaving: bool,
 }
 
+impl LoadReport {
+    /// What is taken of an agent that has said nothing: an idle target that is well.
+    #[must_use]
+    pub fn idle(agent: AgentAddress, service: ServiceId) -> Self {
+        Self {
+            agent,
+            service,
+            in_progress: 0,
+            flows: 0,
+            average_milli: 0,
+            responsive: true,
+            failing: false,
+            leaving: false,
+        }
+    }
+}
+
 /// What happened to a flow at an agent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum FlowEvent {
--- a/crates/flows/src/load.rs
+++ b/crates/flows/src/load.rs
@@ -91,6 +91,18 @@
             probed: Moment::ZERO,
         }
     }
+
+    /// Whether it was sent frames for `span` and probes in it, and was not heard since.
+    fn is_unheard(&self, span: Duration, now: Moment) -> bool {
+        let asked = self.asked_since.is_some_and(|at| now.since(at) >= span);
+        asked && self.probes >= PROBES_NEEDED
+    }
+
+    /// The same, unless it said that it stops: then its successor is starting.
+    fn is_silent(&self, span: Duration, now: Moment) -> bool {
+        let stops = self.report.leaving && now.since(self.heard) < RESTART_SPAN;
+        self.is_unheard(span, now) && !stops
+    }
 }
 
 /// The loads of all targets that this balancer has dealt with.
@@ -139,23 +151,29 @@
     /// stops is about to be started again beside a living target.
     #[must_use]
     pub fn silent_agents(&self, span: Duration, now: Moment) -> Vec<AgentAddress> {
-        let is_silent = |load: &TargetLoad| {
-            let asked = load
-                .asked_since
-                .is_some_and(|asked| now.since(asked) >= span);
-            let asked = asked && load.probes >= PROBES_NEEDED;
-            let stops = load.report.leaving && now.since(load.heard) < RESTART_SPAN;
-            asked && !stops
-        };
-        let is_heard =
-            |load: &TargetLoad| now.since(load.heard) < span && load.heard > Moment::ZERO;
-        if !self.loads.values().any(is_heard) {
+        if !self.hears_anybody(span, now) {
             return Vec::new();
         }
-        let silent = self.loads.iter().filter(|(_, load)| is_silent(load));
+        let silent = self
+            .loads
+            .iter()
+            .filter(|(_, load)| load.is_silent(span, now));
         silent.map(|(&agent, _)| agent).collect()
     }
 
+    /// Whether an agent has said that it stops, or that its target does not answer, or has been silent
+    /// for `span` while others were heard. Where the store has dropped the target as well, it is gone.
+    #[must_use]
+    pub fn is_gone(&self, agent: AgentAddress, span: Duration, now: Moment) -> bool {
+        let silent = |load: &TargetLoad| load.is_silent(span, now) && self.hears_anybody(span, now);
+        self.is_stopped(agent, now) || self.loads.get(&agent).is_some_and(silent)
+    }
+
+    fn hears_anybody(&self, span: Duration, now: Moment) -> bool {
+        let mut loads = self.loads.values();
+        loads.any(|load| load.heard > Moment::ZERO && now.since(load.heard) < span)
+    }
+
     /// Whether nobody answers this process any more: several agents were sent frames and probes and none
     /// of them was heard, nor any other, for [`ISOLATION_SPAN`].
     ///
@@ -165,16 +183,12 @@
     /// have no choice go on as before.
     #[must_use]
     pub fn is_isolated(&self, now: Moment) -> bool {
-        let heard = |load: &TargetLoad| now.since(load.heard) < ISOLATION_SPAN;
-        if self.loads.values().any(heard) {
+        if self.hears_anybody(ISOLATION_SPAN, now) {
             return false;
         }
-        let silent = self.loads.values().filter(|load| {
-            let asked = load.asked_since;
-            let asked = asked.is_some_and(|asked| now.since(asked) >= ISOLATION_SPAN);
-            asked && load.probes >= PROBES_NEEDED
-        });
-        silent.count() >= ISOLATION_AGENTS
+        let loads = self.loads.values();
+        let unheard = loads.filter(|load| load.is_unheard(ISOLATION_SPAN, now));
+        unheard.count() >= ISOLATION_AGENTS
     }
 
     /// Notes that a flow was offered.
@@ -216,8 +230,7 @@
     }
 
     /// Whether an agent has said that it stops, or that its target does not answer.
-    #[must_use]
-    pub fn is_stopped(&self, agent: AgentAddress, now: Moment) -> bool {
+    fn is_stopped(&self, agent: AgentAddress, now: Moment) -> bool {
         self.loads.get(&agent).is_some_and(|load| {
             let recent = now.since(load.heard) < RESTART_SPAN;
             recent && (load.report.leaving || !load.report.responsive)
@@ -248,16 +261,7 @@
     }
 
     fn entry(&mut self, agent: AgentAddress, service: ServiceId) -> &mut TargetLoad {
-        let report = LoadReport {
-            agent,
-            service,
-            in_progress: 0,
-            flows: 0,
-            average_milli: 0,
-            responsive: true,
-            failing: false,
-            leaving: false,
-        };
+        let report = LoadReport::idle(agent, service);
         let entry = self.loads.entry(agent);
         entry.or_insert(TargetLoad::new(report, Moment::ZERO))
     }
--- a/crates/flows/src/ring.rs
+++ b/crates/flows/src/ring.rs
@@ -97,6 +97,19 @@
     pub warm_at: Moment,
 }
 
+impl FlowTarget {
+    /// Whether the store leaves it open that the target lives: it lists it, or has an entry that cannot
+    /// be read, or lost the entry in its own trouble. Then the silence of its agent is no proof.
+    #[must_use]
+    pub fn may_live(&self) -> bool {
+        let doubtful = matches!(
+            self.standing,
+            FlowStanding::Lapsed | FlowStanding::Unreadable
+        );
+        self.listed || doubtful
+    }
+}
+
 /// The targets of one service.
 #[derive(Clone, Debug, Default)]
 pub struct ServiceTargets {
--- a/crates/flows/src/view.rs
+++ b/crates/flows/src/view.rs
@@ -112,15 +112,11 @@
         named.map(|(_, ring)| ring.as_ref())
     }
 
-    /// Whether the store has an entry for a target beside an agent, readable or not: then silence of
-    /// the agent is no proof that the target is gone.
+    /// Whether a target beside an agent may live, by the store's word alone.
     #[must_use]
-    pub fn lists_agent(&self, agent: AgentAddress) -> bool {
+    pub fn may_live_beside(&self, agent: AgentAddress) -> bool {
         let mut targets = self.rings().flat_map(ServiceTargets::targets);
-        targets.any(|target| {
-            let entry = target.listed || target.standing == FlowStanding::Unreadable;
-            target.agent == agent && entry
-        })
+        targets.any(|target| target.agent == agent && target.may_live())
     }
 
     /// Agents all of whose targets vanished from the store and have this standing.
--- a/crates/flows/tests/all/search.rs
+++ b/crates/flows/tests/all/search.rs
@@ -70,6 +70,14 @@
     asked(step);
 }
 
+/// Two agents say that they do not hold the flow, which proves nothing yet.
+fn two_say_no(decisions: &FlowBalancer, millis: u64) {
+    for number in [1, 2] {
+        let word = note(flow(1), agent(number), FlowEvent::Absent);
+        assert_eq!(decisions.take_note(&word, at(millis)).reset, None);
+    }
+}
+
 // Symptom: after a power loss each client loses one request to its deadline. Sequence: targets
 // restart; clients go on sending on flows that are gone; nobody holds them, and nobody says so.
 // Cause: the end of a search was silence.
@@ -78,10 +86,7 @@
     let view = claims_view(3);
     let decisions = FlowBalancer::new(balancer());
     ask_all(&decisions, &view);
-    for number in [1, 2] {
-        let word = note(flow(1), agent(number), FlowEvent::Absent);
-        assert_eq!(decisions.take_note(&word, at(1)).reset, None);
-    }
+    two_say_no(&decisions, 1);
     let word = note(flow(1), agent(3), FlowEvent::Absent);
     let reset = FlowReset {
         flow: flow(1),
@@ -554,10 +559,7 @@
     let view = builder.build(at(0));
     let decisions = FlowBalancer::new(balancer());
     ask_all(&decisions, &view);
-    for number in [1, 2] {
-        let word = note(flow(1), agent(number), FlowEvent::Absent);
-        assert_eq!(decisions.take_note(&word, at(1)).reset, None);
-    }
+    two_say_no(&decisions, 1);
     for probed in [250, 400] {
         assert_eq!(decisions.due_probes(at(probed)), [agent(3)]);
     }
@@ -602,6 +604,38 @@
     }
 }
 
+// Symptom: an open flow is reset while its target lives. Sequence: the store comes back from trouble; three
+// seconds later views are complete; a target's entry vanishes within six seconds of the trouble, which
+// proves nothing for two more; its agent stops, to start again beside it. Cause: a lapsed target was taken
+// for one that is off the list for good, by searches and not by what ends known flows.
+#[test]
+fn the_silence_of_a_lapsed_target_proves_nothing() {
+    let targets = |count| catalog((1..=count).map(|n| target(n, "claims")).collect());
+    for stops in [true, false] {
+        let mut builder = builder();
+        builder.take(&targets(3), at(0));
+        builder.note_trouble(at(0));
+        builder.set_returned(Some(at(100)));
+        builder.take(&targets(2), at(3_200));
+        let view = builder.build(at(3_200));
+        assert!(view.complete);
+        let decisions = FlowBalancer::new(balancer());
+        let report = LoadReport {
+            leaving: stops,
+            ..idle_load(agent(3))
+        };
+        decisions.take_load(&report, at(3_200));
+        let step = decisions.take_packet(&data(flow(1)), b"data", &view, at(3_201));
+        assert_eq!(asked(step), agents(3));
+        two_say_no(&decisions, 3_202);
+        for millis in [3_351, 3_601, 4_000] {
+            let due = decisions.due_searches(&view, at(millis));
+            let lost = due.iter().any(|due| matches!(due, DueSearch::Lost(_)));
+            assert!(!lost, "stops {stops}: {due:?}");
+        }
+    }
+}
+
 #[test]
 fn a_vanished_target_that_answers_keeps_its_flow() {
     let mut builder = builder();
@@ -652,10 +686,7 @@
         let view = builder.build(at(0));
         let decisions = FlowBalancer::new(balancer());
         ask_all(&decisions, &view);
-        for number in [1, 2] {
-            let word = note(flow(1), agent(number), FlowEvent::Absent);
-            assert_eq!(decisions.take_note(&word, at(1)).reset, None);
-        }
+        two_say_no(&decisions, 1);
         let doubtful = decisions.due_searches(&view, at(40));
         assert_eq!(doubtful, [], "{}", case.name);
         builder.take(&targets(case.listed), at(50));
@@ -690,10 +721,7 @@
     let view = builder.build(at(0));
     let decisions = FlowBalancer::new(balancer());
     ask_all(&decisions, &view);
-    for number in [1, 2] {
-        let word = note(flow(1), agent(number), FlowEvent::Absent);
-        assert_eq!(decisions.take_note(&word, at(1)).reset, None);
-    }
+    two_say_no(&decisions, 1);
     // Not with each of a download's acknowledgements.
     let early = decisions.take_packet(&data(flow(1)), b"data", &view, at(50));
     assert_eq!(early, BalancerStep::Drop);
