--- a/crates/flows/benches/decision.rs
+++ b/crates/flows/benches/decision.rs
@@ -96,16 +96,7 @@
         let note = FlowNote {
             flow: packet(port, false).flow,
             event: FlowEvent::Opened,
-            load: LoadReport {
-                agent: agent(port % 7),
-                service: service().id(),
-                in_progress: 0,
-                flows: 0,
-                average_milli: 0,
-                responsive: true,
-                failing: false,
-                leaving: false,
-            },
+            load: LoadReport::idle(agent(port % 7), service().id()),
         };
         decisions.take_note(&note, Moment::ZERO);
     }
--- a/crates/flows/benches/memory.rs
+++ b/crates/flows/benches/memory.rs
@@ -181,16 +181,7 @@
 
 fn main() {
     measure_catalog();
-    let load = LoadReport {
-        agent: agent(),
-        service: ServiceId(1),
-        in_progress: 0,
-        flows: 0,
-        average_milli: 0,
-        responsive: true,
-        failing: false,
-        leaving: false,
-    };
+    let load = LoadReport::idle(agent(), ServiceId(1));
     let before = HELD.load(Ordering::Relaxed);
     let balancer = FlowBalancer::new(agent());
     for count in [0, 10_000, 100_000, 200_000] {
--- a/crates/flows/tests/all/agent.rs
+++ b/crates/flows/tests/all/agent.rs
@@ -109,6 +109,17 @@
     );
 }
 
+/// Offers a flow that another agent could take as well; whether the target was given it, and answered.
+fn takes(agent: &mut FlowAgent, port: u16, millis: u64) -> bool {
+    let offer = frame(FramePurpose::Offer, &[2]);
+    let (step, _) = agent.take_frame(offer, &opening(flow(port)), at(millis));
+    let taken = matches!(step, AgentStep::Deliver { .. });
+    if taken {
+        agent.take_target_packet(&answer(flow(port)), at(millis));
+    }
+    taken
+}
+
 #[test]
 fn a_flow_opens_lives_and_is_told_of_once() {
     let mut agent = old_agent();
@@ -352,16 +363,7 @@
 #[test]
 fn flows_that_are_about_to_open_count_as_requests() {
     let mut agent = old_agent();
-    let mut offer = |port, millis| {
-        let offer = frame(FramePurpose::Offer, &[2]);
-        let (step, _) = agent.take_frame(offer, &opening(flow(port)), at(millis));
-        let taken = matches!(step, AgentStep::Deliver { .. });
-        if taken {
-            agent.take_target_packet(&answer(flow(port)), at(millis));
-        }
-        taken
-    };
-    let taken = (1..=200).filter(|port| offer(*port, 0)).count();
+    let taken = (1..=200).filter(|port| takes(&mut agent, *port, 0)).count();
     // Twice its three slots.
     assert_eq!(taken, 6);
     // Their clients never came: they had taken another target's answer.
@@ -397,15 +399,6 @@
         open(agent, flow(port), at(millis));
         agent.take_target_packet(&cut(flow(port)), at(millis));
     };
-    let takes = |agent: &mut FlowAgent, port, millis| {
-        let offer = frame(FramePurpose::Offer, &[2]);
-        let (step, _) = agent.take_frame(offer, &opening(flow(port)), at(millis));
-        let taken = matches!(step, AgentStep::Deliver { .. });
-        if taken {
-            agent.take_target_packet(&answer(flow(port)), at(millis));
-        }
-        taken
-    };
     fails(&mut agent, 1, 0);
     assert!(takes(&mut agent, 2, 1), "one reset proves nothing");
     agent.tend(Duration::from_secs(60), at(600));
--- a/crates/flows/tests/all/support.rs
+++ b/crates/flows/tests/all/support.rs
@@ -149,16 +149,7 @@
 }
 
 pub(crate) fn idle_load(agent: AgentAddress) -> LoadReport {
-    LoadReport {
-        agent,
-        service: claims(),
-        in_progress: 0,
-        flows: 0,
-        average_milli: 0,
-        responsive: true,
-        failing: false,
-        leaving: false,
-    }
+    LoadReport::idle(agent, claims())
 }
 
 pub(crate) fn note(flow: FlowKey, agent: AgentAddress, event: FlowEvent) -> FlowNote {
