A search asks everybody who may hold a flow at any size, and says when it cannot

Cause: in a fleet of more than 256 targets a search ended after the flow's candidates, without a word. Entries were counted, not agents: after a loss of power each of 136 targets stands there twice for 3.6 s, so for four and a half seconds no lost flow was told.

Ruled out: doubt after the store's trouble (its span set to 0 changes nothing); a higher figure, which only moves the threshold.

Change: one entry an agent; what bounds a search is the budget of bytes, of which one search takes half of a second's at most; beyond, it is abandoned with a log line and a metric. A view says why it may lack targets (line, gauge, explain).

--- a/bins/balancer/src/opaque/catalog.rs
+++ b/bins/balancer/src/opaque/catalog.rs
@@ -20,6 +20,7 @@
 use tokio::time::MissedTickBehavior;
 
 use super::count::StoreCounts;
+use super::coverage::CoverageWatch;
 use super::packets::PacketState;
 
 /// The largest datagram sent; a longer answer goes by stream.
@@ -41,6 +42,7 @@
     pub(crate) packets: Arc<PacketState>,
     pub(crate) ready: ReadyFlag,
     pub(crate) calls: StoreCounts,
+    pub(crate) coverage: Mutex<CoverageWatch>,
     pub(crate) log: Logger,
 }
 
@@ -173,9 +175,9 @@
         let now = self.state.packets.clock.now();
         let builder = self.state.builder.lock();
         let ended = builder.next_lapse_end().is_some_and(|end| end <= now);
-        let complete = builder.is_complete(now);
+        let coverage = builder.coverage(now);
         drop(builder);
-        if ended || complete != self.state.packets.view.load().complete {
+        if ended || coverage != self.state.packets.view.load().coverage {
             self.publish();
         }
     }
@@ -183,6 +185,10 @@
     fn publish(&self) {
         let now = self.state.packets.clock.now();
         let view = self.state.builder.lock().build(now);
+        let (_, targets) = view.counts();
+        let mut coverage = self.state.coverage.lock();
+        coverage.note(view.coverage, targets, now, &self.state.log);
+        drop(coverage);
         self.state.packets.view.store(Arc::new(view));
     }
 
--- a/bins/balancer/src/opaque/count.rs
+++ b/bins/balancer/src/opaque/count.rs
@@ -14,6 +14,8 @@
     Forwarded,
     /// A packet of an unknown flow began its walk.
     Searched,
+    /// A search ended because it would have had to ask too many agents.
+    SearchAbandoned,
     /// A first packet without a route was answered with a reset.
     ResetNoRoute,
     /// A first packet without a target was answered with a reset.
@@ -36,6 +38,7 @@
         Self::OfferedAgain,
         Self::Forwarded,
         Self::Searched,
+        Self::SearchAbandoned,
         Self::ResetNoRoute,
         Self::ResetNoTarget,
         Self::ResetLost,
@@ -55,6 +58,7 @@
             Self::OfferedAgain => "offered_again",
             Self::Forwarded => "forwarded",
             Self::Searched => "searched",
+            Self::SearchAbandoned => "search_abandoned",
             Self::ResetNoRoute => "reset_no_route",
             Self::ResetNoTarget => "reset_no_target",
             Self::ResetLost => "reset_lost",
--- /dev/null
+++ b/bins/balancer/src/opaque/coverage.rs
@@ -0,0 +1,53 @@
+//! When a balancer's view became complete, or ceased to be.
+//!
+//! What goes wrong without it: lost flows are not told while a view may lack targets, their clients wait
+//! for their deadlines, and nothing says since when or why.
+
+use lovagelatch_domain::Moment;
+use lovagelatch_flows::ViewCoverage;
+use lovagelatch_telemetry::{DecisionKind, Logger, info};
+
+/// Writes a line for each change.
+#[derive(Debug)]
+pub(crate) struct CoverageWatch {
+    known: ViewCoverage,
+    since: Moment,
+}
+
+impl CoverageWatch {
+    pub(crate) fn new(now: Moment) -> Self {
+        Self {
+            known: ViewCoverage::default(),
+            since: now,
+        }
+    }
+
+    /// Notes the coverage of a view that is in force from now on.
+    pub(crate) fn note(
+        &mut self,
+        coverage: ViewCoverage,
+        targets: usize,
+        now: Moment,
+        log: &Logger,
+    ) {
+        if coverage == self.known {
+            return;
+        }
+        let before = now.since(self.since);
+        match coverage {
+            ViewCoverage::Complete => info!(log, "view complete: lost flows are told";
+                "decision" => DecisionKind::ViewCoverage,
+                "targets" => targets,
+                "doubtful_ms" => before.as_secs_f64() * 1_000.0),
+            ViewCoverage::Doubtful(doubt) => {
+                info!(log, "view may lack targets: lost flows are not told";
+                "decision" => DecisionKind::ViewCoverage,
+                "reason" => doubt.as_str(),
+                "targets" => targets,
+                "held_ms" => before.as_secs_f64() * 1_000.0)
+            }
+        }
+        self.known = coverage;
+        self.since = now;
+    }
+}
--- a/bins/balancer/src/opaque/mod.rs
+++ b/bins/balancer/src/opaque/mod.rs
@@ -13,6 +13,7 @@
 
 mod catalog;
 mod count;
+mod coverage;
 mod notice;
 mod packets;
 mod process;
--- a/bins/balancer/src/opaque/notice.rs
+++ b/bins/balancer/src/opaque/notice.rs
@@ -104,6 +104,20 @@
             "left_out" => left_out);
     }
 
+    pub(crate) fn abandoned(&mut self, flow: &FlowKey, holders: usize, view: &FlowView) {
+        let Some(left_out) = self.lost.spend(Instant::now()) else {
+            return;
+        };
+        warn!(self.log, "search abandoned";
+            "decision" => DecisionKind::FlowSearched,
+            "client" => flow.client.to_string(),
+            "address" => flow.service_address.to_string(),
+            "reason" => "more agents than one search may ask",
+            "agents" => holders,
+            "version" => view.version.0,
+            "left_out" => left_out);
+    }
+
     pub(crate) fn searched(&mut self, flow: &FlowKey, frames: &SearchFrames, view: &FlowView) {
         let Some(left_out) = self.searched.spend(Instant::now()) else {
             return;
--- a/bins/balancer/src/opaque/packets.rs
+++ b/bins/balancer/src/opaque/packets.rs
@@ -271,6 +271,10 @@
                     frames,
                 } => self.search(&flow, frames, &bytes, view),
                 DueSearch::Lost(reset) => self.send_loss(&reset, view),
+                DueSearch::Abandoned { flow, holders } => {
+                    self.counts.add(PacketOutcome::SearchAbandoned);
+                    self.log.abandoned(&flow, holders, view);
+                }
             }
         }
     }
--- a/bins/balancer/src/opaque/process.rs
+++ b/bins/balancer/src/opaque/process.rs
@@ -23,6 +23,7 @@
 
 use super::catalog::{CatalogState, CatalogTasks, start_catalog};
 use super::count::{PacketMetrics, StoreCounts};
+use super::coverage::CoverageWatch;
 use super::notice::DecisionLog;
 use super::packets::{PacketSockets, PacketState, PacketThread};
 use crate::stop::StopSignal;
@@ -167,6 +168,7 @@
         packets: Arc::clone(packets),
         ready: ready.clone(),
         calls,
+        coverage: Mutex::new(CoverageWatch::new(now)),
         log: log.clone(),
     };
     Ok(start_catalog(state, socket, listener, settings.store))
@@ -218,6 +220,15 @@
         .with_description("Flows remembered")
         .with_callback(move |observer| observer.observe(packets.balancer.flow_count() as u64, &[]))
         .build();
+    let packets = Arc::clone(&tasks.state.packets);
+    let _complete = meter
+        .u64_observable_gauge("lovagelatch.balancer.view_complete")
+        .with_unit("1")
+        .with_description("Whether every living target is known, so that lost flows are told")
+        .with_callback(move |observer| {
+            observer.observe(packets.view.load().is_complete().into(), &[]);
+        })
+        .build();
     let held = Arc::clone(tasks);
     let _version = meter
         .u64_observable_gauge("lovagelatch.balancer.config_version")
@@ -247,9 +258,11 @@
     let packets = &tasks.state.packets;
     let now = packets.clock.now();
     let catalog = tasks.state.member.lock().status(now);
-    let (routes, targets) = packets.view.load().counts();
+    let view = packets.view.load();
+    let (routes, targets) = view.counts();
     serde_json::json!({
         "ready": ready.is_set(),
+        "coverage": view.coverage,
         "version": catalog.version.0,
         "routes_revision": catalog.head.routes.revision,
         "targets_revision": catalog.head.targets.revision,
--- a/crates/flows/src/balancer.rs
+++ b/crates/flows/src/balancer.rs
@@ -24,6 +24,7 @@
 use parking_lot::{Mutex, MutexGuard};
 use smallvec::SmallVec;
 
+pub(crate) use self::asking::possible_holders;
 use self::budget::SearchBudget;
 use self::entry::{EntryState, FlowEntry, FlowSearch};
 use self::schedule::SearchSchedule;
@@ -207,6 +208,13 @@
         }
     }
 
+    /// The same behind a link of so many bytes a second, of which searches fill a part at most.
+    #[must_use]
+    pub fn with_link(mut self, link_bytes: u64) -> Self {
+        self.budget = Mutex::new(SearchBudget::with_link(link_bytes));
+        self
+    }
+
     /// Where it listens for agents.
     #[must_use]
     pub fn own(&self) -> AgentAddress {
--- a/crates/flows/src/balancer/asking.rs
+++ b/crates/flows/src/balancer/asking.rs
@@ -1,5 +1,6 @@
 //! Whom a search asks.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use lovagelatch_domain::{AgentAddress, Moment};
@@ -9,20 +10,19 @@
 use super::offer::candidate_of;
 use crate::frame::Candidate;
 use crate::packet::FlowPacket;
-use crate::ring::{CANDIDATES, FlowTarget};
+use crate::ring::{CANDIDATES, FlowTarget, ServiceTargets};
 use crate::view::{FlowRoute, FlowView};
 
-/// In a fleet with at most so many targets everybody is asked at once.
-const SMALL_FLEET: usize = CANDIDATES;
-
-/// Targets of a fleet that is asked as a whole. In larger ones only a flow's candidates are asked,
-/// and a lost flow ends by its client's timeout.
-pub(super) const LARGE_FLEET: usize = 256;
+/// Up to so many agents are asked at once; beyond, the flow's candidates go first.
+const FEW_AGENTS: usize = CANDIDATES;
 
 /// How long an entry that vanished from the store still counts as a target that may hold a flow:
 /// the store lists a living target again within two seconds.
 const VANISHED_SPAN: Duration = Duration::from_secs(3);
 
+/// Targets that may hold a flow.
+pub(crate) type HolderList<'v> = SmallVec<[&'v FlowTarget; CANDIDATES]>;
+
 /// Agents that are shown a packet.
 pub(super) type AskedList = SmallVec<[Candidate; CANDIDATES]>;
 
@@ -36,8 +36,9 @@
         now: Moment,
     ) -> AskedList {
         let mut asked = AskedList::new();
+        let mut known: HashSet<AgentAddress> = self.asked.iter().copied().collect();
         for target in targets {
-            if self.asked.contains(&target.agent) {
+            if !known.insert(target.agent) {
                 continue;
             }
             let candidate = candidate_of(target);
@@ -77,17 +78,16 @@
         bytes: bytes.into(),
         complete: false,
         repeated: false,
-        certain: view.complete,
+        certain: view.is_complete(),
         exhausted: false,
+        abandoned: false,
     };
-    let all = everybody(view, now);
-    let targets: SmallVec<[&FlowTarget; CANDIDATES]> = if all.len() <= SMALL_FLEET {
+    let all = possible_holders(view, now);
+    let targets: HolderList<'_> = if all.len() <= FEW_AGENTS {
         search.complete = true;
         all
     } else {
-        let shares = route.shares.iter().map(|&(service, _)| service);
-        let former = route.former.iter().map(|&(service, _)| service);
-        let services = shares.chain(former);
+        let services = route.services();
         let rings = services.filter_map(|service| view.service(service));
         rings.flat_map(|ring| ring.candidates(point)).collect()
     };
@@ -97,20 +97,16 @@
     (search, asked)
 }
 
-/// All agents whose targets may live, of all services that the configuration names: a route may have
-/// been sent to another service a moment ago, and a balancer that has just started cannot know from
-/// where. Beyond [`LARGE_FLEET`] they are not counted.
-pub(super) fn everybody(view: &FlowView, now: Moment) -> SmallVec<[&FlowTarget; CANDIDATES]> {
-    let mut all: SmallVec<[&FlowTarget; CANDIDATES]> = SmallVec::new();
-    for ring in view.named_rings() {
-        let targets = ring.targets().iter();
-        all.extend(targets.filter(|target| is_likely(target, now)));
-        if all.len() > LARGE_FLEET {
-            return all;
-        }
-    }
-    // A restarted target stands beside its former start until that entry ends.
-    all.sort_unstable_by_key(|target| (target.agent, !target.listed));
-    all.dedup_by_key(|target| target.agent);
-    all
+/// The targets that may hold a flow, one for each agent: those of all services that the configuration
+/// names. A route may have been sent to another service a moment ago, and a balancer that has just
+/// started, or has not heard of that yet, cannot know from where or where to.
+///
+/// What goes wrong if former starts are counted beside present ones: after a loss of power each agent
+/// stands there twice until the old entries end.
+pub(crate) fn possible_holders(view: &FlowView, now: Moment) -> HolderList<'_> {
+    let targets = view.named_rings().flat_map(ServiceTargets::targets);
+    let mut holders: HolderList<'_> = targets.filter(|target| is_likely(target, now)).collect();
+    holders.sort_unstable_by_key(|target| (target.agent, !target.listed));
+    holders.dedup_by_key(|target| target.agent);
+    holders
 }
--- a/crates/flows/src/balancer/budget.rs
+++ b/crates/flows/src/balancer/budget.rs
@@ -2,36 +2,63 @@
 
 use lovagelatch_domain::Moment;
 
-/// Bytes a second for searches, and the most that is saved up. A seventh of the smallest link
-/// known, 11 Mbit/s. Without it searches filled such a link after a power loss: answers came late,
-/// so that searches and offers were repeated, and the balancer was late for ten seconds.
-const BYTE_RATE: f64 = 200_000.0;
+/// The part of a balancer's link that searches may fill. Without a bound they filled a link of
+/// 11 Mbit/s after a power loss: answers came late, so that searches and offers were repeated, and the
+/// balancer was late for ten seconds.
+const LINK_SHARE: f64 = 1.0 / 7.0;
+
+/// Bytes a second for searches at most, whatever the link: some 600 datagrams, which take a balancer
+/// with a twenty-fifth of a core a third of its time.
+const MAX_BYTE_RATE: f64 = 200_000.0;
 
 /// The part of the budget that only errands may use. While there is more, a balancer asks a
 /// flow's candidates itself, which needs no other agent to be well.
 const ERRAND_SHARE: f64 = 0.5;
 
-/// A budget of bytes that fills up at [`BYTE_RATE`].
+/// The part of what a second brings that one search may take. One that needs more would hold up all
+/// others, and its answers would come when its client has given up.
+const SEARCH_SHARE: f64 = 0.5;
+
+/// A budget of bytes that saves up what a second brings.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct SearchBudget {
+    /// Bytes a second, and the most that is saved up.
+    rate: f64,
     left: f64,
     filled: Moment,
 }
 
 impl SearchBudget {
+    /// The budget of a balancer that may have any link.
     pub(super) fn new() -> Self {
+        Self::with_rate(MAX_BYTE_RATE)
+    }
+
+    /// The budget of a balancer behind a link of so many bytes a second.
+    pub(super) fn with_link(link_bytes: u64) -> Self {
+        Self::with_rate(cost(link_bytes) * LINK_SHARE)
+    }
+
+    fn with_rate(rate: f64) -> Self {
+        let rate = rate.min(MAX_BYTE_RATE);
         Self {
-            left: BYTE_RATE,
+            rate,
+            left: rate,
             filled: Moment::ZERO,
         }
     }
 
+    /// Whether one search may ever send `bytes`.
+    pub(super) fn allows(&self, bytes: usize) -> bool {
+        cost(bytes as u64) <= self.rate * SEARCH_SHARE
+    }
+
     /// Takes `bytes` out for asking directly, if enough is left for errands.
     pub(super) fn spend_directly(&mut self, bytes: usize, now: Moment) -> bool {
         self.fill(now);
-        let enough = self.left - cost(bytes) >= BYTE_RATE * ERRAND_SHARE;
+        let enough = self.left - cost(bytes as u64) >= self.rate * ERRAND_SHARE;
         if enough {
-            self.left -= cost(bytes);
+            self.left -= cost(bytes as u64);
         }
         enough
     }
@@ -39,23 +66,23 @@
     /// Takes `bytes` out whether they are there or not.
     pub(super) fn charge(&mut self, bytes: usize, now: Moment) {
         self.fill(now);
-        self.left = (self.left - cost(bytes)).max(0.0);
+        self.left = (self.left - cost(bytes as u64)).max(0.0);
     }
 
     /// Whether `bytes` are there.
     pub(super) fn has(&mut self, bytes: usize, now: Moment) -> bool {
         self.fill(now);
-        self.left >= cost(bytes)
+        self.left >= cost(bytes as u64)
     }
 
     fn fill(&mut self, now: Moment) {
-        let filled = now.since(self.filled).as_secs_f64() * BYTE_RATE;
-        self.left = (self.left + filled).min(BYTE_RATE);
+        let filled = now.since(self.filled).as_secs_f64() * self.rate;
+        self.left = (self.left + filled).min(self.rate);
         self.filled = now;
     }
 }
 
 #[allow(clippy::cast_precision_loss)]
-fn cost(bytes: usize) -> f64 {
+fn cost(bytes: u64) -> f64 {
     bytes as f64
 }
--- a/crates/flows/src/balancer/entry.rs
+++ b/crates/flows/src/balancer/entry.rs
@@ -106,6 +106,8 @@
     pub(super) certain: bool,
     /// Whether everybody has said no without proving anything.
     pub(super) exhausted: bool,
+    /// Whether more may hold the flow than one search may ask.
+    pub(super) abandoned: bool,
 }
 
 impl Remembered for FlowEntry {
--- a/crates/flows/src/balancer/loss.rs
+++ b/crates/flows/src/balancer/loss.rs
@@ -65,7 +65,7 @@
         let mut lost: HashMap<_, _> = silent
             .map(|agent| (agent, LossReason::AgentSilent))
             .collect();
-        if !view.complete {
+        if !view.is_complete() {
             return lost;
         }
         for agent in view.unlisted_agents(FlowStanding::Leaving) {
--- a/crates/flows/src/balancer/search.rs
+++ b/crates/flows/src/balancer/search.rs
@@ -87,15 +87,22 @@
     },
     /// Nobody holds the flow.
     Lost(FlowReset),
+    /// So many may hold it that one search may not ask them all: whether it is lost stays unknown.
+    Abandoned {
+        /// The flow.
+        flow: FlowKey,
+        /// How many agents would have to be asked.
+        holders: usize,
+    },
 }
 
 /// Whether everybody could be asked.
 enum Widening {
     Asked(AskedList),
-    /// The budget is used up.
+    /// The budget is used up for now.
     Later,
-    /// The fleet is too large.
-    Never,
+    /// So many agents are more than one search may ask.
+    Never(usize),
 }
 
 impl FlowBalancer {
@@ -168,11 +175,11 @@
     fn go_on(&self, flow: FlowKey, view: &FlowView, now: Moment) -> Option<DueSearch> {
         let mut shard = self.shard(flow.point()).lock();
         let search = shard.searches.get_mut(&flow)?;
-        if now < search.due || is_stale(search, now) {
+        if now < search.due || search.abandoned || is_stale(search, now) {
             return None;
         }
         if search.exhausted {
-            if !view.complete {
+            if !view.is_complete() {
                 self.go_on_at(now + DOUBT_PAUSE, flow, search);
                 return None;
             }
@@ -190,7 +197,10 @@
                     self.go_on_at(now + BUDGET_PAUSE, flow, search);
                     return None;
                 }
-                Widening::Never => return None,
+                Widening::Never(holders) => {
+                    search.abandoned = true;
+                    return Some(DueSearch::Abandoned { flow, holders });
+                }
             }
         } else if !search.repeated {
             search.repeated = true;
@@ -265,20 +275,22 @@
                 asked.extend(unanswered);
                 asked
             }
-            Widening::Later | Widening::Never => unanswered,
+            Widening::Later | Widening::Never(_) => unanswered,
         }
     }
 
     /// Adds everybody who was not asked yet.
     fn widen(&self, search: &mut FlowSearch, view: &FlowView, now: Moment) -> Widening {
-        let all = asking::everybody(view, now);
-        if all.len() > asking::LARGE_FLEET {
-            return Widening::Never;
-        }
+        let all = asking::possible_holders(view, now);
         let bytes = errand_bytes(all.len(), search.bytes.len());
-        if !self.budget.lock().has(bytes, now) {
+        let mut budget = self.budget.lock();
+        if !budget.allows(bytes) {
+            return Widening::Never(all.len());
+        }
+        if !budget.has(bytes, now) {
             return Widening::Later;
         }
+        drop(budget);
         search.complete = true;
         Widening::Asked(search.ask(all.into_iter(), now))
     }
--- a/crates/flows/src/lib.rs
+++ b/crates/flows/src/lib.rs
@@ -39,4 +39,4 @@
 pub use outlook::{CandidateOutlook, FlowOutlook, HeldFlow};
 pub use packet::{FlowKey, FlowPacket, PacketFlags};
 pub use ring::{CANDIDATES, FlowStanding, FlowTarget, NameKey, PLACES, ServiceTargets, TargetKey};
-pub use view::{FlowRoute, FlowView, FlowViewBuilder, ViewSettings};
+pub use view::{FlowRoute, FlowView, FlowViewBuilder, ViewCoverage, ViewDoubt, ViewSettings};
--- a/crates/flows/src/outlook.rs
+++ b/crates/flows/src/outlook.rs
@@ -5,10 +5,10 @@
 use lovagelatch_domain::{AgentAddress, Moment};
 use serde::Serialize;
 
-use crate::balancer::FlowBalancer;
+use crate::balancer::{FlowBalancer, possible_holders};
 use crate::packet::FlowKey;
 use crate::ring::{FlowStanding, FlowTarget};
-use crate::view::FlowView;
+use crate::view::{FlowView, ViewCoverage};
 
 /// A target that a flow may be at, or be placed at.
 #[derive(Clone, Debug, PartialEq, Serialize)]
@@ -42,8 +42,11 @@
     pub service: Option<String>,
     /// Where the flow is taken to be; `None` where this balancer would have to search for it.
     pub agent: Option<AgentAddress>,
-    /// Whether the view holds every living target, so that a search that finds nobody is proof.
-    pub complete: bool,
+    /// Whether the view holds every living target, so that a search that finds nobody is proof; if
+    /// not, why.
+    pub coverage: ViewCoverage,
+    /// How many agents would be asked for it if its candidates did not hold it.
+    pub holders: usize,
     /// Who is asked for it, nearest on the ring first; the first ten are those that it may be
     /// placed at.
     pub candidates: Vec<CandidateOutlook>,
@@ -63,7 +66,8 @@
             route: route.map(|route| route.name.clone()),
             service: service.map(|service| view.service_name(service).to_owned()),
             agent: self.agent_of(flow),
-            complete: view.complete,
+            coverage: view.coverage,
+            holders: possible_holders(view, now).len(),
             candidates: candidates
                 .map(|target| self.candidate_outlook(target, now))
                 .collect(),
--- a/crates/flows/src/view.rs
+++ b/crates/flows/src/view.rs
@@ -4,6 +4,7 @@
 //! 160,000 targets a view made anew took 93 ms and as much memory again.
 
 mod builder;
+mod doubt;
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddrV4;
@@ -17,6 +18,7 @@
 use crate::ring::{FlowStanding, FlowTarget, ServiceTargets};
 
 pub use self::builder::{FlowViewBuilder, ViewSettings};
+pub use self::doubt::{ViewCoverage, ViewDoubt};
 
 /// Routes by the address that callers send to.
 type RouteMap = HashMap<SocketAddrV4, Arc<FlowRoute>>;
@@ -39,6 +41,13 @@
 }
 
 impl FlowRoute {
+    /// Every service that its flows may be at, as far as this process has seen.
+    pub(crate) fn services(&self) -> impl Iterator<Item = ServiceId> {
+        let shares = self.shares.iter().map(|&(service, _)| service);
+        let former = self.former.iter().map(|&(service, _)| service);
+        shares.chain(former)
+    }
+
     /// The service for a new flow, by the route's weights; the same in every process.
     #[must_use]
     pub fn service_for(&self, point: u64) -> Option<ServiceId> {
@@ -69,9 +78,8 @@
     pub version: ConfigRevision,
     /// How long a flow may be silent before it may be forgotten.
     pub idle_timeout: Duration,
-    /// Whether every living target is in it: the store has had no trouble for long enough. Only
-    /// then is a flow that nobody holds known to be lost.
-    pub complete: bool,
+    /// Whether every living target is in it. Only then is a flow that nobody holds known to be lost.
+    pub coverage: ViewCoverage,
     routes: Arc<RouteMap>,
     services: Arc<ServiceMap>,
     names: Arc<HashMap<ServiceId, ServiceName>>,
@@ -88,6 +96,12 @@
         self.version > ConfigRevision::default()
     }
 
+    /// Whether every living target is in it.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        self.coverage == ViewCoverage::Complete
+    }
+
     /// The route of a flow.
     #[must_use]
     pub fn route(&self, flow: &FlowKey) -> Option<&FlowRoute> {
--- a/crates/flows/src/view/builder.rs
+++ b/crates/flows/src/view/builder.rs
@@ -15,6 +15,7 @@
 use lovagelatch_domain::{AgentAddress, Moment, ServiceId, ServiceName, ZoneName};
 use smallvec::SmallVec;
 
+use super::doubt::{DoubtRecord, UNREADABLE_SPAN, ViewCoverage};
 use super::{FlowRoute, FlowView, RouteMap, ServiceMap};
 use crate::ring::{FlowStanding, FlowTarget, NameKey, ServiceTargets, TargetKey};
 
@@ -22,23 +23,6 @@
 /// flows. Live targets are listed again within about two seconds of the store's return.
 const LAPSE_SPAN: Duration = Duration::from_millis(2_000);
 
-/// How long after the store's last trouble a vanished entry is taken for a lapse: a target's
-/// entry ends three heartbeats (3.6 s) after its last write, and a live one is back 2 s after the
-/// store is.
-const TROUBLE_SPAN: Duration = Duration::from_secs(6);
-
-/// How long after the store's first answer after its trouble every living target is listed again. The
-/// users name about two seconds for the entries; a reader that the store answers hears of them within
-/// 250 ms. A store that goes away again is noticed within 2.2 s, by the next watch that is overdue.
-/// Against waiting out [`TROUBLE_SPAN`] each client of a flow that was lost meanwhile keeps a request.
-const RETURN_SPAN: Duration = Duration::from_secs(3);
-
-/// How long an entry that cannot be read may stand for a target that lives. A living target writes its entry anew with every heartbeat (1.2 s), so what stands for
-/// three of them, after which the store itself takes a silent target for gone, is another
-/// writer's. Without the bound one such entry kept every lost flow from being told, for as long as
-/// it stood.
-const UNREADABLE_SPAN: Duration = Duration::from_secs(4);
-
 /// What a view depends on besides the catalog.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ViewSettings {
@@ -89,15 +73,7 @@
     former: HashMap<SocketAddrV4, FormerServices>,
     /// The services that the configuration names and sends no route's flows to.
     unrouted: Arc<Vec<ServiceName>>,
-    /// Entries that cannot be read. Where the target's place was not known then, with when it was
-    /// first seen: until [`UNREADABLE_SPAN`] has passed a living target may be behind it.
-    unreadable: HashMap<NameKey, Option<Moment>>,
-    /// When the store was last known to be in trouble.
-    trouble: Option<Moment>,
-    /// When it first answered after that, if it has.
-    returned: Option<Moment>,
-    /// Whether trouble from before this process's start would be known.
-    informed: bool,
+    doubts: DoubtRecord,
 }
 
 impl FlowViewBuilder {
@@ -110,26 +86,23 @@
             vanished: HashMap::new(),
             former: HashMap::new(),
             unrouted: Arc::default(),
-            unreadable: HashMap::new(),
-            trouble: None,
-            returned: None,
-            informed: true,
+            doubts: DoubtRecord::new(),
         }
     }
 
     /// Notes that the store had trouble at `at`: an entry that vanishes proves nothing.
     pub fn note_trouble(&mut self, at: Moment) {
-        self.trouble = Some(self.trouble.map_or(at, |known| known.max(at)));
+        self.doubts.note_trouble(at);
     }
 
     /// Notes when the store first answered after its last trouble; `None` while it has not.
     pub fn set_returned(&mut self, returned: Option<Moment>) {
-        self.returned = returned;
+        self.doubts.set_returned(returned);
     }
 
     /// Notes whether trouble that the store had before this process started would be known.
     pub fn set_informed(&mut self, informed: bool) {
-        self.informed = informed;
+        self.doubts.set_informed(informed);
     }
 
     /// Takes a catalog, with what changed since the last one that was taken.
@@ -164,7 +137,7 @@
                         push(&mut edits, old.service.id(), edit);
                     }
                     if let Some(row) = &change.old {
-                        self.unreadable.remove(&NameKey::of(&row.name().0));
+                        self.doubts.forget_unreadable(NameKey::of(&row.name().0));
                     }
                 }
             }
@@ -220,34 +193,29 @@
         ends.min()
     }
 
-    /// Whether every living target is known: the store has had no trouble for long enough.
+    /// Whether every living target is known.
     #[must_use]
     pub fn is_complete(&self, now: Moment) -> bool {
-        let calm = self.trouble.is_none_or(|at| now.since(at) >= TROUBLE_SPAN);
-        let back = self.returned.is_some_and(|at| now.since(at) >= RETURN_SPAN);
-        (calm || back) && self.informed && !self.may_lack_targets(now)
+        self.coverage(now) == ViewCoverage::Complete
     }
 
-    /// Whether a living target may be behind an entry that cannot be read.
-    fn may_lack_targets(&self, now: Moment) -> bool {
-        let mut since = self.unreadable.values().flatten();
-        since.any(|&since| now.since(since) < UNREADABLE_SPAN)
+    /// Whether every living target is known, and if not, why.
+    #[must_use]
+    pub fn coverage(&self, now: Moment) -> ViewCoverage {
+        self.doubts.coverage(now)
     }
 
-    /// Notes that a target's entry cannot be read. Whoever knows where the target is asks it, and needs no
-    /// doubt.
     fn note_unreadable(&mut self, name: &TargetName, now: Moment) {
         let name = NameKey::of(&name.0);
         let mut targets = self.view.rings().flat_map(ServiceTargets::targets);
-        let known = targets.any(|target| target.name == name);
-        let since = (!known).then_some(now);
-        self.unreadable.entry(name).or_insert(since);
+        let is_placed = targets.any(|target| target.name == name);
+        self.doubts.note_unreadable(name, is_placed, now);
     }
 
     /// The view now.
     pub fn build(&mut self, now: Moment) -> FlowView {
         self.forget(now);
-        self.view.complete = self.is_complete(now);
+        self.view.coverage = self.coverage(now);
         self.view.unlisted = self.unlisted();
         self.view.clone()
     }
@@ -290,7 +258,7 @@
         listed.sort_unstable();
         let strange: HashSet<NameKey> =
             unreadable.iter().map(|name| NameKey::of(&name.0)).collect();
-        self.unreadable.retain(|name, _| strange.contains(name));
+        self.doubts.retain_unreadable(&strange);
         for name in unreadable {
             self.note_unreadable(name, now);
         }
@@ -316,7 +284,7 @@
         now: Moment,
     ) -> (NameKey, TargetKey, ServiceId) {
         let target = self.target_of(row, now);
-        self.unreadable.remove(&target.name);
+        self.doubts.forget_unreadable(target.name);
         if !self.view.names.contains_key(&target.service) {
             Arc::make_mut(&mut self.view.names).insert(target.service, row.service.clone());
         }
@@ -363,7 +331,7 @@
         if edits.is_empty() {
             return;
         }
-        let doubtful = self.trouble.is_some_and(|at| now.since(at) < TROUBLE_SPAN);
+        let doubtful = self.doubts.is_troubled(now);
         let services = Arc::make_mut(&mut self.view.services);
         for (service, edits) in edits {
             edit_service(services, service, edits, doubtful, &mut self.vanished, now);
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -41,11 +41,13 @@
     LeavingSeen,
     /// A peer is suspected, or no longer.
     SuspicionChanged,
+    /// A view of the targets became complete, or ceased to be.
+    ViewCoverage,
 }
 
 impl DecisionKind {
     /// Every kind.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::FlowPlaced,
         Self::FlowHandedOn,
         Self::FlowAccepted,
@@ -60,6 +62,7 @@
         Self::ConfigRefused,
         Self::LeavingSeen,
         Self::SuspicionChanged,
+        Self::ViewCoverage,
     ];
 
     /// The word that stands in the log.
@@ -80,6 +83,7 @@
             Self::ConfigRefused => "config_refused",
             Self::LeavingSeen => "leaving_seen",
             Self::SuspicionChanged => "suspicion_changed",
+            Self::ViewCoverage => "view_coverage",
         }
     }
 }
