Searches fill a seventh of the link that the settings name

Cause: the budget of bytes for searches was drawn from a link of 11 Mbit/s and held on every machine; on one of 2.9 Mbit/s, which the users' deployments know at other sizes, it is more than half of the link.

Change: a setting, [limits] link_mbps, which the platform's template fills in; the budget is a seventh of it and never more than before, since beyond that the processor binds.

--- a/bins/balancer/src/opaque/process.rs
+++ b/bins/balancer/src/opaque/process.rs
@@ -56,7 +56,7 @@
     let measured = PacketMetrics::new(&metrics.meter());
     let common = &settings.common;
     let packets = Arc::new(PacketState {
-        balancer: FlowBalancer::new(AgentAddress(common.frames)),
+        balancer: FlowBalancer::new(AgentAddress(common.frames)).with_link(settings.link_bytes),
         view: ArcSwap::from_pointee(FlowView::default()),
         received: AtomicU64::new(0),
         leaving: AtomicBool::new(false),
@@ -109,6 +109,7 @@
                 let same = OpaqueBalancerSettings {
                     common: started.common.clone().with_limits_of(&settings.common),
                     seeds: settings.seeds.clone(),
+                    link_bytes: settings.link_bytes,
                     ..started.clone()
                 };
                 if settings != same {
--- a/crates/settings/src/opaque.rs
+++ b/crates/settings/src/opaque.rs
@@ -16,6 +16,7 @@
 //! [limits]
 //! flow_lifetime_s = 60
 //! stop_s = 6
+//! link_mbps = 1000
 //!
 //! [balancer]
 //! gossip = 10.1.0.10:7735
@@ -112,6 +113,28 @@
     }
 }
 
+/// A link's speed, written as megabits a second.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct LinkSpeed {
+    /// Bytes a second.
+    bytes: u64,
+}
+
+impl FromStr for LinkSpeed {
+    type Err = ();
+
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    fn from_str(text: &str) -> Result<Self, ()> {
+        let megabits: f64 = text.parse().map_err(|_| ())?;
+        if megabits.is_finite() && megabits > 0.0 {
+            let bytes = (megabits * 125_000.0) as u64;
+            Ok(Self { bytes })
+        } else {
+            Err(())
+        }
+    }
+}
+
 /// What every process that carries opaque packets is told.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OpaqueSettings {
@@ -156,6 +179,8 @@
     pub seeds: SmallVec<[SocketAddrV4; 3]>,
     /// The platform's store.
     pub store: SocketAddrV4,
+    /// What the instance's link carries, in bytes a second.
+    pub link_bytes: u64,
 }
 
 /// An address that may be left out.
@@ -242,6 +267,12 @@
             Some(","),
         );
         let store = reader.value("balancer", "store", "an address IP:PORT", None);
+        let link: Option<LinkSpeed> = reader.value(
+            "limits",
+            "link_mbps",
+            "megabits a second above 0",
+            Some("1000"),
+        );
         let gossip: SocketAddrV4 = gossip?;
         let at_gossip = |ip| SocketAddrV4::new(ip, gossip.port());
         let seeds = seeds?
@@ -254,6 +285,7 @@
             gossip,
             seeds,
             store: store?,
+            link_bytes: link?.bytes,
         })
     }
 
