Who is silent is learned once, and safe requests are not held for machines that stay away

Searches waited for 5 to 9 agents of machines that a release had taken away during the outage; the store lists their targets for three heartbeats. From 38 s on each was told 150 or 400 ms late: agents known to be gone were dropped before a search's second step and not after it.

Ruled out: budgets (200 kB/s are not reached), cold targets (flows wait before they are offered), proof by places on the ring (by arithmetic seven silent machines still hold up most flows; docs/decisions/platform.md).

Change: silent agents are dropped after each step; a second step does not wait for candidates that owe answers already; on routes whose requests may be run again an agent that was silent for 1 s with two probes is not waited for (as known flows there are already reset after 0.8 s); an agent that is heard again is asked again without the client.

Tests: search_silence fails before; the matrix plays fleets of 29, 300 and 2,000 targets, and former starts stay listed until they expire.

--- a/bins/balancer/src/opaque/coverage.rs
+++ b/bins/balancer/src/opaque/coverage.rs
@@ -34,17 +34,17 @@
             return;
         }
         let before = now.since(self.since);
+        let before_ms = before.as_secs_f64() * 1_000.0;
         match coverage {
-            ViewCoverage::Complete => info!(log, "view complete: lost flows are told";
-                "decision" => DecisionKind::ViewCoverage,
-                "targets" => targets,
-                "doubtful_ms" => before.as_secs_f64() * 1_000.0),
+            ViewCoverage::Complete => {
+                info!(log, "view complete: lost flows are told";
+                    "decision" => DecisionKind::ViewCoverage,
+                    "targets" => targets, "doubtful_ms" => before_ms);
+            }
             ViewCoverage::Doubtful(doubt) => {
                 info!(log, "view may lack targets: lost flows are not told";
-                "decision" => DecisionKind::ViewCoverage,
-                "reason" => doubt.as_str(),
-                "targets" => targets,
-                "held_ms" => before.as_secs_f64() * 1_000.0)
+                    "decision" => DecisionKind::ViewCoverage,
+                    "reason" => doubt.as_str(), "targets" => targets, "held_ms" => before_ms);
             }
         }
         self.known = coverage;
--- a/crates/flows/src/balancer/asking.rs
+++ b/crates/flows/src/balancer/asking.rs
@@ -72,6 +72,8 @@
         last: now,
         started: now,
         due: now,
+        asked_at: now,
+        idempotent: route.idempotent,
         acknowledged: packet.acknowledged,
         asked: SmallVec::new(),
         open: SmallVec::new(),
@@ -80,6 +82,7 @@
         repeated: false,
         certain: view.is_complete(),
         exhausted: false,
+        unreachable: false,
         abandoned: false,
     };
     let all = possible_holders(view, now);
--- a/crates/flows/src/balancer/entry.rs
+++ b/crates/flows/src/balancer/entry.rs
@@ -91,6 +91,10 @@
     pub(super) started: Moment,
     /// When it goes on by itself.
     pub(super) due: Moment,
+    /// When those who have not answered were last asked.
+    pub(super) asked_at: Moment,
+    /// Whether the route's requests may be run again.
+    pub(super) idempotent: bool,
     pub(super) acknowledged: u32,
     /// Everybody who was asked.
     pub(super) asked: SmallVec<[AgentAddress; 8]>,
@@ -106,6 +110,8 @@
     pub(super) certain: bool,
     /// Whether everybody has said no without proving anything.
     pub(super) exhausted: bool,
+    /// Whether somebody who may hold it is out of reach, and is not waited for.
+    pub(super) unreachable: bool,
     /// Whether more may hold the flow than one search may ask.
     pub(super) abandoned: bool,
 }
--- a/crates/flows/src/balancer/search.rs
+++ b/crates/flows/src/balancer/search.rs
@@ -19,10 +19,13 @@
 //! ```text
 //! candidates asked --all say no--> everybody asked --all say no--> lost
 //!        |                               |
-//!        +--- some silent for 150 ms ----+--> silent ones asked again --250 ms--> lost, if the
-//!                                                             store lists none of them any more
+//!        +--- some silent for 150 ms ----+--> silent ones asked again --every 250 ms--> lost, if
+//!                                                  none of them can still hold it and be reached
 //! ```
 //!
+//! Who is silent is learned once and shared by all searches ([`FlowBalancer::drop_silent`]). The more
+//! agents are asked, the more likely one of them is away, so each search would wait for it anew.
+//!
 //! While the view may lack targets, that everybody said no proves nothing. Their words stay good: a
 //! flow that is open does not come to a target that does not hold it. So the search waits for the view
 //! to be complete, asks whoever is new in it, and ends.
@@ -59,6 +62,14 @@
 /// left, and for as long as any had left within three seconds, no flow was known to be lost.
 const SILENT_SPAN: Duration = Duration::from_millis(250);
 
+/// For how long an agent must have been silent, probed twice since, until it is taken to be out of reach
+/// though the store lists its target. A process that is stopped and started again is away for 0.8 s. Only
+/// where the route's requests may be run again: the flow may live, but nothing can be delivered to it.
+///
+/// It buys 1.2 s of a fleet's requests on kept flows after a loss of power: machines that never come
+/// back stay listed for three heartbeats (3.6 s), and until then no lost flow was told.
+const UNREACHABLE_SPAN: Duration = Duration::from_secs(1);
+
 /// When a flow is searched for again after everybody has said no and that proved nothing, because
 /// the view may lack targets: the flow's own may be in the view by then. Less than the 200 ms after
 /// which a client repeats itself; a client in the middle of a download sends dozens of packets in
@@ -134,7 +145,7 @@
             return self.search_step(packet.flow, search, asked, now);
         }
         let (mut search, asked) = asking::first_search(packet, bytes, except, route, view, now);
-        self.drop_gone(&mut search, view, now);
+        self.drop_silent(&mut search, view, now);
         self.go_on_at(now + ANSWER_SPAN, packet.flow, &mut search);
         let step = self.search_step(packet.flow, &mut search, asked, now);
         shard.searches.insert(packet.flow, search, SEARCH_SPAN, now);
@@ -185,7 +196,7 @@
             }
             search.resume();
         }
-        self.drop_gone(search, view, now);
+        self.drop_silent(search, view, now);
         let unanswered = unanswered(search);
         let asked = if !search.complete {
             match self.widen(search, view, now) {
@@ -209,7 +220,7 @@
             search
                 .open
                 .retain(|open| view.may_live_beside(open.candidate.agent));
-            return self.end_search(&mut shard, flow, now).map(DueSearch::Lost);
+            self.heard_since_asked(search)
         };
         if search.open.is_empty() {
             return self.end_search(&mut shard, flow, now).map(DueSearch::Lost);
@@ -220,6 +231,10 @@
             ANSWER_SPAN
         };
         self.go_on_at(now + wait, flow, search);
+        if asked.is_empty() {
+            return None;
+        }
+        search.asked_at = now;
         let frames = self.search_frames(flow, search, asked, now);
         let bytes = search.bytes.clone();
         Some(DueSearch::Ask {
@@ -250,18 +265,51 @@
         frames
     }
 
-    /// Does not wait for those whose targets the store lists no more and who said that they stop, or are
-    /// known to be silent: they were asked long ago, probed twice since, and not heard, while others
-    /// were. The same ends the flows that are known to be at such a target. A search by itself waits
-    /// 400 ms to learn it, and did so anew for each lost flow, for three seconds after a target left.
-    fn drop_gone(&self, search: &mut FlowSearch, view: &FlowView, now: Moment) {
+    /// Does not wait for those who are known not to answer: asked long ago, probed twice since, and not
+    /// heard, while others were. The same ends the flows that are known to be at such a target. A search
+    /// by itself waits 400 ms and more to learn it, and did so anew for each lost flow.
+    ///
+    /// Where the store lists the target no more, or the agent said that it stops, that is proof. Where
+    /// it does, the flow is told to be out of reach, if its requests may be run again.
+    fn drop_silent(&self, search: &mut FlowSearch, view: &FlowView, now: Moment) {
         let loads = self.loads.lock();
-        search.open.retain(|open| {
+        let FlowSearch {
+            open,
+            idempotent,
+            unreachable,
+            ..
+        } = search;
+        open.retain(|open| {
             let agent = open.candidate.agent;
-            !loads.is_gone(agent, GONE_SPAN, now) || view.may_live_beside(agent)
+            if loads.is_gone(agent, GONE_SPAN, now) && !view.may_live_beside(agent) {
+                return false;
+            }
+            let is_away = *idempotent && loads.is_silent(agent, UNREACHABLE_SPAN, now);
+            *unreachable |= is_away;
+            !is_away
         });
     }
 
+    /// Those who have not answered and were heard again since they were asked: processes that were
+    /// started anew, and know nothing of the ask.
+    fn heard_since_asked(&self, search: &FlowSearch) -> AskedList {
+        let loads = self.loads.lock();
+        let open = search.open.iter().map(|open| open.candidate);
+        open.filter(|candidate| {
+            let load = loads.load(candidate.agent);
+            load.is_some_and(|load| load.heard > search.asked_at)
+        })
+        .collect()
+    }
+
+    /// Whether all whom a search still waits for have been silent for longer than an answer takes, to
+    /// this search or to another: the second step need not wait for them.
+    fn waits_for_silent_ones(&self, search: &FlowSearch, now: Moment) -> bool {
+        let loads = self.loads.lock();
+        let mut open = search.open.iter();
+        open.all(|open| loads.is_overdue(open.candidate.agent, ANSWER_SPAN, now))
+    }
+
     /// Whom to show another packet of a flow that is being searched for: those who have not
     /// answered, or, when they have had their time, those who were not asked yet as well.
     fn ask_further(&self, search: &mut FlowSearch, view: &FlowView, now: Moment) -> AskedList {
@@ -292,7 +340,9 @@
         }
         drop(budget);
         search.complete = true;
-        Widening::Asked(search.ask(all.into_iter(), now))
+        let asked = search.ask(all.into_iter(), now);
+        self.drop_silent(search, view, now);
+        Widening::Asked(asked)
     }
 
     /// Takes an agent's word that it does not hold a flow; a reset when nobody does.
@@ -332,7 +382,7 @@
         now: Moment,
     ) -> Option<FlowReset> {
         let search = shard.searches.get_mut(&flow)?;
-        if search.open.is_empty() && !search.complete {
+        if !search.complete && self.waits_for_silent_ones(search, now) {
             self.go_on_at(now, flow, search);
             return None;
         }
@@ -350,7 +400,12 @@
             self.go_on_at(now + DOUBT_PAUSE, flow, search);
             return None;
         }
-        Some(shard.note_lost(flow, now))
+        let reason = if search.unreachable {
+            LossReason::AgentSilent
+        } else {
+            LossReason::Unheld
+        };
+        Some(shard.note_lost(flow, reason, now))
     }
 }
 
@@ -381,7 +436,7 @@
 
 impl FlowShard {
     /// Notes that nobody holds a flow that was searched for.
-    fn note_lost(&mut self, flow: FlowKey, now: Moment) -> FlowReset {
+    fn note_lost(&mut self, flow: FlowKey, reason: LossReason, now: Moment) -> FlowReset {
         let search = self.searches.remove(&flow);
         let acknowledged = search.map_or(0, |search| search.acknowledged);
         let mut entry = FlowEntry::lost(now);
@@ -390,7 +445,7 @@
         FlowReset {
             flow,
             acknowledged,
-            reason: LossReason::Unheld,
+            reason,
         }
     }
 }
--- a/crates/flows/src/load.rs
+++ b/crates/flows/src/load.rs
@@ -165,8 +165,22 @@
     /// for `span` while others were heard. Where the store has dropped the target as well, it is gone.
     #[must_use]
     pub fn is_gone(&self, agent: AgentAddress, span: Duration, now: Moment) -> bool {
-        let silent = |load: &TargetLoad| load.is_silent(span, now) && self.hears_anybody(span, now);
-        self.is_stopped(agent, now) || self.loads.get(&agent).is_some_and(silent)
+        self.is_stopped(agent, now) || self.is_silent(agent, span, now)
+    }
+
+    /// Whether an agent was sent frames for `span` and probes in it and was not heard, while others were,
+    /// and did not say that it stops.
+    #[must_use]
+    pub fn is_silent(&self, agent: AgentAddress, span: Duration, now: Moment) -> bool {
+        let load = self.loads.get(&agent);
+        load.is_some_and(|load| load.is_silent(span, now)) && self.hears_anybody(span, now)
+    }
+
+    /// Whether an agent has owed an answer for `span`.
+    #[must_use]
+    pub fn is_overdue(&self, agent: AgentAddress, span: Duration, now: Moment) -> bool {
+        let asked = self.loads.get(&agent).and_then(|load| load.asked_since);
+        asked.is_some_and(|at| now.since(at) >= span)
     }
 
     fn hears_anybody(&self, span: Duration, now: Moment) -> bool {
--- a/crates/flows/tests/all/main.rs
+++ b/crates/flows/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod outlook;
 mod ring;
 mod search;
+mod search_silence;
 mod search_size;
 mod support;
 mod view;
