A stopping agent tells every balancer, and only a silence of 1 s ends flows

Cause, from the logs: agents restarted in turn by plan; the resets have the reason "agent silent". An agent that is told to stop says so to eight listeners in each round of 250 ms and ends after 500 ms: in a fleet of 59 balancers a third is told. To the others the restart is a silence of up to 0.93 s (away for 0.56 s, last heard up to 0.2 s before, probed every 0.15 s), and after 0.8 s they reset the flows of safe routes there.

Ruled out: searches (the flows were known to the balancer); frozen balancers (the resets come before the freeze).

Change: an agent that stops tells all its listeners in each round; a silence ends flows after 1 s, for known flows as for searches.

Both tests fail before (8 of 121 balancers told; a reset at 0.8 s).

--- a/crates/flows/src/agent.rs
+++ b/crates/flows/src/agent.rs
@@ -50,7 +50,10 @@
 const LISTENER_SPAN: Duration = Duration::from_secs(5);
 
 /// Balancers that are told the load in one round, those first who were not told for longest. It
-/// bounds what an agent sends: 8 reports of 40 bytes four times a second.
+/// bounds what an agent sends: 8 reports of 40 bytes four times a second. One that stops tells all of them
+/// in each round: a balancer that did not know took its silence for lasting, and reset open flows that its
+/// target still held. In a fleet of 59 balancers two rounds of eight, which is all that a stop leaves time
+/// for, told a third of them.
 const ROUND_LISTENERS: usize = 8;
 
 /// Balancers remembered as listeners at most.
@@ -203,7 +206,9 @@
             .retain(|_, listener| now.since(listener.heard) < LISTENER_SPAN);
         let mut turn: Vec<_> = self.listeners.iter_mut().collect();
         turn.sort_by_key(|(agent, listener)| (listener.told, **agent));
-        turn.truncate(ROUND_LISTENERS);
+        if !self.leaving {
+            turn.truncate(ROUND_LISTENERS);
+        }
         let told = turn.into_iter().map(|(agent, listener)| {
             listener.told = now;
             *agent
--- a/crates/flows/src/balancer/loss.rs
+++ b/crates/flows/src/balancer/loss.rs
@@ -17,7 +17,11 @@
 use crate::view::FlowView;
 
 /// An agent that was sent frames for this long, and probes, and was not heard cannot deliver.
-const SILENT_SPAN: Duration = Duration::from_millis(800);
+///
+/// Longer than a planned restart looks to a balancer that nobody told of it: the process is away for 0.56 s,
+/// it was last heard up to 200 ms before, when its silence was first noticed, and is probed every 150 ms.
+/// At 0.8 s such restarts reset open flows of living targets.
+pub(super) const UNREACHABLE_SPAN: Duration = Duration::from_secs(1);
 
 /// The same where the store has removed the target's entry as well.
 pub(super) const GONE_SPAN: Duration = Duration::from_millis(400);
@@ -61,7 +65,7 @@
 
     fn lost_agents(&self, view: &FlowView, now: Moment) -> HashMap<AgentAddress, LossReason> {
         let loads = self.loads.lock();
-        let silent = loads.silent_agents(SILENT_SPAN, now).into_iter();
+        let silent = loads.silent_agents(UNREACHABLE_SPAN, now).into_iter();
         let mut lost: HashMap<_, _> = silent
             .map(|agent| (agent, LossReason::AgentSilent))
             .collect();
--- a/crates/flows/src/balancer/search.rs
+++ b/crates/flows/src/balancer/search.rs
@@ -36,7 +36,7 @@
 
 use super::asking::{self, AskedList};
 use super::entry::{EntryState, FlowEntry, FlowSearch};
-use super::loss::GONE_SPAN;
+use super::loss::{GONE_SPAN, UNREACHABLE_SPAN};
 use super::search_frames::{FrameMaker, SearchFrames, errand_bytes};
 use super::{BalancerStep, COPY_SPAN, FlowBalancer, FlowReset, FlowShard, LossReason};
 use crate::frame::{ErrandWord, FlowNote};
@@ -74,14 +74,6 @@
 /// left, and for as long as any had left within three seconds, no flow was known to be lost.
 const SILENT_SPAN: Duration = Duration::from_millis(250);
 
-/// For how long an agent must have been silent, probed twice since, until it is taken to be out of reach
-/// though the store lists its target. A process that is stopped and started again is away for 0.8 s. Only
-/// where the route's requests may be run again: the flow may live, but nothing can be delivered to it.
-///
-/// It buys 1.2 s of a fleet's requests on kept flows after a loss of power: machines that never come
-/// back stay listed for three heartbeats (3.6 s), and until then no lost flow was told.
-const UNREACHABLE_SPAN: Duration = Duration::from_secs(1);
-
 /// When a flow is searched for again after everybody has said no and that proved nothing, because
 /// the view may lack targets: the flow's own may be in the view by then. Less than the 200 ms after
 /// which a client repeats itself; a client in the middle of a download sends dozens of packets in
@@ -282,7 +274,9 @@
     /// by itself waits 400 ms and more to learn it, and did so anew for each lost flow.
     ///
     /// Where the store lists the target no more, or the agent said that it stops, that is proof. Where
-    /// it does, the flow is told to be out of reach, if its requests may be run again.
+    /// it does, the flow is told to be out of reach, if its requests may be run again. That buys 1.2 s of a
+    /// fleet's requests on kept flows after a loss of power: machines that never come back stay listed for
+    /// three heartbeats (3.6 s), and until then no lost flow was told.
     fn drop_silent(&self, search: &mut FlowSearch, view: &FlowView, now: Moment) {
         let loads = self.loads.lock();
         let FlowSearch {
--- a/crates/flows/tests/all/agent.rs
+++ b/crates/flows/tests/all/agent.rs
@@ -462,6 +462,28 @@
     assert_eq!(load.agent, crate::support::agent(1));
 }
 
+// Symptom: open flows are reset at a planned restart of their agents, in a fleet of 59 balancers. Sequence: an
+// agent is told to stop; it says so to eight balancers in each round, and has time for two; a balancer that
+// it did not tell hears nothing for a while. Cause: the bound on what an agent sends in calm.
+#[test]
+fn an_agent_that_stops_tells_every_balancer_at_once() {
+    let mut agent = old_agent();
+    let balancers: std::collections::BTreeSet<_> = (100..=220).map(crate::support::agent).collect();
+    for &one in &balancers {
+        let mut known = frame(FramePurpose::Search, &[]);
+        known.balancer = one;
+        agent.take_frame(known, &data(flow(1)), at(0));
+    }
+    assert_eq!(agent.report(at(250)).0.len(), 8);
+    agent.set_leaving();
+    for round in [300, 550] {
+        let (told, load) = agent.report(at(round));
+        assert!(load.leaving);
+        let told: std::collections::BTreeSet<_> = told.into_iter().collect();
+        assert_eq!(told, balancers, "at {round}");
+    }
+}
+
 // Symptom: an open flow is reset on a busy day while its target serves it. Sequence: the target's
 // answer takes longer than 200 ms, so the client has sent a copy of its first packet; the flow
 // opens; the copy arrives; the target repeats its answer; the client's next packet acknowledges
--- a/crates/flows/tests/all/loss.rs
+++ b/crates/flows/tests/all/loss.rs
@@ -178,3 +178,23 @@
     let view = builder.build(at(2_000));
     assert_eq!(decisions.lost_flows(&view, at(2_001)).len(), 1);
 }
+
+// Symptom: open flows are reset at a planned restart of their agents. Sequence: a balancer sends to an agent just
+// before that stops, hears nothing of the stop, probes it while it is away for 0.56 s, and hears it again 0.93 s
+// after it first sent. Cause: a silence of 0.8 s was taken for one that lasts.
+#[test]
+fn a_silence_as_long_as_a_planned_restart_ends_no_flow() {
+    let both = catalog(vec![target(1, "claims"), target(2, "claims")]);
+    let mut builder = builder();
+    builder.take(&both, at(0));
+    let view = builder.build(at(0));
+    let decisions = FlowBalancer::new(balancer());
+    open_flow(&decisions, &view);
+    for probed in [1_200, 1_350, 1_500, 1_650, 1_800, 1_950] {
+        decisions.due_probes(at(probed));
+        decisions.take_load(&idle_load(agent(2)), at(probed));
+        assert_eq!(decisions.lost_flows(&view, at(probed)), [], "at {probed}");
+    }
+    let resets = decisions.lost_flows(&view, at(2_000));
+    assert_eq!(resets.len(), 1, "longer than that it is");
+}
