--- a/crates/flows/src/balancer/budget.rs
+++ b/crates/flows/src/balancer/budget.rs
@@ -7,8 +7,8 @@
 /// balancer was late for ten seconds.
 const LINK_SHARE: f64 = 1.0 / 7.0;
 
-/// Bytes a second for searches at most, whatever the link: some 600 datagrams, which take a balancer
-/// with a twenty-fifth of a core a third of its time.
+/// Bytes a second for searches at most, whatever the link: a seventh of 11 Mbit/s. Balancers with a
+/// twenty-fifth of a core kept up with so much after a loss of power; more was not tried there.
 const MAX_BYTE_RATE: f64 = 200_000.0;
 
 /// The part of the budget that only errands may use. While there is more, a balancer asks a
