--- a/standins/soak/src/process.rs
+++ b/standins/soak/src/process.rs
@@ -65,9 +65,13 @@
         let Some(child) = &mut self.child else {
             return;
         };
-        if let Ok(Some(_)) = child.try_wait() {
+        if let Ok(Some(status)) = child.try_wait() {
             self.child = None;
-            self.own_ends += u32::from(self.stopping.is_none());
+            if self.stopping.is_none() {
+                self.own_ends += 1;
+                // Its own log may end without a word, as when a signal ended it.
+                eprintln!("{} ended by itself: {status}", self.settings.display());
+            }
         }
     }
 
