--- a/crates/catalog/tests/all/readers.rs
+++ b/crates/catalog/tests/all/readers.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use lovagelatch_catalog::{StoreEvent, StoreFailure};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 
 use crate::support::{Group, address, config};
 
@@ -114,3 +116,54 @@
         assert!(calls <= limit, "{count}: {calls} calls in 10 s");
     }
 }
+
+/// Each balancer's newest word of one of them, in rounds since it was said: a model of heads that go to three
+/// others at random twice a second, from which the lifetimes of such news are drawn.
+fn news_ages(count: usize, rounds: u32, random: &mut SmallRng) -> Vec<u32> {
+    let mut newest = vec![0; count];
+    for round in 1..=rounds {
+        newest[0] = round;
+        for sender in 0..count {
+            for _ in 0..3 {
+                let receiver = random.random_range(0..count);
+                newest[receiver] = newest[receiver].max(newest[sender]);
+            }
+        }
+    }
+    newest.into_iter().map(|said| rounds - said).collect()
+}
+
+struct NewsCase {
+    balancers: usize,
+    /// Half seconds that one balancer in a thousand may be behind.
+    late: u32,
+}
+
+// The pattern: news of one spreads by heads. The grounds for what it shows: a word that is passed on by everybody
+// to three others reaches all in a logarithm of them; 3.5 s hold for thousands.
+#[test]
+fn news_of_a_reader_is_young_in_fleets_of_thousands() {
+    let cases = [
+        NewsCase {
+            balancers: 60,
+            late: 5,
+        },
+        NewsCase {
+            balancers: 1_000,
+            late: 6,
+        },
+        NewsCase {
+            balancers: 4_000,
+            late: 7,
+        },
+    ];
+    let mut random = SmallRng::seed_from_u64(7);
+    for case in cases {
+        let mut ages: Vec<u32> = (0..20)
+            .flat_map(|_| news_ages(case.balancers, 30, &mut random))
+            .collect();
+        ages.sort_unstable();
+        let last = ages[ages.len() - 1 - ages.len() / 1_000];
+        assert!(last <= case.late, "{}: {last} rounds", case.balancers);
+    }
+}
