A search looks at no more targets than it must, and has one step in place of four flags

Found reading the diff: since searches ask everybody at any size, the first step of each one collected, sorted and deduplicated all targets of the fleet, only to learn whether there are 17 agents or more, and made a hash set.

Now it stops at the 17th agent; whoever passes targets to `ask` names each agent once; an errand's askers are set in one pass in place of one for each errand (81 million comparisons at 9,000 agents). `complete`, `repeated`, `exhausted` and `abandoned` excluded each other: one `SearchStep`. Widening returns whom to ask, which both callers put together alike.

Behaviour is the same.

--- a/crates/flows/src/balancer/asking.rs
+++ b/crates/flows/src/balancer/asking.rs
@@ -1,12 +1,11 @@
 //! Whom a search asks.
 
-use std::collections::HashSet;
 use std::time::Duration;
 
 use lovagelatch_domain::{AgentAddress, Moment};
 use smallvec::SmallVec;
 
-use super::entry::{FlowSearch, OpenAsk};
+use super::entry::{FlowSearch, OpenAsk, SearchStep};
 use super::offer::candidate_of;
 use crate::frame::Candidate;
 use crate::packet::FlowPacket;
@@ -27,20 +26,16 @@
 pub(super) type AskedList = SmallVec<[Candidate; CANDIDATES]>;
 
 impl FlowSearch {
-    /// Adds targets to those who are asked. A target that has been off the store's list for long
-    /// is asked as well, since one that is merely cut off from the store still serves; but it is
-    /// most likely gone, and its word is not waited for.
+    /// Adds targets, one for each agent that was not asked, to those who are asked. A target that has
+    /// been off the store's list for long is asked as well, since one that is merely cut off from the
+    /// store still serves; but it is most likely gone, and its word is not waited for.
     pub(super) fn ask<'v>(
         &mut self,
         targets: impl Iterator<Item = &'v FlowTarget>,
         now: Moment,
     ) -> AskedList {
         let mut asked = AskedList::new();
-        let mut known: HashSet<AgentAddress> = self.asked.iter().copied().collect();
         for target in targets {
-            if !known.insert(target.agent) {
-                continue;
-            }
             let candidate = candidate_of(target);
             self.asked.push(target.agent);
             asked.push(candidate);
@@ -51,6 +46,15 @@
         }
         asked
     }
+
+    /// The targets of these beside agents that were not asked yet.
+    pub(super) fn unasked<'v>(&self, targets: HolderList<'v>) -> HolderList<'v> {
+        let mut asked = self.asked.clone();
+        asked.sort_unstable();
+        let mut targets = targets;
+        targets.retain(|target| asked.binary_search(&target.agent).is_err());
+        targets
+    }
 }
 
 /// Whether a target is likely enough to live that its word is waited for.
@@ -67,7 +71,7 @@
     view: &FlowView,
     now: Moment,
 ) -> (FlowSearch, AskedList) {
-    let point = packet.flow.point();
+    let few = has_few_agents(view, now);
     let mut search = FlowSearch {
         last: now,
         started: now,
@@ -78,21 +82,18 @@
         asked: SmallVec::new(),
         open: SmallVec::new(),
         bytes: bytes.into(),
-        complete: false,
-        repeated: false,
+        step: if few {
+            SearchStep::Everybody
+        } else {
+            SearchStep::Candidates
+        },
         certain: view.is_complete(),
-        exhausted: false,
         unreachable: false,
-        abandoned: false,
     };
-    let all = possible_holders(view, now);
-    let targets: HolderList<'_> = if all.len() <= FEW_AGENTS {
-        search.complete = true;
-        all
+    let targets = if few {
+        possible_holders(view, now)
     } else {
-        let services = route.services();
-        let rings = services.filter_map(|service| view.service(service));
-        rings.flat_map(|ring| ring.candidates(point)).collect()
+        candidates(packet, route, view)
     };
     let others = targets.into_iter();
     let others = others.filter(|target| Some(target.agent) != except);
@@ -100,6 +101,42 @@
     (search, asked)
 }
 
+/// The flow's candidates in each service that it may be at, one for each agent.
+fn candidates<'v>(packet: &FlowPacket, route: &FlowRoute, view: &'v FlowView) -> HolderList<'v> {
+    let point = packet.flow.point();
+    let rings = route.services().filter_map(|service| view.service(service));
+    let mut candidates = HolderList::new();
+    for target in rings.flat_map(|ring| ring.candidates(point)) {
+        let mut known = candidates.iter();
+        if known.all(|known: &&FlowTarget| known.agent != target.agent) {
+            candidates.push(target);
+        }
+    }
+    candidates
+}
+
+/// The targets that may live, of all services that the configuration names.
+fn likely_targets(view: &FlowView, now: Moment) -> impl Iterator<Item = &FlowTarget> {
+    let targets = view.named_rings().flat_map(ServiceTargets::targets);
+    targets.filter(move |target| is_likely(target, now))
+}
+
+/// Whether so few agents may hold a flow that all are asked at once. Each search asks this, so it looks
+/// at no more targets than it must: going through 1,000 took 40 us.
+fn has_few_agents(view: &FlowView, now: Moment) -> bool {
+    let mut agents: SmallVec<[AgentAddress; FEW_AGENTS]> = SmallVec::new();
+    for target in likely_targets(view, now) {
+        if agents.contains(&target.agent) {
+            continue;
+        }
+        if agents.len() == FEW_AGENTS {
+            return false;
+        }
+        agents.push(target.agent);
+    }
+    true
+}
+
 /// The targets that may hold a flow, one for each agent: those of all services that the configuration
 /// names. A route may have been sent to another service a moment ago, and a balancer that has just
 /// started, or has not heard of that yet, cannot know from where or where to.
@@ -107,8 +144,7 @@
 /// What goes wrong if former starts are counted beside present ones: after a loss of power each agent
 /// stands there twice until the old entries end.
 pub(crate) fn possible_holders(view: &FlowView, now: Moment) -> HolderList<'_> {
-    let targets = view.named_rings().flat_map(ServiceTargets::targets);
-    let mut holders: HolderList<'_> = targets.filter(|target| is_likely(target, now)).collect();
+    let mut holders: HolderList<'_> = likely_targets(view, now).collect();
     holders.sort_unstable_by_key(|target| (target.agent, !target.listed));
     holders.dedup_by_key(|target| target.agent);
     holders
--- a/crates/flows/src/balancer/entry.rs
+++ b/crates/flows/src/balancer/entry.rs
@@ -84,6 +84,21 @@
     pub(super) through: Option<AgentAddress>,
 }
 
+/// How far a search has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum SearchStep {
+    /// The flow's candidates were asked.
+    Candidates,
+    /// Everybody was.
+    Everybody,
+    /// Those who did not answer then were asked once more.
+    Repeated,
+    /// Everybody has said no without proving anything.
+    Exhausted,
+    /// More may hold the flow than one search may ask.
+    Abandoned,
+}
+
 /// A flow that is being searched for.
 #[derive(Clone, Debug)]
 pub(super) struct FlowSearch {
@@ -102,18 +117,12 @@
     pub(super) open: SmallVec<[OpenAsk; 8]>,
     /// The client's packet that it began with, shown to whoever is asked.
     pub(super) bytes: Box<[u8]>,
-    /// Whether everybody was asked.
-    pub(super) complete: bool,
-    /// Whether those who did not answer then were asked once more.
-    pub(super) repeated: bool,
+    /// How far it has come.
+    pub(super) step: SearchStep,
     /// Whether the view that it began with held every living target.
     pub(super) certain: bool,
-    /// Whether everybody has said no without proving anything.
-    pub(super) exhausted: bool,
     /// Whether somebody who may hold it is out of reach, and is not waited for.
     pub(super) unreachable: bool,
-    /// Whether more may hold the flow than one search may ask.
-    pub(super) abandoned: bool,
 }
 
 impl Remembered for FlowEntry {
--- a/crates/flows/src/balancer/search.rs
+++ b/crates/flows/src/balancer/search.rs
@@ -35,7 +35,7 @@
 use lovagelatch_domain::{AgentAddress, Moment};
 
 use super::asking::{self, AskedList};
-use super::entry::{EntryState, FlowEntry, FlowSearch};
+use super::entry::{EntryState, FlowEntry, FlowSearch, SearchStep};
 use super::loss::{GONE_SPAN, UNREACHABLE_SPAN};
 use super::search_frames::{FrameMaker, SearchFrames, errand_bytes};
 use super::{BalancerStep, COPY_SPAN, FlowBalancer, FlowReset, FlowShard, LossReason};
@@ -137,7 +137,7 @@
         let known = shard.searches.get_mut(&packet.flow);
         let known = known.filter(|search| !is_over(search, now));
         if let Some(search) = known {
-            if search.exhausted {
+            if search.step == SearchStep::Exhausted {
                 return BalancerStep::Drop;
             }
             if now.since(search.last) < REPEAT_SPAN && packet.data_bytes == 0 {
@@ -190,10 +190,10 @@
     fn go_on(&self, flow: FlowKey, view: &FlowView, now: Moment) -> Option<DueSearch> {
         let mut shard = self.shard(flow.point()).lock();
         let search = shard.searches.get_mut(&flow)?;
-        if now < search.due || search.abandoned || is_stale(search, now) {
+        if now < search.due || is_stale(search, now) {
             return None;
         }
-        if search.exhausted {
+        if search.step == SearchStep::Exhausted {
             if !view.is_complete() {
                 self.go_on_at(now + DOUBT_PAUSE, flow, search);
                 return None;
@@ -201,35 +201,34 @@
             search.resume();
         }
         self.drop_silent(search, view, now);
-        let unanswered = unanswered(search);
-        let asked = if !search.complete {
-            match self.widen(search, view, now) {
-                Widening::Asked(mut asked) => {
-                    asked.extend(unanswered);
-                    asked
-                }
+        let asked = match search.step {
+            SearchStep::Candidates => match self.widen(search, view, now) {
+                Widening::Asked(asked) => asked,
                 Widening::Later => {
                     self.go_on_at(now + BUDGET_PAUSE, flow, search);
                     return None;
                 }
                 Widening::Never(holders) => {
-                    search.abandoned = true;
+                    search.step = SearchStep::Abandoned;
                     return Some(DueSearch::Abandoned { flow, holders });
                 }
+            },
+            SearchStep::Everybody => {
+                search.step = SearchStep::Repeated;
+                unanswered(search)
             }
-        } else if !search.repeated {
-            search.repeated = true;
-            unanswered
-        } else {
-            search
-                .open
-                .retain(|open| view.may_live_beside(open.candidate.agent));
-            self.heard_since_asked(search)
+            SearchStep::Repeated => {
+                search
+                    .open
+                    .retain(|open| view.may_live_beside(open.candidate.agent));
+                self.heard_since_asked(search)
+            }
+            SearchStep::Exhausted | SearchStep::Abandoned => return None,
         };
         if search.open.is_empty() {
             return self.end_search(&mut shard, flow, now).map(DueSearch::Lost);
         }
-        let wait = if search.repeated {
+        let wait = if search.step == SearchStep::Repeated {
             SILENT_SPAN
         } else {
             ANSWER_SPAN
@@ -327,20 +326,16 @@
     /// answered, or, when they have had their time, those who were not asked yet as well.
     fn ask_further(&self, search: &mut FlowSearch, view: &FlowView, now: Moment) -> AskedList {
         let waits = !search.open.is_empty() && now.since(search.started) < ANSWER_SPAN;
-        let unanswered = unanswered(search);
-        if waits || search.complete {
-            return unanswered;
+        if waits || search.step != SearchStep::Candidates {
+            return unanswered(search);
         }
         match self.widen(search, view, now) {
-            Widening::Asked(mut asked) => {
-                asked.extend(unanswered);
-                asked
-            }
-            Widening::Later | Widening::Never(_) => unanswered,
+            Widening::Asked(asked) => asked,
+            Widening::Later | Widening::Never(_) => unanswered(search),
         }
     }
 
-    /// Adds everybody who was not asked yet.
+    /// Adds everybody who was not asked yet; whom to ask now, those who have not answered among them.
     fn widen(&self, search: &mut FlowSearch, view: &FlowView, now: Moment) -> Widening {
         let all = asking::possible_holders(view, now);
         let bytes = errand_bytes(all.len(), search.bytes.len());
@@ -352,8 +347,11 @@
             return Widening::Later;
         }
         drop(budget);
-        search.complete = true;
-        let asked = search.ask(all.into_iter(), now);
+        search.step = SearchStep::Everybody;
+        let unanswered = unanswered(search);
+        let unasked = search.unasked(all);
+        let mut asked = search.ask(unasked.into_iter(), now);
+        asked.extend(unanswered);
         self.drop_silent(search, view, now);
         Widening::Asked(asked)
     }
@@ -395,7 +393,7 @@
         now: Moment,
     ) -> Option<FlowReset> {
         let search = shard.searches.get_mut(&flow)?;
-        if !search.complete {
+        if search.step == SearchStep::Candidates {
             let due = self.second_step_due(search, now);
             if due < search.due {
                 self.go_on_at(due, flow, search);
@@ -408,11 +406,11 @@
     /// Ends a search for a flow that nobody holds; `None` while that is not known.
     fn end_search(&self, shard: &mut FlowShard, flow: FlowKey, now: Moment) -> Option<FlowReset> {
         let search = shard.searches.get_mut(&flow)?;
-        if !search.open.is_empty() || !search.complete {
+        if !search.open.is_empty() || !search.has_asked_everybody() {
             return None;
         }
         if !search.certain {
-            search.exhausted = true;
+            search.step = SearchStep::Exhausted;
             self.go_on_at(now + DOUBT_PAUSE, flow, search);
             return None;
         }
@@ -427,7 +425,7 @@
 
 /// Whether the flow's next packet begins another search.
 fn is_over(search: &FlowSearch, now: Moment) -> bool {
-    let again = search.exhausted && now.since(search.last) >= EXHAUSTED_PAUSE;
+    let again = search.step == SearchStep::Exhausted && now.since(search.last) >= EXHAUSTED_PAUSE;
     again || is_stale(search, now)
 }
 
@@ -443,10 +441,12 @@
 impl FlowSearch {
     /// Goes on in a view that is complete, after everybody in an earlier one has said no.
     fn resume(&mut self) {
-        self.exhausted = false;
         self.certain = true;
-        self.complete = false;
-        self.repeated = false;
+        self.step = SearchStep::Candidates;
+    }
+
+    fn has_asked_everybody(&self) -> bool {
+        !matches!(self.step, SearchStep::Candidates | SearchStep::Abandoned)
     }
 }
 
--- a/crates/flows/src/balancer/search_frames.rs
+++ b/crates/flows/src/balancer/search_frames.rs
@@ -4,6 +4,7 @@
 //! word instead of one of each for every agent, and takes a way more; so a balancer asks a few by
 //! itself, and a flow's candidates as long as its budget is half full.
 
+use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
@@ -36,6 +37,9 @@
 /// Frames of a search, with the agents that they go to; the packet follows each.
 pub type SearchFrames = Vec<(AgentAddress, PeerFrame)>;
 
+/// Which agent asks each agent for this balancer; `None` where the balancer asks itself.
+type AskerMap = HashMap<AgentAddress, Option<AgentAddress>>;
+
 /// Bytes of the errands that ask `agents` agents about a packet.
 pub(super) fn errand_bytes(agents: usize, packet_bytes: usize) -> usize {
     let errands = agents.div_ceil(ERRAND_AGENTS);
@@ -64,7 +68,7 @@
         let few = asked.len() < LEAST_ERRAND;
         let cheap = asked.len() <= CANDIDATES && self.budget.spend_directly(direct_bytes, self.now);
         if few || cheap {
-            set_through(search, &asked, None);
+            ask_directly(search, &asked);
             let frames = asked
                 .iter()
                 .map(|next| (next.agent, ask_frame(self.own, next)));
@@ -87,14 +91,16 @@
             .filter(|asked| !is_delegate(asked))
             .collect();
         let mut frames = SearchFrames::new();
+        let mut askers = AskerMap::new();
         let parts = others
             .chunks(ERRAND_AGENTS)
             .chain(std::iter::repeat(&[][..]));
         for (delegate, part) in delegates.iter().zip(parts) {
-            set_through(search, part, Some(delegate.agent));
-            set_through(search, &[*delegate], None);
+            askers.extend(part.iter().map(|asked| (asked.agent, Some(delegate.agent))));
+            askers.insert(delegate.agent, None);
             frames.push((delegate.agent, errand_frame(self.own, delegate, part)));
         }
+        set_askers(search, &askers);
         frames
     }
 
@@ -135,13 +141,21 @@
     }
 }
 
-fn set_through(search: &mut FlowSearch, asked: &[Candidate], through: Option<AgentAddress>) {
+/// Notes that the balancer itself asks these few.
+fn ask_directly(search: &mut FlowSearch, asked: &[Candidate]) {
     for open in &mut search.open {
-        if asked
-            .iter()
-            .any(|asked| asked.agent == open.candidate.agent)
-        {
-            open.through = through;
+        let mut asked = asked.iter();
+        if asked.any(|asked| asked.agent == open.candidate.agent) {
+            open.through = None;
+        }
+    }
+}
+
+/// Notes who asks whom, in one pass: a search of thousands has as many errands as it has scores of them.
+fn set_askers(search: &mut FlowSearch, askers: &AskerMap) {
+    for open in &mut search.open {
+        if let Some(asker) = askers.get(&open.candidate.agent) {
+            open.through = *asker;
         }
     }
 }
