Peers leave a full table by the member's own dice; a view's targets are counted for its log line alone

Found reading the diff, behaviour the same: `make_room` had random numbers of its own beside those that `choose` and `sample` draw; three places filtered peers by when they last spoke, now `spoke_within`; each view, which comes with each change of a target, counted all services for a line that is written when its coverage changes; the search budget turned bytes to u64 and back for one caller.

--- a/bins/balancer/src/opaque/catalog.rs
+++ b/bins/balancer/src/opaque/catalog.rs
@@ -185,10 +185,7 @@
     fn publish(&self) {
         let now = self.state.packets.clock.now();
         let view = self.state.builder.lock().build(now);
-        let (_, targets) = view.counts();
-        let mut coverage = self.state.coverage.lock();
-        coverage.note(view.coverage, targets, now, &self.state.log);
-        drop(coverage);
+        self.state.coverage.lock().note(&view, now, &self.state.log);
         self.state.packets.view.store(Arc::new(view));
     }
 
--- a/bins/balancer/src/opaque/coverage.rs
+++ b/bins/balancer/src/opaque/coverage.rs
@@ -4,7 +4,7 @@
 //! for their deadlines, and nothing says since when or why.
 
 use lovagelatch_domain::Moment;
-use lovagelatch_flows::ViewCoverage;
+use lovagelatch_flows::{FlowView, ViewCoverage};
 use lovagelatch_telemetry::{DecisionKind, Logger, info};
 
 /// Writes a line for each change.
@@ -22,20 +22,16 @@
         }
     }
 
-    /// Notes the coverage of a view that is in force from now on.
-    pub(crate) fn note(
-        &mut self,
-        coverage: ViewCoverage,
-        targets: usize,
-        now: Moment,
-        log: &Logger,
-    ) {
-        if coverage == self.known {
+    /// Notes the coverage of a view that is in force from now on. Its targets are counted for the line
+    /// alone: a view comes with each change of a target, and the count goes through all services.
+    pub(crate) fn note(&mut self, view: &FlowView, now: Moment, log: &Logger) {
+        if view.coverage == self.known {
             return;
         }
+        let (_, targets) = view.counts();
         let before = now.since(self.since);
         let before_ms = before.as_secs_f64() * 1_000.0;
-        match coverage {
+        match view.coverage {
             ViewCoverage::Complete => {
                 info!(log, "view complete: lost flows are told";
                     "decision" => DecisionKind::ViewCoverage,
@@ -47,7 +43,7 @@
                     "reason" => doubt.as_str(), "targets" => targets, "held_ms" => before_ms);
             }
         }
-        self.known = coverage;
+        self.known = view.coverage;
         self.since = now;
     }
 }
--- a/crates/catalog/src/member.rs
+++ b/crates/catalog/src/member.rs
@@ -341,8 +341,9 @@
     }
 
     fn accept_head(&mut self, message: &HeadMessage, now: Moment) {
+        let random = &mut self.random;
         self.peers
-            .hear(message.sender, message.reads, message.leaving, now);
+            .hear(message.sender, message.reads, message.leaving, random, now);
         // One that starts knows nobody, and until it is told anything it cannot know of trouble
         // that the store had: it takes no flow for lost.
         if message.peers.is_empty() && !message.leaving {
@@ -353,7 +354,7 @@
             self.peers.name(peer, now);
         }
         for news in &message.readers {
-            self.peers.pass_on(news, now);
+            self.peers.pass_on(news, &mut self.random, now);
         }
         self.trouble = self.trouble.max(message.trouble.map(|age| now - age));
         let (held, offered) = (self.keeper.head(), message.head);
@@ -530,9 +531,9 @@
             sender: self.settings.own,
             head: self.keeper.head(),
             age: self.age(now).unwrap_or(Duration::MAX),
-            reads: self.reading.reads(),
+            reads: own.reads,
             trouble: self.trouble.map(|at| now.since(at)),
-            leaving: self.leaving,
+            leaving: own.leaving,
             peers: self.peers.sample(now, &mut self.random),
             readers: self.peers.reader_news(&own, now),
         }
--- a/crates/catalog/src/peers.rs
+++ b/crates/catalog/src/peers.rs
@@ -49,9 +49,6 @@
 /// How many addresses a head passes on.
 const PASSED_ON: usize = 4;
 
-/// An odd number without structure: products with it spread over all values.
-const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
-
 /// Of how many of the lowest draws a head tells. Two read; the next two are told of so that those who
 /// take over know it, and so that news of one that cannot read spreads like any other.
 const TOLD_DRAWS: usize = 4;
@@ -92,11 +89,18 @@
         self.seeds = others.filter(|&seed| seed != self.own).collect();
     }
 
-    pub(crate) fn hear(&mut self, peer: SocketAddrV4, reads: bool, leaving: bool, now: Moment) {
+    pub(crate) fn hear(
+        &mut self,
+        peer: SocketAddrV4,
+        reads: bool,
+        leaving: bool,
+        random: &mut SmallRng,
+        now: Moment,
+    ) {
         if peer == self.own {
             return;
         }
-        self.make_room(peer, now);
+        self.make_room(peer, random);
         let heard = Peer {
             heard: Some(now),
             spoke: Some(now),
@@ -123,7 +127,7 @@
     }
 
     /// Takes what another balancer passes on about one that may read, if it is the newest word of it.
-    pub(crate) fn pass_on(&mut self, news: &ReaderNews, now: Moment) {
+    pub(crate) fn pass_on(&mut self, news: &ReaderNews, random: &mut SmallRng, now: Moment) {
         if news.address == self.own {
             return;
         }
@@ -136,7 +140,7 @@
             return;
         }
         let heard = known.and_then(|peer| peer.heard);
-        self.make_room(news.address, now);
+        self.make_room(news.address, random);
         let peer = Peer {
             heard,
             spoke: Some(spoke),
@@ -154,14 +158,12 @@
         now: Moment,
     ) -> SmallVec<[ReaderNews; TOLD_DRAWS]> {
         let lifetime = self.news_lifetime(None, now);
-        let others = self.peers.iter().filter_map(|(&address, peer)| {
-            let age = now.since(peer.spoke?);
-            (age < lifetime).then_some(ReaderNews {
-                address,
-                age,
-                reads: peer.reads,
-                leaving: peer.leaving,
-            })
+        let others = self.spoke_within(lifetime, now);
+        let others = others.map(|(address, peer, age)| ReaderNews {
+            address,
+            age,
+            reads: peer.reads,
+            leaving: peer.leaving,
         });
         let mut news: Vec<ReaderNews> = others.chain([*own]).collect();
         news.sort_by_key(|news| draw(news.address));
@@ -188,25 +190,33 @@
 
     /// Other balancers that have been heard, or heard of, lately enough to be there.
     pub(crate) fn known_count(&self, now: Moment) -> usize {
-        let spoke = self.peers.values().filter_map(|peer| peer.spoke);
-        spoke.filter(|at| now.since(*at) < READING_LIFETIME).count()
+        self.spoke_within(READING_LIFETIME, now).count()
+    }
+
+    /// Other balancers that said anything within `span`, as far as is known, with how long ago.
+    fn spoke_within(
+        &self,
+        span: Duration,
+        now: Moment,
+    ) -> impl Iterator<Item = (SocketAddrV4, &Peer, Duration)> {
+        self.peers.iter().filter_map(move |(&address, peer)| {
+            let age = now.since(peer.spoke?);
+            (age < span).then_some((address, peer, age))
+        })
     }
 
     /// Lets some peer go for a new one when the table is full, but none whom the lot draws first.
     ///
     /// What goes wrong if new ones are turned away instead: in a fleet larger than the table some are in few
     /// tables, hardly ever written to, and hear of everything seconds late.
-    fn make_room(&mut self, new: SocketAddrV4, now: Moment) {
+    fn make_room(&mut self, new: SocketAddrV4, random: &mut SmallRng) {
         if !self.is_full(new) {
             return;
         }
-        let mut draws: Vec<u64> = self.peers.keys().map(|peer| draw(*peer)).collect();
-        draws.sort_unstable();
-        let kept = draws.get(TOLD_DRAWS).copied().unwrap_or(u64::MAX);
-        let others = self.peers.keys().filter(|peer| draw(**peer) >= kept);
-        let salt = now.as_micros().rotate_left(32);
-        let chosen = others.min_by_key(|peer| (draw(**peer) ^ salt).wrapping_mul(SPREAD));
-        if let Some(chosen) = chosen.copied() {
+        let mut peers: Vec<SocketAddrV4> = self.peers.keys().copied().collect();
+        peers.sort_unstable_by_key(|peer| draw(*peer));
+        let others = peers.into_iter().skip(TOLD_DRAWS);
+        if let Some(chosen) = others.choose(random) {
             self.peers.remove(&chosen);
         }
     }
@@ -247,11 +257,9 @@
     ) -> Option<usize> {
         let mine = (!reads, draw(self.own));
         let lifetime = self.news_lifetime(age, now);
-        let there = self.peers.iter().filter(|(_, peer)| {
-            let spoke = peer.spoke.is_some_and(|at| now.since(at) < lifetime);
-            spoke && !peer.leaving
-        });
-        let ahead = there.filter(|&(address, peer)| (!peer.reads, draw(*address)) < mine);
+        let there = self.spoke_within(lifetime, now);
+        let there = there.filter(|(_, peer, _)| !peer.leaving);
+        let ahead = there.filter(|&(address, peer, _)| (!peer.reads, draw(address)) < mine);
         let place = ahead.take(READERS).count();
         (place < READERS).then_some(place)
     }
--- a/crates/flows/src/balancer/budget.rs
+++ b/crates/flows/src/balancer/budget.rs
@@ -35,8 +35,9 @@
     }
 
     /// The budget of a balancer behind a link of so many bytes a second.
+    #[allow(clippy::cast_precision_loss)]
     pub(super) fn with_link(link_bytes: u64) -> Self {
-        Self::with_rate(cost(link_bytes) * LINK_SHARE)
+        Self::with_rate(link_bytes as f64 * LINK_SHARE)
     }
 
     fn with_rate(rate: f64) -> Self {
@@ -50,15 +51,15 @@
 
     /// Whether one search may ever send `bytes`.
     pub(super) fn allows(&self, bytes: usize) -> bool {
-        cost(bytes as u64) <= self.rate * SEARCH_SHARE
+        cost(bytes) <= self.rate * SEARCH_SHARE
     }
 
     /// Takes `bytes` out for asking directly, if enough is left for errands.
     pub(super) fn spend_directly(&mut self, bytes: usize, now: Moment) -> bool {
         self.fill(now);
-        let enough = self.left - cost(bytes as u64) >= self.rate * ERRAND_SHARE;
+        let enough = self.left - cost(bytes) >= self.rate * ERRAND_SHARE;
         if enough {
-            self.left -= cost(bytes as u64);
+            self.left -= cost(bytes);
         }
         enough
     }
@@ -66,13 +67,13 @@
     /// Takes `bytes` out whether they are there or not.
     pub(super) fn charge(&mut self, bytes: usize, now: Moment) {
         self.fill(now);
-        self.left = (self.left - cost(bytes as u64)).max(0.0);
+        self.left = (self.left - cost(bytes)).max(0.0);
     }
 
     /// Whether `bytes` are there.
     pub(super) fn has(&mut self, bytes: usize, now: Moment) -> bool {
         self.fill(now);
-        self.left >= cost(bytes as u64)
+        self.left >= cost(bytes)
     }
 
     fn fill(&mut self, now: Moment) {
@@ -83,6 +84,6 @@
 }
 
 #[allow(clippy::cast_precision_loss)]
-fn cost(bytes: u64) -> f64 {
+fn cost(bytes: usize) -> f64 {
     bytes as f64
 }
--- a/crates/flows/src/view/doubt.rs
+++ b/crates/flows/src/view/doubt.rs
@@ -42,7 +42,7 @@
 }
 
 impl ViewDoubt {
-    /// The reason as one word, for logs and metrics.
+    /// The reason as logs say it.
     #[must_use]
     pub fn as_str(self) -> &'static str {
         match self {
