Tests: one empty fleet, one group that settles, one table of what may happen to readers

`search_size` and `search_silence` had a rig each for agents whose targets hold nothing; `readers` had `settled`, `readers`, `change` and three of `member`'s four strikes again, and plays the fourth now as well. The assertions are the same.

--- a/crates/catalog/tests/all/member.rs
+++ b/crates/catalog/tests/all/member.rs
@@ -10,39 +10,19 @@
 use lovagelatch_domain::Moment;
 use smallvec::smallvec;
 
-use crate::support::{FakeStore, Group, address, config, target};
+use crate::support::{FakeStore, Group, READER_TROUBLES, address, config, target};
 
 /// What the users allow for a configuration to come into force.
 const APPLY_LIMIT: Duration = Duration::from_secs(3);
 
 fn settled(count: u8) -> Group {
-    let mut group = Group::new(count);
-    group.run(Duration::from_secs(5));
-    assert!(group.versions().iter().all(|version| *version == 1));
-    group
-}
-
-fn change(group: &mut Group, version: u64) {
-    group
-        .store
-        .write(StoreEvent::Config(config(version, &[80, 81])));
-}
-
-fn readers(group: &Group) -> Vec<u8> {
-    let now = group.now;
-    let reading = group
-        .nodes
-        .iter()
-        .filter(|(_, node)| node.member.status(now).reader);
-    reading
-        .map(|(address, _)| address.ip().octets()[3])
-        .collect()
+    Group::settled(count, Duration::from_secs(5))
 }
 
 #[test]
 fn a_change_is_in_force_everywhere_at_once() {
     let mut group = settled(8);
-    change(&mut group, 4);
+    group.change(4);
     group.run(Duration::from_secs(1));
     assert!(
         group.versions().iter().all(|version| *version == 4),
@@ -54,7 +34,7 @@
 #[test]
 fn two_read_for_all() {
     let mut group = settled(8);
-    assert_eq!(readers(&group).len(), 2);
+    assert_eq!(group.readers().len(), 2);
     let before = group.store.calls;
     group.run(Duration::from_secs(30));
     // One waits 1.5 s a call, the other 5 s.
@@ -62,55 +42,16 @@
     assert!((20..=30).contains(&calls), "{calls} calls in 30 s");
 }
 
-struct TroubleCase {
-    name: &'static str,
-    /// Breaks something about the readers.
-    strike: fn(&mut Group, &[u8]),
-}
-
 // Symptom: a balancer sends flows by an old configuration. Sequence: the balancers that read the
 // store die, or are cut off from it or from the others; the operator changes something. Cause:
 // the others waited for heads that nobody sent.
 #[test]
 fn a_change_is_in_force_in_time_whatever_happens_to_the_readers() {
-    let cases = [
-        TroubleCase {
-            name: "the readers die",
-            strike: |group, readers| {
-                for &reader in readers {
-                    group.node(reader).stopped = true;
-                }
-            },
-        },
-        TroubleCase {
-            name: "the readers are cut off from the store",
-            strike: |group, readers| {
-                for &reader in readers {
-                    group.node(reader).store_cut = true;
-                }
-            },
-        },
-        TroubleCase {
-            name: "the readers are cut off from the other balancers",
-            strike: |group, readers| {
-                for &reader in readers {
-                    group.node(reader).peers_cut = true;
-                }
-            },
-        },
-        TroubleCase {
-            name: "one dies, the other is cut off from the store",
-            strike: |group, readers| {
-                group.node(readers[0]).stopped = true;
-                group.node(readers[1]).store_cut = true;
-            },
-        },
-    ];
-    for case in cases {
+    for case in READER_TROUBLES {
         let mut group = settled(8);
-        let readers = readers(&group);
+        let readers = group.readers();
         (case.strike)(&mut group, &readers);
-        change(&mut group, 4);
+        group.change(4);
         group.run(APPLY_LIMIT - Duration::from_millis(200));
         let late = group
             .versions()
@@ -128,12 +69,12 @@
 #[test]
 fn readers_that_stay_cut_off_do_not_come_back() {
     let mut group = settled(8);
-    for reader in readers(&group) {
+    for reader in group.readers() {
         group.node(reader).store_cut = true;
     }
     group.run(Duration::from_secs(4));
     for version in 2..40 {
-        change(&mut group, version);
+        group.change(version);
         group.run(Duration::from_millis(700));
         let late = group
             .versions()
@@ -317,7 +258,7 @@
 fn a_catalog_too_large_for_a_datagram_goes_by_stream() {
     let mut group = settled(4);
     group.large = true;
-    change(&mut group, 4);
+    group.change(4);
     group.add(9);
     group.run(Duration::from_secs(2));
     assert!(
@@ -356,7 +297,7 @@
     let calls = group.store.calls - before;
     assert!(calls <= 80, "{calls} calls in 10 s of 8 balancers");
     group.refusal = None;
-    change(&mut group, 4);
+    group.change(4);
     group.run(Duration::from_millis(1_500));
     assert!(
         group.versions().iter().all(|version| *version == 4),
@@ -444,9 +385,9 @@
 #[test]
 fn news_name_who_told_them() {
     let mut group = settled(8);
-    change(&mut group, 4);
+    group.change(4);
     group.run(Duration::from_secs(1));
-    let readers = readers(&group);
+    let readers = group.readers();
     for (at, node) in &group.nodes {
         let told = node.notices.iter().rev().find_map(|notice| match notice {
             CatalogNotice::Taken { from, .. } => Some(*from),
--- a/crates/catalog/tests/all/readers.rs
+++ b/crates/catalog/tests/all/readers.rs
@@ -5,11 +5,11 @@
 
 use std::time::Duration;
 
-use lovagelatch_catalog::{StoreEvent, StoreFailure};
+use lovagelatch_catalog::StoreFailure;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use crate::support::{Group, address, config};
+use crate::support::{Group, READER_TROUBLES, address};
 
 /// Sizes of fleets: heads go to all others, to some, to a few of very many.
 const SIZES: [u8; 4] = [8, 20, 59, 200];
@@ -18,19 +18,7 @@
 const APPLY_LIMIT: Duration = Duration::from_secs(6);
 
 fn settled(count: u8) -> Group {
-    let mut group = Group::new(count);
-    group.run(Duration::from_secs(8));
-    assert!(group.versions().iter().all(|version| *version == 1));
-    group
-}
-
-fn readers(group: &Group) -> Vec<u8> {
-    let now = group.now;
-    let nodes = group.nodes.iter();
-    let reading = nodes.filter(|(_, node)| !node.stopped && node.member.status(now).reader);
-    reading
-        .map(|(address, _)| address.ip().octets()[3])
-        .collect()
+    Group::settled(count, Duration::from_secs(8))
 }
 
 // Symptom: a quiet day of 59 balancers makes 757 calls to the store, one of 6 makes 79. Sequence: heads go to three
@@ -49,48 +37,17 @@
     }
 }
 
-struct LossCase {
-    name: &'static str,
-    strike: fn(&mut Group, &[u8]),
-}
-
 // Symptom: a configuration is not in force in time. Sequence: both readers are gone, cut off, or turned
 // away by the store, and the operator changes something. Cause (of the mutation that this test is for): what
 // is passed on about a reader keeps it alive for longer than its own word.
 #[test]
 fn others_read_in_time_when_the_readers_cannot() {
-    let cases = [
-        LossCase {
-            name: "they die",
-            strike: |group, readers| {
-                for &reader in readers {
-                    group.node(reader).stopped = true;
-                }
-            },
-        },
-        LossCase {
-            name: "the store does not answer them",
-            strike: |group, readers| {
-                for &reader in readers {
-                    group.node(reader).store_cut = true;
-                }
-            },
-        },
-        LossCase {
-            name: "nobody hears them",
-            strike: |group, readers| {
-                for &reader in readers {
-                    group.node(reader).peers_cut = true;
-                }
-            },
-        },
-    ];
-    for case in cases {
+    for case in READER_TROUBLES {
         for count in SIZES {
             let mut group = settled(count);
-            let readers = readers(&group);
+            let readers = group.readers();
             (case.strike)(&mut group, &readers);
-            group.store.write(StoreEvent::Config(config(4, &[80, 81])));
+            group.change(4);
             group.run(APPLY_LIMIT);
             let late = group.nodes.iter().filter(|(at, node)| {
                 let is_reader = readers.iter().any(|reader| address(*reader) == **at);
--- a/crates/catalog/tests/all/support.rs
+++ b/crates/catalog/tests/all/support.rs
@@ -118,6 +118,47 @@
     pub(crate) stopped: bool,
 }
 
+/// Something that breaks the readers.
+pub(crate) struct ReaderTrouble {
+    pub(crate) name: &'static str,
+    pub(crate) strike: fn(&mut Group, &[u8]),
+}
+
+/// What may happen to all readers at once.
+pub(crate) const READER_TROUBLES: [ReaderTrouble; 4] = [
+    ReaderTrouble {
+        name: "the readers die",
+        strike: |group, readers| {
+            for &reader in readers {
+                group.node(reader).stopped = true;
+            }
+        },
+    },
+    ReaderTrouble {
+        name: "the readers are cut off from the store",
+        strike: |group, readers| {
+            for &reader in readers {
+                group.node(reader).store_cut = true;
+            }
+        },
+    },
+    ReaderTrouble {
+        name: "the readers are cut off from the other balancers",
+        strike: |group, readers| {
+            for &reader in readers {
+                group.node(reader).peers_cut = true;
+            }
+        },
+    },
+    ReaderTrouble {
+        name: "one dies, the other is cut off from the store",
+        strike: |group, readers| {
+            group.node(readers[0]).stopped = true;
+            group.node(readers[1]).store_cut = true;
+        },
+    },
+];
+
 /// Balancers, a store, and a network without delay.
 pub(crate) struct Group {
     pub(crate) store: FakeStore,
@@ -146,6 +187,30 @@
         group
     }
 
+    /// A group whose balancers all hold the first configuration after `span`.
+    pub(crate) fn settled(count: u8, span: Duration) -> Self {
+        let mut group = Self::new(count);
+        group.run(span);
+        assert!(group.versions().iter().all(|version| *version == 1));
+        group
+    }
+
+    /// The operator writes another configuration.
+    pub(crate) fn change(&mut self, version: u64) {
+        let config = config(version, &[80, 81]);
+        self.store.write(StoreEvent::Config(config));
+    }
+
+    /// The running balancers that read the store for all.
+    pub(crate) fn readers(&self) -> Vec<u8> {
+        let nodes = self.nodes.iter();
+        let reading =
+            nodes.filter(|(_, node)| !node.stopped && node.member.status(self.now).reader);
+        reading
+            .map(|(address, _)| address.ip().octets()[3])
+            .collect()
+    }
+
     pub(crate) fn add(&mut self, number: u8) {
         let settings = MemberSettings {
             own: address(number),
--- /dev/null
+++ b/crates/flows/tests/all/empty_fleet.rs
@@ -0,0 +1,124 @@
+//! Agents whose targets hold nothing, for searches of flows that are lost.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
+
+use lovagelatch_domain::AgentAddress;
+use lovagelatch_flows::{
+    BalancerStep, DueSearch, ErrandWord, FlowBalancer, FlowEvent, FlowReset, FlowView, LossReason,
+    PeerFrame, SearchErrand, SearchFrames,
+};
+
+use crate::support::{agent, at, data, flow, idle_load, note};
+
+/// Agents whose targets hold nothing, before a balancer, a millisecond at a time. Who is not silent answers
+/// at once.
+pub(crate) struct EmptyFleet<'a> {
+    decisions: &'a FlowBalancer,
+    view: &'a FlowView,
+    silent: BTreeSet<AgentAddress>,
+    /// How often each was shown a packet.
+    pub(crate) shown: BTreeMap<AgentAddress, usize>,
+    pub(crate) millis: u64,
+}
+
+impl<'a> EmptyFleet<'a> {
+    pub(crate) fn new(
+        decisions: &'a FlowBalancer,
+        view: &'a FlowView,
+        silent: impl IntoIterator<Item = AgentAddress>,
+    ) -> Self {
+        Self {
+            decisions,
+            view,
+            silent: silent.into_iter().collect(),
+            shown: BTreeMap::new(),
+            millis: 0,
+        }
+    }
+
+    /// How often the agent was shown a packet.
+    pub(crate) fn asks(&self, agent: AgentAddress) -> usize {
+        self.shown.get(&agent).copied().unwrap_or_default()
+    }
+
+    fn answer(&mut self, port: u16, frames: &SearchFrames) -> Option<FlowReset> {
+        let now = at(self.millis);
+        let mut reset = None;
+        for (to, frame) in frames {
+            *self.shown.entry(*to).or_default() += 1;
+            if self.silent.contains(to) {
+                continue;
+            }
+            if let PeerFrame::Errand(errand) = frame {
+                let others = errand_agents(*to, errand);
+                for other in &others {
+                    *self.shown.entry(*other).or_default() += 1;
+                }
+                let silent = others.into_iter();
+                let word = ErrandWord {
+                    flow: flow(port),
+                    delegate: *to,
+                    silent: silent.filter(|other| self.silent.contains(other)).collect(),
+                };
+                reset = reset.or(self.decisions.take_errand_word(&word, now));
+            }
+            let word = note(flow(port), *to, FlowEvent::Absent);
+            reset = reset.or(self.decisions.take_note(&word, now).reset);
+        }
+        reset
+    }
+
+    /// A millisecond passes for the flow from `port`.
+    pub(crate) fn step(&mut self, port: u16) -> Option<FlowReset> {
+        self.millis += 1;
+        let now = at(self.millis);
+        // Agents that were sent to lately report four times a second.
+        if self.millis.is_multiple_of(250) {
+            let mut others = [agent(1), agent(2), agent(3)].into_iter();
+            let other = others.find(|other| !self.silent.contains(other));
+            self.decisions
+                .take_load(&idle_load(other.expect("two at most are silent")), now);
+        }
+        for probed in self.decisions.due_probes(now) {
+            if !self.silent.contains(&probed) {
+                self.decisions.take_load(&idle_load(probed), now);
+            }
+        }
+        let mut reset = None;
+        for due in self.decisions.due_searches(self.view, now) {
+            reset = reset.or(match due {
+                DueSearch::Ask { frames, .. } => self.answer(port, &frames),
+                DueSearch::Lost(lost) => Some(lost),
+                DueSearch::Abandoned { holders, .. } => panic!("{holders} are not asked"),
+            });
+        }
+        reset
+    }
+
+    /// Searches for the flow from `port`, which nobody holds; after how long it is told.
+    pub(crate) fn search(&mut self, port: u16, span_ms: u64) -> Option<(u64, LossReason)> {
+        let began = self.millis;
+        let now = at(began);
+        let step = self
+            .decisions
+            .take_packet(&data(flow(port)), b"data", self.view, now);
+        let BalancerStep::Search(frames) = step else {
+            panic!("not searched: {step:?}");
+        };
+        let mut reset = self.answer(port, &frames);
+        while reset.is_none() && self.millis < began + span_ms {
+            reset = self.step(port);
+        }
+        reset.map(|reset| (self.millis - began, reset.reason))
+    }
+}
+
+/// The agents that an errand names; they listen at the delegate's own port.
+pub(crate) fn errand_agents(delegate: AgentAddress, errand: &SearchErrand) -> Vec<AgentAddress> {
+    let instances = errand.others.iter().flat_map(|group| &group.instances);
+    let port = delegate.0.port();
+    instances
+        .map(|instance| AgentAddress(SocketAddrV4::new(*instance, port)))
+        .collect()
+}
--- a/crates/flows/tests/all/loss.rs
+++ b/crates/flows/tests/all/loss.rs
@@ -5,7 +5,8 @@
 
 use crate::balancer::sent;
 use crate::support::{
-    agent, at, balancer, builder, catalog, data, flow, idle_load, note, opening, target,
+    agent, at, balancer, builder, catalog, claims_view, data, flow, idle_load, note, opening,
+    target,
 };
 
 struct LossCase {
@@ -184,10 +185,7 @@
 // after it first sent. Cause: a silence of 0.8 s was taken for one that lasts.
 #[test]
 fn a_silence_as_long_as_a_planned_restart_ends_no_flow() {
-    let both = catalog(vec![target(1, "claims"), target(2, "claims")]);
-    let mut builder = builder();
-    builder.take(&both, at(0));
-    let view = builder.build(at(0));
+    let view = claims_view(2);
     let decisions = FlowBalancer::new(balancer());
     open_flow(&decisions, &view);
     for probed in [1_200, 1_350, 1_500, 1_650, 1_800, 1_950] {
--- a/crates/flows/tests/all/main.rs
+++ b/crates/flows/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod agent;
 mod balancer;
+mod empty_fleet;
 mod errand;
 mod frame;
 mod load;
--- a/crates/flows/tests/all/search.rs
+++ b/crates/flows/tests/all/search.rs
@@ -1,7 +1,6 @@
 //! Flows that a balancer does not know.
 
 use std::collections::BTreeSet;
-use std::net::SocketAddrV4;
 
 use lovagelatch_domain::AgentAddress;
 use lovagelatch_flows::{
@@ -11,6 +10,7 @@
 use smallvec::smallvec;
 
 use crate::balancer::sent;
+use crate::empty_fleet::errand_agents;
 use crate::support::{
     agent, at, balancer, builder, catalog, claims_view, data, flow, idle_load, note, target,
     view_of,
@@ -31,8 +31,7 @@
         match frame {
             PeerFrame::Packet(frame) => assert_eq!(frame.purpose, FramePurpose::Search),
             PeerFrame::Errand(errand) => {
-                for instance in errand.others.iter().flat_map(|group| &group.instances) {
-                    let other = AgentAddress(SocketAddrV4::new(*instance, to.0.port()));
+                for other in errand_agents(*to, errand) {
                     assert!(agents.insert(other), "{other} is shown it twice");
                 }
             }
--- a/crates/flows/tests/all/search_silence.rs
+++ b/crates/flows/tests/all/search_silence.rs
@@ -3,106 +3,14 @@
 //! The load that this is for: right after a loss of power hundreds of clients send on flows that are gone,
 //! while some machines are away for good, or for a while. Who is silent is learned once.
 
-use lovagelatch_domain::AgentAddress;
-use lovagelatch_flows::{
-    BalancerStep, DueSearch, ErrandWord, FlowBalancer, FlowEvent, FlowReset, FlowView, LoadReport,
-    LossReason, PeerFrame, SearchFrames,
-};
+use lovagelatch_flows::{BalancerStep, FlowBalancer, FlowEvent, FlowView, LoadReport, LossReason};
 
+use crate::empty_fleet::EmptyFleet;
 use crate::support::{
     agent, at, balancer, builder, catalog, claims_view, data, flow, idle_load, note, target,
     view_of,
 };
 
-/// A balancer before agents of which one is silent, a millisecond at a time.
-struct SilentAgent<'a> {
-    decisions: &'a FlowBalancer,
-    view: &'a FlowView,
-    silent: AgentAddress,
-    /// How often the silent one was shown a packet.
-    asks: usize,
-    millis: u64,
-}
-
-impl<'a> SilentAgent<'a> {
-    fn new(decisions: &'a FlowBalancer, view: &'a FlowView, silent: AgentAddress) -> Self {
-        Self {
-            decisions,
-            view,
-            silent,
-            asks: 0,
-            millis: 0,
-        }
-    }
-
-    fn answer(&mut self, port: u16, frames: &SearchFrames) -> Option<FlowReset> {
-        let now = at(self.millis);
-        let mut reset = None;
-        for (to, frame) in frames {
-            if *to == self.silent {
-                self.asks += 1;
-                continue;
-            }
-            if let PeerFrame::Errand(errand) = frame {
-                let mut named = errand.others.iter().flat_map(|group| &group.instances);
-                let is_silent = named.any(|ip| ip == self.silent.0.ip());
-                self.asks += usize::from(is_silent);
-                let word = ErrandWord {
-                    flow: flow(port),
-                    delegate: *to,
-                    silent: is_silent.then_some(self.silent).into_iter().collect(),
-                };
-                reset = reset.or(self.decisions.take_errand_word(&word, now));
-            }
-            let word = note(flow(port), *to, FlowEvent::Absent);
-            reset = reset.or(self.decisions.take_note(&word, now).reset);
-        }
-        reset
-    }
-
-    /// A millisecond passes for the flow from `port`.
-    fn step(&mut self, port: u16) -> Option<FlowReset> {
-        self.millis += 1;
-        let now = at(self.millis);
-        // Agents that were sent to lately report four times a second.
-        if self.millis.is_multiple_of(250) {
-            let other = if self.silent == agent(1) { 2 } else { 1 };
-            self.decisions.take_load(&idle_load(agent(other)), now);
-        }
-        for probed in self.decisions.due_probes(now) {
-            if probed != self.silent {
-                self.decisions.take_load(&idle_load(probed), now);
-            }
-        }
-        let mut reset = None;
-        for due in self.decisions.due_searches(self.view, now) {
-            reset = match due {
-                DueSearch::Ask { frames, .. } => self.answer(port, &frames),
-                DueSearch::Lost(lost) => Some(lost),
-                DueSearch::Abandoned { .. } => None,
-            };
-        }
-        reset
-    }
-
-    /// Searches for the flow from `port`, which nobody holds; after how long it is told.
-    fn search(&mut self, port: u16, span_ms: u64) -> Option<(u64, LossReason)> {
-        let began = self.millis;
-        let now = at(began);
-        let step = self
-            .decisions
-            .take_packet(&data(flow(port)), b"data", self.view, now);
-        let BalancerStep::Search(frames) = step else {
-            panic!("not searched: {step:?}");
-        };
-        let mut reset = self.answer(port, &frames);
-        while reset.is_none() && self.millis < began + span_ms {
-            reset = self.step(port);
-        }
-        reset.map(|reset| (self.millis - began, reset.reason))
-    }
-}
-
 struct SilenceCase {
     name: &'static str,
     /// Targets; beyond 16 a search has two steps.
@@ -204,7 +112,7 @@
             };
             decisions.take_load(&report, at(0));
         }
-        let mut rig = SilentAgent::new(&decisions, &view, silent);
+        let mut rig = EmptyFleet::new(&decisions, &view, [silent]);
         let expected = [case.first, case.later, case.later];
         for (port, limit) in (1..).zip(expected) {
             let told = rig.search(port, 1_900);
@@ -234,15 +142,15 @@
         let view = claims_view(12);
         let decisions = FlowBalancer::new(balancer());
         let silent = agent(7);
-        let mut rig = SilentAgent::new(&decisions, &view, silent);
+        let mut rig = EmptyFleet::new(&decisions, &view, [silent]);
         assert_eq!(rig.search(1, away), None, "away for {away} ms");
-        let asks = rig.asks;
+        let asks = rig.asks(silent);
         // It answers the next probe, and is asked without another packet of the client's.
         decisions.take_load(&idle_load(silent), at(rig.millis));
         let mut asked = None;
         for _ in 0..300 {
             assert_eq!(rig.step(1), None);
-            if rig.asks > asks {
+            if rig.asks(silent) > asks {
                 asked = Some(rig.millis);
                 break;
             }
@@ -257,9 +165,9 @@
 fn a_silent_agent_is_not_asked_over_and_over() {
     let view = claims_view(12);
     let decisions = FlowBalancer::new(balancer());
-    let mut rig = SilentAgent::new(&decisions, &view, agent(7));
+    let mut rig = EmptyFleet::new(&decisions, &view, [agent(7)]);
     rig.search(1, 900);
-    assert_eq!(rig.asks, 2);
+    assert_eq!(rig.asks(agent(7)), 2);
 }
 
 // Symptom: for five seconds after all processes were killed beside living targets, the first request on each
--- a/crates/flows/tests/all/search_size.rs
+++ b/crates/flows/tests/all/search_size.rs
@@ -1,18 +1,17 @@
 //! Searches in fleets of any size.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use lovagelatch_catalog::{PublishedTarget, TargetName};
-use lovagelatch_domain::{AgentAddress, Moment};
+use lovagelatch_domain::AgentAddress;
 use lovagelatch_flows::{
-    BalancerStep, DueSearch, ErrandWord, FlowBalancer, FlowEvent, FlowReset, FlowView, LoadReport,
-    PeerFrame, SearchFrames, ViewCoverage, ViewDoubt,
+    BalancerStep, DueSearch, FlowBalancer, FlowView, LoadReport, PeerFrame, ViewCoverage, ViewDoubt,
 };
-use smallvec::SmallVec;
 
+use crate::empty_fleet::EmptyFleet;
 use crate::support::{
-    AGENT_PORT, at, balancer, builder, catalog, claims, data, flow, note, target, view_of,
+    AGENT_PORT, at, balancer, builder, catalog, claims, data, flow, target, view_of,
 };
 
 fn numbered_agent(number: u32) -> AgentAddress {
@@ -40,81 +39,6 @@
         .collect()
 }
 
-/// Agents of a fleet whose targets hold nothing; some are silent.
-struct EmptyFleet<'a> {
-    decisions: &'a FlowBalancer,
-    silent: BTreeSet<AgentAddress>,
-    /// How often each was shown a packet.
-    shown: BTreeMap<AgentAddress, usize>,
-}
-
-impl EmptyFleet<'_> {
-    /// Everybody who is asked says that they do not hold the flow; the resets that follow from it.
-    fn answer(&mut self, frames: SearchFrames, now: Moment) -> Vec<FlowReset> {
-        let mut resets = Vec::new();
-        for (to, frame) in frames {
-            if let PeerFrame::Errand(errand) = &frame {
-                let named = errand.others.iter().flat_map(|group| &group.instances);
-                let others: Vec<_> = named
-                    .map(|ip| AgentAddress(SocketAddrV4::new(*ip, AGENT_PORT)))
-                    .collect();
-                for other in &others {
-                    *self.shown.entry(*other).or_default() += 1;
-                }
-                let silent: SmallVec<_> = others
-                    .into_iter()
-                    .filter(|other| self.silent.contains(other))
-                    .collect();
-                let word = ErrandWord {
-                    flow: flow(1),
-                    delegate: to,
-                    silent,
-                };
-                resets.extend(self.decisions.take_errand_word(&word, now));
-            }
-            *self.shown.entry(to).or_default() += 1;
-            if !self.silent.contains(&to) {
-                let word = note(flow(1), to, FlowEvent::Absent);
-                resets.extend(self.decisions.take_note(&word, now).reset);
-            }
-        }
-        resets
-    }
-
-    /// Searches for a lost flow until it is told or the time is over; when it was told.
-    fn search(&mut self, view: &FlowView, span_ms: u64) -> Option<u64> {
-        let step = self
-            .decisions
-            .take_packet(&data(flow(1)), b"data", view, at(0));
-        let BalancerStep::Search(frames) = step else {
-            panic!("not searched: {step:?}");
-        };
-        if !self.answer(frames, at(1)).is_empty() {
-            return Some(1);
-        }
-        for millis in 1..span_ms {
-            let now = at(millis);
-            for probed in self.decisions.due_probes(now) {
-                if !self.silent.contains(&probed) {
-                    let load = LoadReport::idle(probed, claims());
-                    self.decisions.take_load(&load, now);
-                }
-            }
-            for due in self.decisions.due_searches(view, now) {
-                let told = match due {
-                    DueSearch::Ask { frames, .. } => !self.answer(frames, now).is_empty(),
-                    DueSearch::Lost(_) => true,
-                    DueSearch::Abandoned { holders, .. } => panic!("{holders} are not asked"),
-                };
-                if told {
-                    return Some(millis);
-                }
-            }
-        }
-        None
-    }
-}
-
 struct RebornCase {
     name: &'static str,
     targets: u32,
@@ -147,12 +71,8 @@
         builder.take(&catalog(fleet(case.targets, first..2)), at(0));
         let view = builder.build(at(0));
         let decisions = FlowBalancer::new(balancer());
-        let mut fleet = EmptyFleet {
-            decisions: &decisions,
-            silent: BTreeSet::new(),
-            shown: BTreeMap::new(),
-        };
-        let told = fleet.search(&view, 250);
+        let mut fleet = EmptyFleet::new(&decisions, &view, []);
+        let told = fleet.search(1, 249);
         assert!(told.is_some(), "{}: not told", case.name);
         let all: BTreeSet<_> = (0..case.targets).map(numbered_agent).collect();
         let shown: BTreeSet<_> = fleet.shown.keys().copied().collect();
@@ -179,12 +99,8 @@
     let view = view_of(catalog);
     for number in [0, 1, 250, 499] {
         let decisions = FlowBalancer::new(balancer());
-        let mut fleet = EmptyFleet {
-            decisions: &decisions,
-            silent: BTreeSet::from([numbered_agent(number)]),
-            shown: BTreeMap::new(),
-        };
-        assert_eq!(fleet.search(&view, 1_900), None, "agent {number} is silent");
+        let mut fleet = EmptyFleet::new(&decisions, &view, [numbered_agent(number)]);
+        assert_eq!(fleet.search(1, 1_900), None, "agent {number} is silent");
         assert!(fleet.shown.contains_key(&numbered_agent(number)));
     }
 }
