--- a/bins/agent/src/opaque/process.rs
+++ b/bins/agent/src/opaque/process.rs
@@ -1,7 +1,6 @@
 //! Start, run and stop of an agent of opaque packets.
 
 use std::net::SocketAddrV4;
-use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
@@ -14,7 +13,7 @@
     CarrierAnswers, CarrierError, ReadyFlag, SettingsWatch, open_datagrams, serve_carrier,
     start_packet_thread,
 };
-use lovagelatch_settings::{OpaqueAgentSettings, read_settings};
+use lovagelatch_settings::{OpaqueAgentSettings, SettingsFile};
 use lovagelatch_telemetry::{Logger, Meter, MetricsRegistry, info, warn};
 use parking_lot::Mutex;
 use tokio::signal::unix::{SignalKind, signal};
@@ -27,18 +26,18 @@
 /// flows go elsewhere while its successor starts.
 const STOP_SPAN: Duration = Duration::from_millis(500);
 
-/// Runs an agent of opaque packets until it is told to stop. `path` is its settings file, which is
-/// watched.
+/// Runs an agent of opaque packets until it is told to stop. `file` is what `settings` were
+/// read from; it is watched.
 ///
 /// # Errors
 ///
 /// An [`CarrierError`] when it cannot start.
 pub async fn run_opaque(
     settings: OpaqueAgentSettings,
-    path: &Path,
+    file: SettingsFile,
     log: Logger,
 ) -> Result<(), CarrierError> {
-    let mut watch = SettingsWatch::new(path)?;
+    let mut watch = SettingsWatch::new(file)?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let metrics = MetricsRegistry::new()?;
@@ -67,7 +66,7 @@
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
-        () = follow_settings(&mut watch, path, &settings, &log) => {}
+        () = follow_settings(&mut watch, &settings, &log) => {}
     }
     info!(log, "agent stops");
     state.agent.lock().set_leaving();
@@ -78,15 +77,9 @@
 }
 
 /// Returns when the process must start anew, because what it was started with is another.
-async fn follow_settings(
-    watch: &mut SettingsWatch,
-    path: &Path,
-    started: &OpaqueAgentSettings,
-    log: &Logger,
-) {
+async fn follow_settings(watch: &mut SettingsWatch, started: &OpaqueAgentSettings, log: &Logger) {
     loop {
-        watch.changed().await;
-        match read_settings(path, OpaqueAgentSettings::parse) {
+        match watch.changed().await.parse(OpaqueAgentSettings::parse) {
             Ok(settings) => {
                 info!(log, "settings read again"; "service" => settings.service.to_string());
                 // It says only how the process was started.
--- a/bins/balancer/src/opaque/process.rs
+++ b/bins/balancer/src/opaque/process.rs
@@ -1,7 +1,6 @@
 //! Start, run and stop of a balancer of opaque packets.
 
 use std::net::SocketAddrV4;
-use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
@@ -16,7 +15,7 @@
     CarrierAnswers, CarrierError, ReadyFlag, SettingsWatch, open_datagrams, serve_carrier,
     start_packet_thread,
 };
-use lovagelatch_settings::{OpaqueBalancerSettings, read_settings};
+use lovagelatch_settings::{OpaqueBalancerSettings, SettingsFile};
 use lovagelatch_telemetry::{Logger, Meter, MetricsRegistry, info, warn};
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, UdpSocket};
@@ -38,18 +37,18 @@
 /// How often a stop looks whether packets still arrive.
 const STOP_STEP: Duration = Duration::from_millis(100);
 
-/// Runs a balancer of opaque packets until it is told to stop. `path` is its settings file, which is
-/// watched.
+/// Runs a balancer of opaque packets until it is told to stop. `file` is what `settings` were
+/// read from; it is watched.
 ///
 /// # Errors
 ///
 /// An [`CarrierError`] when it cannot start.
 pub async fn run_opaque(
     settings: OpaqueBalancerSettings,
-    path: &Path,
+    file: SettingsFile,
     log: Logger,
 ) -> Result<(), CarrierError> {
-    let mut watch = SettingsWatch::new(path)?;
+    let mut watch = SettingsWatch::new(file)?;
     let mut stop = StopSignal::new()?;
     let ready = ReadyFlag::default();
     let metrics = MetricsRegistry::new()?;
@@ -74,7 +73,7 @@
 
     tokio::select! {
         () = stop.wait() => {}
-        () = follow_settings(&mut watch, path, &settings, &tasks, &log) => {}
+        () = follow_settings(&mut watch, &settings, &tasks, &log) => {}
     }
     info!(log, "balancer stops"; "limit_ms" => millis(common.stop_limit));
     packets.leaving.store(true, Ordering::Relaxed);
@@ -95,14 +94,12 @@
 /// address of its own is another.
 async fn follow_settings(
     watch: &mut SettingsWatch,
-    path: &Path,
     started: &OpaqueBalancerSettings,
     tasks: &CatalogTasks,
     log: &Logger,
 ) {
     loop {
-        watch.changed().await;
-        match read_settings(path, OpaqueBalancerSettings::parse) {
+        match watch.changed().await.parse(OpaqueBalancerSettings::parse) {
             Ok(settings) => {
                 tasks.state.member.lock().set_seeds(&settings.seeds);
                 info!(log, "settings read again"; "seeds" => settings.seeds.len());
--- a/crates/operations/src/lib.rs
+++ b/crates/operations/src/lib.rs
@@ -27,5 +27,5 @@
 pub use ready::{CarrierAnswers, ReadyFlag};
 pub use reload::SettingsWatch;
 pub use server::{OperationsError, OperationsServer};
-pub use start::{run_on_one_thread, run_on_threads};
+pub use start::{ignore_hangup, run_on_one_thread, run_on_threads};
 pub use status::{ProcessIdentity, ProcessPhase, ProcessStatus, ServiceStatus};
--- a/crates/operations/src/reload.rs
+++ b/crates/operations/src/reload.rs
@@ -5,9 +5,9 @@
 //! the start goes on with seeds that are gone.
 
 use std::io;
-use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use lovagelatch_settings::SettingsFile;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// How often the file is looked at without a signal. It is small, and nobody waits for it.
@@ -16,42 +16,34 @@
 /// Watches one settings file.
 #[derive(Debug)]
 pub struct SettingsWatch {
-    path: PathBuf,
-    /// The text that was told last.
-    text: Vec<u8>,
+    /// The reading that was told last.
+    file: SettingsFile,
     hangup: Signal,
 }
 
 impl SettingsWatch {
-    /// A watch of the file at `path`, whose text now is taken as known. From now on SIGHUP does
-    /// not end the process.
+    /// A watch for what differs from `file`, the reading that the process was started with.
     ///
     /// # Errors
     ///
     /// What the operating system said.
-    pub fn new(path: &Path) -> io::Result<Self> {
-        Ok(Self {
-            path: path.to_owned(),
-            text: std::fs::read(path)?,
-            hangup: signal(SignalKind::hangup())?,
-        })
+    pub fn new(file: SettingsFile) -> io::Result<Self> {
+        let hangup = signal(SignalKind::hangup())?;
+        Ok(Self { file, hangup })
     }
 
     /// Waits until the file has another text.
-    pub async fn changed(&mut self) {
+    pub async fn changed(&mut self) -> &SettingsFile {
         loop {
+            // The first look comes at once: a signal may have come before it could be taken.
+            if let Some(file) = self.file.read_changed() {
+                self.file = file;
+                return &self.file;
+            }
             tokio::select! {
                 _ = self.hangup.recv() => {}
                 () = tokio::time::sleep(LOOK_INTERVAL) => {}
             }
-            // A file that is being replaced may be missing for a moment; the next look finds it.
-            let Ok(text) = std::fs::read(&self.path) else {
-                continue;
-            };
-            if text != self.text {
-                self.text = text;
-                return;
-            }
         }
     }
 }
--- a/crates/operations/src/start.rs
+++ b/crates/operations/src/start.rs
@@ -7,6 +7,20 @@
 use lovagelatch_telemetry::{Logger, error, write_waiting_lines};
 use tokio::runtime::{Builder, Runtime};
 
+/// Makes the process outlive SIGHUP, with which operators announce a change of settings; the first thing
+/// that it does.
+///
+/// What goes wrong otherwise: the signal ends whoever does not expect it. A process needs some
+/// milliseconds from its start until it watches its settings, and one that was sent the signal in that
+/// time was gone without a word until somebody started it again. Nothing is lost by ignoring it: the watch
+/// compares the file with what the process read.
+pub fn ignore_hangup() {
+    // SAFETY: no handler is installed, so no code of this process runs in a signal's context.
+    unsafe {
+        libc::signal(libc::SIGHUP, libc::SIG_IGN);
+    }
+}
+
 /// Runs `body`, whose tasks have `threads` threads.
 pub fn run_on_threads<E: Error>(
     threads: usize,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -7,6 +7,7 @@
 mod block;
 mod document;
 mod fault;
+mod file;
 mod opaque;
 mod plan;
 mod process;
@@ -17,13 +18,13 @@
 pub use block::AddressBlock;
 pub use document::MAX_SETTINGS_BYTES;
 pub use fault::{FaultList, SettingFault, TextFault, TextFaultKind};
+pub use file::SettingsFile;
 pub use opaque::{
     OpaqueAgentSettings, OpaqueBalancerSettings, OpaqueSettings, TrafficKind, TrafficSettings,
 };
 pub use plan::{PlanChange, PlanRisk, TextPlan};
 pub use process::{
     AgentSettings, BalancerSettings, CommonSettings, IngressKind, LimitSettings, SeedList,
-    read_settings,
 };
 pub use reader::FieldName;
 pub use text::{MAX_TEXT_BYTES, OnceRoute, ServiceAddress, ServiceEntry, ServiceText};
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -46,7 +46,7 @@
 
 use crate::block::AddressBlock;
 use crate::fault::{FaultList, SettingFault};
-use crate::reader::{FieldName, FieldReader, file_fault};
+use crate::reader::{FieldName, FieldReader};
 
 /// How caller datagrams arrive at a balancer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -159,22 +159,6 @@
     pub slots: u16,
 }
 
-/// Reads a process's settings with one of the `parse` functions.
-///
-/// # Errors
-///
-/// All faults at once; a file that cannot be read is one fault.
-pub fn read_settings<S>(
-    path: &std::path::Path,
-    parse: impl FnOnce(&str) -> Result<S, FaultList<SettingFault>>,
-) -> Result<S, FaultList<SettingFault>> {
-    let text = std::fs::read_to_string(path).map_err(|error| {
-        let reason = format!("{}: {error}", path.display());
-        file_fault(0, reason)
-    })?;
-    parse(&text)
-}
-
 impl BalancerSettings {
     /// Every field that a balancer's settings may have, for the settings reference.
     #[must_use]
--- a/tests/tests/all/main.rs
+++ b/tests/tests/all/main.rs
@@ -10,5 +10,6 @@
 mod operator;
 mod quiet;
 mod soak;
+mod starting;
 mod stopping;
 mod usage;
