--- a/bins/agent/src/opaque/count.rs
+++ b/bins/agent/src/opaque/count.rs
@@ -74,6 +74,8 @@
     pub(crate) packets: PacketCounts,
     /// From a request to the first of its answer.
     pub(crate) response_duration: Histogram<f64>,
+    /// From the store's word about the target's zone until it is in force here.
+    pub(crate) zone_delay: Histogram<f64>,
 }
 
 impl PacketMetrics {
@@ -84,9 +86,18 @@
             .with_description("From a request to the first of its answer")
             .with_boundaries(DURATION_BOUNDS.to_vec())
             .build();
+        let zone_delay = meter
+            .f64_histogram("lovagelatch.agent.zone_change.delay")
+            .with_unit("s")
+            .with_description(
+                "From the store's word that the zone is evacuated until it is in force",
+            )
+            .with_boundaries(DURATION_BOUNDS.to_vec())
+            .build();
         Self {
             packets: packet_counts(meter),
             response_duration,
+            zone_delay,
         }
     }
 }
--- a/bins/agent/src/opaque/notice.rs
+++ b/bins/agent/src/opaque/notice.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use lovagelatch_domain::AgentAddress;
-use lovagelatch_flows::{ErrandWord, FlowNote, FlowPacket, PacketFrame};
+use lovagelatch_flows::{ErrandWord, FlowNote, FlowPacket, PacketFrame, ZoneNotice};
 use lovagelatch_telemetry::{DecisionKind, LineBudget, Logger, info, warn};
 
 /// Lines about flows a second, of each kind. An agent of today's users sees about 20 new flows a
@@ -75,6 +75,19 @@
             "left_out" => left_out);
     }
 
+    /// Writes that the target's zone is evacuated, or no longer; at most one line a change of the store's.
+    pub(crate) fn zone(&self, notice: &ZoneNotice) {
+        let message = if notice.evacuated {
+            "zone evacuated: the target gets no new flows"
+        } else {
+            "zone takes new flows again"
+        };
+        info!(self.log, "{message}";
+            "decision" => DecisionKind::ZoneChanged,
+            "revision" => notice.revision,
+            "age_ms" => notice.age.as_secs_f64() * 1_000.0);
+    }
+
     pub(crate) fn refused(&mut self, packet: &FlowPacket, outcome: &'static str) {
         let Some(left_out) = self.refused.spend(Instant::now()) else {
             return;
--- a/bins/agent/src/opaque/packets.rs
+++ b/bins/agent/src/opaque/packets.rs
@@ -11,7 +11,7 @@
 use lovagelatch_fleet::ProcessClock;
 use lovagelatch_flows::{
     AgentStep, ErrandWord, FlowAgent, FlowNote, FlowPacket, PacketFrame, PeerFrame, SearchErrand,
-    open_frame, write_frame,
+    ZoneNotice, open_frame, write_frame,
 };
 use lovagelatch_network::{BUFFER_BYTES, ReceiveBatch, SendBatch, wait_readable};
 use lovagelatch_telemetry::EventOutcome;
@@ -163,6 +163,7 @@
         let (frame, packet) = match open_frame(datagram) {
             Ok((PeerFrame::Probe { balancer }, _)) => return self.answer_probe(balancer, now),
             Ok((PeerFrame::Note(word), _)) => return self.take_word(&word),
+            Ok((PeerFrame::Zone(notice), _)) => return self.take_zone(&notice),
             Ok((frame, packet)) => (frame, packet),
             Err(_) => return self.counts.add(PacketOutcome::BadFrame),
         };
@@ -188,6 +189,13 @@
         self.tell(balancer, &PeerFrame::Load(report));
     }
 
+    fn take_zone(&mut self, notice: &ZoneNotice) {
+        if let Some(age) = self.state.agent.lock().take_zone(notice) {
+            self.log.zone(notice);
+            self.metrics.zone_delay.record(age.as_secs_f64(), &[]);
+        }
+    }
+
     /// Shows a packet to everybody that a balancer names.
     fn run_errand(
         &mut self,
--- a/bins/agent/src/opaque/process.rs
+++ b/bins/agent/src/opaque/process.rs
@@ -196,5 +196,7 @@
         "responsive": status.load.responsive,
         "leaving": status.load.leaving,
         "knows_all": status.knows_all,
+        "zones_revision": status.load.zones_revision,
+        "evacuated": status.load.evacuated,
     })
 }
--- a/bins/balancer/src/opaque/catalog.rs
+++ b/bins/balancer/src/opaque/catalog.rs
@@ -7,9 +7,10 @@
 
 use lovagelatch_adapter::{StoreClient, StoreSettings};
 use lovagelatch_catalog::{
-    CatalogAction, CatalogMember, CatalogMessage, CatalogNotice, MEMBER_TICK, StoreAnswer,
+    Catalog, CatalogAction, CatalogMember, CatalogMessage, CatalogNotice, MEMBER_TICK, StoreAnswer,
     StoreCall, StoreFailure,
 };
+use lovagelatch_domain::Moment;
 use lovagelatch_flows::FlowViewBuilder;
 use lovagelatch_network::{read_frame, write_frame};
 use lovagelatch_operations::ReadyFlag;
@@ -22,6 +23,7 @@
 use super::count::StoreCounts;
 use super::coverage::CoverageWatch;
 use super::packets::PacketState;
+use super::zones::ZoneWatch;
 
 /// The largest datagram sent; a longer answer goes by stream.
 const DATAGRAM_LIMIT: usize = 1_200;
@@ -43,6 +45,7 @@
     pub(crate) ready: ReadyFlag,
     pub(crate) calls: StoreCounts,
     pub(crate) coverage: Mutex<CoverageWatch>,
+    pub(crate) zones: Mutex<ZoneWatch>,
     pub(crate) log: Logger,
 }
 
@@ -109,7 +112,7 @@
     }
 
     fn carry_out(self: &Arc<Self>, actions: Vec<CatalogAction>) {
-        let ready = self.note_doubts();
+        let ready = self.brief_builder();
         for action in actions {
             match action {
                 CatalogAction::Send { to, message } => self.send(to, &message),
@@ -128,6 +131,7 @@
                     builder.take_changes(&catalog, &changes, now);
                     drop(builder);
                     self.publish();
+                    self.note_zones(&catalog, now);
                 }
                 CatalogAction::Notice(notice) => log_notice(&self.state.log, &notice),
             }
@@ -138,25 +142,33 @@
         self.publish_if_due();
     }
 
-    /// Tells the builder what speaks against taking its next view for complete; returns whether
-    /// the member is ready. Before a view is published: one that seemed complete for a moment would
+    /// Tells the builder what the member knows besides the catalog, as what speaks against taking its next
+    /// view for complete; returns whether the member is ready. Before a view is published: one that seemed complete for a moment would
     /// let a search prove what it cannot.
-    fn note_doubts(&self) -> bool {
+    fn brief_builder(&self) -> bool {
         let now = self.state.packets.clock.now();
         let member = self.state.member.lock();
         let (ready, trouble) = (member.is_ready(), member.trouble());
         let informed = member.is_informed(now);
         let returned = member.returned();
+        let zones_since = member.zones_since();
         drop(member);
         let mut builder = self.state.builder.lock();
         builder.set_informed(informed);
         builder.set_returned(returned);
+        builder.set_zones_since(zones_since);
         if let Some(at) = trouble {
             builder.note_trouble(at);
         }
         ready
     }
 
+    fn note_zones(&self, catalog: &Catalog, now: Moment) {
+        let told = self.state.member.lock().zones_since();
+        let mut zones = self.state.zones.lock();
+        zones.note(catalog, told, now, &self.state.log);
+    }
+
     /// Says whether routers may send packets here.
     fn tell_routers(&self) {
         let now = self.state.packets.clock.now();
--- a/bins/balancer/src/opaque/count.rs
+++ b/bins/balancer/src/opaque/count.rs
@@ -20,8 +20,12 @@
     ResetNoRoute,
     /// A first packet without a target was answered with a reset.
     ResetNoTarget,
+    /// A first packet whose targets are in evacuated zones was answered with a reset.
+    ResetEvacuated,
     /// A flow that was lost with its target was ended with a reset.
     ResetLost,
+    /// An agent was told whether its zone is evacuated.
+    ZoneTold,
     /// Nobody could be asked about a packet.
     Dropped,
     /// A datagram was no packet.
@@ -41,7 +45,9 @@
         Self::SearchAbandoned,
         Self::ResetNoRoute,
         Self::ResetNoTarget,
+        Self::ResetEvacuated,
         Self::ResetLost,
+        Self::ZoneTold,
         Self::Dropped,
         Self::Malformed,
         Self::BadFrame,
@@ -61,7 +67,9 @@
             Self::SearchAbandoned => "search_abandoned",
             Self::ResetNoRoute => "reset_no_route",
             Self::ResetNoTarget => "reset_no_target",
+            Self::ResetEvacuated => "reset_evacuated",
             Self::ResetLost => "reset_lost",
+            Self::ZoneTold => "zone_told",
             Self::Dropped => "dropped",
             Self::Malformed => "malformed",
             Self::BadFrame => "bad_frame",
@@ -151,6 +159,17 @@
     }
 }
 
+/// From the moment at which a change of the evacuated zones was read from the store, by whoever read it first,
+/// until it is in force in this process.
+pub(crate) fn zone_delay(meter: &Meter) -> Histogram<f64> {
+    meter
+        .f64_histogram("lovagelatch.balancer.zone_change.delay")
+        .with_unit("s")
+        .with_description("From the store's word that a zone is evacuated until it is in force")
+        .with_boundaries(DURATION_BOUNDS.to_vec())
+        .build()
+}
+
 fn packet_counts(meter: &Meter) -> PacketCounts {
     EventCounts::new(
         meter,
--- a/bins/balancer/src/opaque/mod.rs
+++ b/bins/balancer/src/opaque/mod.rs
@@ -17,5 +17,13 @@
 mod notice;
 mod packets;
 mod process;
+mod zones;
+
+use std::time::Duration;
 
 pub use process::run_opaque;
+
+/// Whole milliseconds, for logs and status.
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- a/bins/balancer/src/opaque/notice.rs
+++ b/bins/balancer/src/opaque/notice.rs
@@ -76,6 +76,7 @@
         let reason = match reason {
             RefusalReason::NoRoute => "no route",
             RefusalReason::NoTarget => "no target",
+            RefusalReason::Evacuated => "zone evacuated",
         };
         warn!(self.log, "flow refused";
             "decision" => DecisionKind::FlowRefused,
--- a/bins/balancer/src/opaque/packets.rs
+++ b/bins/balancer/src/opaque/packets.rs
@@ -12,7 +12,7 @@
 use lovagelatch_fleet::ProcessClock;
 use lovagelatch_flows::{
     BalancerStep, DueSearch, FlowBalancer, FlowKey, FlowPacket, FlowReset, FlowView, FramePurpose,
-    PacketFrame, PeerFrame, RefusalReason, SearchFrames, open_frame, write_frame,
+    LoadReport, PacketFrame, PeerFrame, RefusalReason, SearchFrames, open_frame, write_frame,
 };
 use lovagelatch_network::{BUFFER_BYTES, ReceiveBatch, SendBatch, wait_readable};
 
@@ -164,6 +164,7 @@
     fn take_frame(&mut self, datagram: &[u8], view: &FlowView, now: Moment) {
         match open_frame(datagram) {
             Ok((PeerFrame::Note(note), _)) => {
+                self.tell_zone(&note.load, view, now);
                 let outcome = self.state.balancer.take_note(&note, now);
                 if let Some(after) = outcome.answered_after {
                     self.metrics
@@ -174,7 +175,10 @@
                     self.send_loss(&reset, view);
                 }
             }
-            Ok((PeerFrame::Load(report), _)) => self.state.balancer.take_load(&report, now),
+            Ok((PeerFrame::Load(report), _)) => {
+                self.tell_zone(&report, view, now);
+                self.state.balancer.take_load(&report, now);
+            }
             Ok((PeerFrame::ErrandEnd(word), _)) => {
                 if let Some(reset) = self.state.balancer.take_errand_word(&word, now) {
                     self.send_loss(&reset, view);
@@ -187,13 +191,28 @@
                     self.carry_out(step, &packet, bytes, view);
                 }
             }
-            Ok((PeerFrame::Packet(_) | PeerFrame::Errand(_) | PeerFrame::Probe { .. }, _))
+            Ok((
+                PeerFrame::Packet(_)
+                | PeerFrame::Errand(_)
+                | PeerFrame::Zone(_)
+                | PeerFrame::Probe { .. },
+                _,
+            ))
             | Err(_) => {
                 self.counts.add(PacketOutcome::BadFrame);
             }
         }
     }
 
+    /// Tells an agent whether its zone is evacuated, where its report shows that it has not heard.
+    fn tell_zone(&mut self, report: &LoadReport, view: &FlowView, now: Moment) {
+        if let Some(notice) = self.state.balancer.zone_notice(report, view, now) {
+            self.counts.add(PacketOutcome::ZoneTold);
+            let frame = PeerFrame::Zone(notice);
+            self.push(report.agent.0, |out| write_frame(&frame, &[], out));
+        }
+    }
+
     fn carry_out(
         &mut self,
         step: BalancerStep,
@@ -218,6 +237,7 @@
                 self.counts.add(match reason {
                     RefusalReason::NoRoute => PacketOutcome::ResetNoRoute,
                     RefusalReason::NoTarget => PacketOutcome::ResetNoTarget,
+                    RefusalReason::Evacuated => PacketOutcome::ResetEvacuated,
                 });
                 self.log.refused(&packet.flow, reason, view);
                 self.send_reset(&packet.flow, packet.acknowledged);
--- a/bins/balancer/src/opaque/process.rs
+++ b/bins/balancer/src/opaque/process.rs
@@ -21,10 +21,12 @@
 use tokio::net::{TcpListener, UdpSocket};
 
 use super::catalog::{CatalogState, CatalogTasks, start_catalog};
-use super::count::{PacketMetrics, StoreCounts};
+use super::count::{PacketMetrics, StoreCounts, zone_delay};
 use super::coverage::CoverageWatch;
+use super::millis;
 use super::notice::DecisionLog;
 use super::packets::{PacketSockets, PacketState, PacketThread};
+use super::zones::ZoneWatch;
 use crate::stop::StopSignal;
 
 /// How much of the time that a stop may take is left unused, so that the process ends by itself.
@@ -64,7 +66,8 @@
     });
     start_packets(&settings, &packets, measured, &log)?;
     let calls = StoreCounts::new(&metrics.meter());
-    let tasks = start_control(&settings, &packets, &ready, calls, &log).await?;
+    let zones = ZoneWatch::new(zone_delay(&metrics.meter()));
+    let tasks = start_control(&settings, &packets, &ready, calls, zones, &log).await?;
     register_gauges(&metrics.meter(), &tasks);
     serve_operations(&settings, metrics, &tasks, ready.clone(), &log);
     info!(log, "balancer runs"; "packets" => common.packets.to_string(),
@@ -144,6 +147,7 @@
     packets: &Arc<PacketState>,
     ready: &ReadyFlag,
     calls: StoreCounts,
+    zones: ZoneWatch,
     log: &Logger,
 ) -> Result<Arc<CatalogTasks>, CarrierError> {
     let address = settings.gossip;
@@ -167,6 +171,7 @@
         ready: ready.clone(),
         calls,
         coverage: Mutex::new(CoverageWatch::new(now)),
+        zones: Mutex::new(zones),
         log: log.clone(),
     };
     Ok(start_catalog(state, socket, listener, settings.store))
@@ -228,6 +233,15 @@
         })
         .build();
     let held = Arc::clone(tasks);
+    let _evacuated = meter
+        .u64_observable_gauge("lovagelatch.balancer.evacuated_zones")
+        .with_unit("{zone}")
+        .with_description("Zones whose targets get no new flows")
+        .with_callback(move |observer| {
+            observer.observe(held.state.zones.lock().count() as u64, &[]);
+        })
+        .build();
+    let held = Arc::clone(tasks);
     let _version = meter
         .u64_observable_gauge("lovagelatch.balancer.config_version")
         .with_unit("{version}")
@@ -264,6 +278,8 @@
         "version": catalog.version.0,
         "routes_revision": catalog.head.routes.revision,
         "targets_revision": catalog.head.targets.revision,
+        "zones_revision": catalog.head.zones.revision,
+        "evacuated": tasks.state.zones.lock().status(now),
         "confirmed_ms_ago": catalog.age.map(millis),
         "balancers": catalog.members,
         "reader": catalog.reader,
@@ -296,7 +312,3 @@
         () = stop.wait() => {}
     }
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/bins/lovagelatch/src/explain/opaque.rs
+++ b/bins/lovagelatch/src/explain/opaque.rs
@@ -10,11 +10,12 @@
 use crate::output::{LineTone, TableRow, Verdict, print_json, print_line, print_table};
 
 /// Columns of the table of candidates, with the fields that they show.
-const COLUMNS: [(&str, &str); 8] = [
+const COLUMNS: [(&str, &str); 9] = [
     ("AGENT", "agent"),
     ("STANDING", "standing"),
     ("LISTED", "listed"),
     ("NEAR", "near"),
+    ("EVACUATED", "evacuated"),
     ("SLOTS", "slots"),
     ("IN PROGRESS", "in_progress"),
     ("LOAD AGE MS", "load_age_ms"),
--- a/bins/lovagelatch/tests/all/instances.rs
+++ b/bins/lovagelatch/tests/all/instances.rs
@@ -131,7 +131,7 @@
             name: "a balancer that knows it",
             answer: r#"{"version":7,"route":"r-1","service":"claims","agent":"10.1.0.3:7720",
                 "complete":true,"candidates":[{"agent":"10.1.0.3:7720","standing":"serving",
-                "listed":true,"near":true,"slots":3,"in_progress":2,"load_age_ms":40,
+                "listed":true,"near":true,"evacuated":false,"slots":3,"in_progress":2,"load_age_ms":40,
                 "suspected":false}]}"#,
             code: 0,
             says: &[
--- a/crates/catalog/src/answer.rs
+++ b/crates/catalog/src/answer.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use lovagelatch_domain::ZoneName;
 use serde::{Deserialize, Serialize};
 
 use crate::record::{PublishedConfig, PublishedTarget, TargetName};
@@ -29,6 +30,10 @@
     Target(PublishedTarget),
     /// A target's entry is gone.
     TargetRemoved(TargetName),
+    /// The operator evacuates a zone: its targets get no new flows.
+    ZoneEvacuated(ZoneName),
+    /// The operator takes a zone back.
+    ZoneRestored(ZoneName),
     /// A value that could not be read. A target's entry names no target then; of the configuration
     /// what is held stays.
     Unreadable {
--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -4,13 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lovagelatch_domain::{ConfigRevision, ServiceName};
+use lovagelatch_domain::{ConfigRevision, ServiceName, ZoneName};
 use lovagelatch_membership::{RowChange, TableDelta, TableError, TableIndex};
 use thiserror::Error;
 
 use crate::answer::{StoreAnswer, StoreEvent};
 use crate::message::{CatalogDelta, CatalogHead, ConfigDelta};
-use crate::record::{PublishedConfig, PublishedRoute, TargetName, TargetRow};
+use crate::record::{EvacuatedZone, PublishedConfig, PublishedRoute, TargetName, TargetRow};
+use crate::table::{TableNews, replace_rows};
 
 /// Why a change was not taken. What is held stays.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
@@ -28,7 +29,7 @@
     },
 }
 
-/// Routes and targets at one moment. Shared, never changed.
+/// Routes, targets and evacuated zones at one moment. Shared, never changed.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Catalog {
     /// The operator's number for the configuration in force; 0 before any is known.
@@ -41,6 +42,11 @@
     pub targets: Arc<Vec<TargetRow>>,
     /// Services that the configuration names and sends no route's flows to.
     pub unrouted: Arc<Vec<ServiceName>>,
+    /// The store's revision up to which the evacuated zones are known; 0 while nothing is known of them,
+    /// and then no flow may be placed.
+    pub zones_revision: u64,
+    /// The zones whose targets get no new flows. Invariant: sorted by name.
+    pub evacuated: Arc<Vec<EvacuatedZone>>,
 }
 
 /// What changed from one catalog to the next.
@@ -96,13 +102,14 @@
 
 /// Keeps the catalog and what changed when.
 ///
-/// Invariant: neither table's revision ever falls, so a process that was told of a configuration
-/// never goes back to an older one, whoever offers it.
+/// Invariant: no table's revision ever falls, so a process that was told of a configuration or an
+/// evacuated zone never goes back to what was before, whoever offers it.
 #[derive(Clone, Debug, Default)]
 pub struct CatalogKeeper {
     catalog: Catalog,
     routes: TableIndex<SocketAddrV4>,
     targets: TableIndex<TargetName>,
+    zones: TableIndex<ZoneName>,
     /// What changed since [`take_changes`](Self::take_changes) was last called.
     changes: CatalogChanges,
 }
@@ -114,6 +121,7 @@
         CatalogHead {
             routes: self.routes.head(),
             targets: self.targets.head(),
+            zones: self.zones.head(),
         }
     }
 
@@ -144,14 +152,22 @@
             self.targets
                 .delta_since(&self.catalog.targets, head.targets.revision)
         });
-        CatalogDelta { config, targets }
+        let zones = (held.zones.revision > head.zones.revision).then(|| {
+            self.zones
+                .delta_since(&self.catalog.evacuated, head.zones.revision)
+        });
+        CatalogDelta {
+            config,
+            targets,
+            zones,
+        }
     }
 
     /// Takes what another balancer sent; returns whether anything changed.
     ///
     /// # Errors
     ///
-    /// A [`CatalogError`] for a table that did not fit; the other one may have been taken.
+    /// A [`CatalogError`] for a table that did not fit; others may have been taken.
     pub fn take_delta(&mut self, delta: CatalogDelta) -> Result<bool, CatalogError> {
         let config = match delta.config {
             Some(config) => self.merge_config(config),
@@ -161,7 +177,31 @@
             Some(targets) => self.merge_targets(targets),
             None => Ok(false),
         };
-        Ok(config? | targets?)
+        let zones = match delta.zones {
+            Some(zones) => self.merge_zones(zones),
+            None => Ok(false),
+        };
+        Ok(config? | targets? | zones?)
+    }
+
+    fn merge_zones(
+        &mut self,
+        zones: TableDelta<ZoneName, EvacuatedZone>,
+    ) -> Result<bool, CatalogError> {
+        if zones.to.revision <= self.zones.head().revision {
+            return Ok(false);
+        }
+        let rows = Arc::make_mut(&mut self.catalog.evacuated);
+        let changes = self.zones.apply(rows, zones)?;
+        Ok(self.note_zones(&changes))
+    }
+
+    /// Notes that the evacuated zones are known up to a later revision; returns whether that changes
+    /// anything. The first such word does, also where no zone is evacuated.
+    fn note_zones(&mut self, changes: &[RowChange<EvacuatedZone>]) -> bool {
+        let first = self.catalog.zones_revision == 0;
+        self.catalog.zones_revision = self.zones.head().revision;
+        first || !changes.is_empty()
     }
 
     fn merge_targets(
@@ -199,13 +239,15 @@
         let mut errors = Vec::new();
         let mut changed = false;
         let mut targets = Vec::new();
+        let mut evacuated = Vec::new();
         for (revision, event) in answer.events {
             match event {
                 StoreEvent::Config(config) => {
                     changed |= self.take_config(revision, config, &mut errors);
                 }
                 StoreEvent::Target(target) => targets.push(TargetRow::Published(target)),
-                StoreEvent::TargetRemoved(_) => {}
+                StoreEvent::ZoneEvacuated(zone) => evacuated.push(EvacuatedZone(zone)),
+                StoreEvent::TargetRemoved(_) | StoreEvent::ZoneRestored(_) => {}
                 StoreEvent::Unreadable {
                     key,
                     reason,
@@ -219,6 +261,13 @@
         if answer.revision > self.targets.head().revision {
             changed |= self.replace_targets(targets, answer.revision, &mut errors);
         }
+        if answer.revision > self.zones.head().revision {
+            let rows = &mut self.catalog.evacuated;
+            match replace_rows(&mut self.zones, rows, evacuated, answer.revision) {
+                Ok(changes) => changed |= self.note_zones(&changes),
+                Err(error) => errors.push(error.into()),
+            }
+        }
         (changed, errors)
     }
 
@@ -230,8 +279,7 @@
     pub fn take_events(&mut self, answer: StoreAnswer) -> (bool, Vec<CatalogError>) {
         let mut errors = Vec::new();
         let mut changed = false;
-        let known = self.targets.head().revision;
-        let mut news = TargetNews::default();
+        let mut news = CatalogNews::default();
         for (revision, event) in answer.events {
             match event {
                 StoreEvent::Config(config) => {
@@ -242,48 +290,68 @@
                     reason,
                     target,
                 } => {
-                    let row = target.map(TargetRow::Unreadable);
-                    news.written(row.filter(|_| revision > known), revision);
+                    if let Some(name) = target {
+                        let row = TargetRow::Unreadable(name);
+                        self.note_target(row, revision, &mut news.targets);
+                    }
                     errors.push(CatalogError::Unreadable { key, reason });
                 }
-                // A peer may have told of this change before the watch did.
-                StoreEvent::Target(_) | StoreEvent::TargetRemoved(_) if revision <= known => {}
                 StoreEvent::Target(target) => {
-                    news.written(Some(TargetRow::Published(target)), revision);
+                    let row = TargetRow::Published(target);
+                    self.note_target(row, revision, &mut news.targets);
+                }
+                // A peer may have told of a change before the watch did.
+                StoreEvent::TargetRemoved(name) if revision > self.targets.head().revision => {
+                    news.targets.removed(name, revision);
+                }
+                StoreEvent::ZoneEvacuated(zone) if revision > self.zones.head().revision => {
+                    news.zones.written(EvacuatedZone(zone), revision);
+                }
+                StoreEvent::ZoneRestored(zone) if revision > self.zones.head().revision => {
+                    news.zones.removed(zone, revision);
                 }
-                StoreEvent::TargetRemoved(name) => news.removed(name, revision),
+                StoreEvent::TargetRemoved(_)
+                | StoreEvent::ZoneEvacuated(_)
+                | StoreEvent::ZoneRestored(_) => {}
             }
         }
-        let TargetNews {
-            written,
-            removed,
-            last,
-        } = news;
-        if last > known {
-            let rows = Arc::make_mut(&mut self.catalog.targets);
-            let delta = self.targets.delta_of(rows, written, removed, last);
-            match self.targets.apply(rows, delta) {
-                Ok(changes) => {
-                    self.changes.add_targets(changes);
-                    changed = true;
-                }
-                Err(error) => errors.push(error.into()),
+        match news
+            .targets
+            .apply(&mut self.targets, &mut self.catalog.targets)
+        {
+            Some(Ok(changes)) => {
+                self.changes.add_targets(changes);
+                changed = true;
             }
+            Some(Err(error)) => errors.push(error.into()),
+            None => {}
+        }
+        match news
+            .zones
+            .apply(&mut self.zones, &mut self.catalog.evacuated)
+        {
+            Some(Ok(changes)) => changed |= self.note_zones(&changes),
+            Some(Err(error)) => errors.push(error.into()),
+            None => {}
         }
         (changed, errors)
     }
 
+    /// Adds a target's entry to what a watch brought, unless a peer told of it before the watch did.
+    fn note_target(&self, row: TargetRow, revision: u64, news: &mut TableNews<TargetRow>) {
+        if revision > self.targets.head().revision {
+            news.written(row, revision);
+        }
+    }
+
     fn replace_targets(
         &mut self,
-        mut next: Vec<TargetRow>,
+        next: Vec<TargetRow>,
         revision: u64,
         errors: &mut Vec<CatalogError>,
     ) -> bool {
-        next.sort_by(|a, b| a.name().cmp(b.name()));
-        next.dedup_by(|a, b| a.name() == b.name());
-        let rows = Arc::make_mut(&mut self.catalog.targets);
-        let delta = self.targets.delta_to(rows, next, revision);
-        match self.targets.apply(rows, delta) {
+        let rows = &mut self.catalog.targets;
+        match replace_rows(&mut self.targets, rows, next, revision) {
             Ok(changes) => {
                 let changed = !changes.is_empty();
                 self.changes.add_targets(changes);
@@ -324,33 +392,9 @@
     }
 }
 
-/// What a watch brought about targets: the last event of each.
+/// What a watch brought about the tables that it tells row by row.
 #[derive(Default)]
-struct TargetNews {
-    written: Vec<(u64, TargetRow)>,
-    removed: Vec<(u64, TargetName)>,
-    /// The newest revision of them; 0 when there are none.
-    last: u64,
-}
-
-impl TargetNews {
-    fn written(&mut self, row: Option<TargetRow>, revision: u64) {
-        let Some(row) = row else {
-            return;
-        };
-        self.forget(row.name());
-        self.written.push((revision, row));
-        self.last = self.last.max(revision);
-    }
-
-    fn removed(&mut self, name: TargetName, revision: u64) {
-        self.forget(&name);
-        self.removed.push((revision, name));
-        self.last = self.last.max(revision);
-    }
-
-    fn forget(&mut self, name: &TargetName) {
-        self.removed.retain(|(_, known)| known != name);
-        self.written.retain(|(_, row)| row.name() != name);
-    }
+struct CatalogNews {
+    targets: TableNews<TargetRow>,
+    zones: TableNews<EvacuatedZone>,
 }
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -6,7 +6,7 @@
 //! ```text
 //! store --(two readers, drawn by lot)--> balancer <--heads, asks, answers--> balancer
 //!                                           |
-//!                                        Catalog: routes, targets
+//!                                        Catalog: routes, targets, evacuated zones
 //! ```
 //!
 //! Only balancers are members. An agent needs no catalog: each frame that it may have to pass on
@@ -19,6 +19,7 @@
 mod peers;
 mod reading;
 mod record;
+mod table;
 
 pub use answer::{StoreAnswer, StoreCall, StoreEvent, StoreFailure};
 pub use catalog::{Catalog, CatalogChanges, CatalogError, CatalogKeeper};
@@ -28,6 +29,6 @@
 pub use message::{CatalogDelta, CatalogHead, CatalogMessage, ConfigDelta, HeadMessage};
 pub use reading::{RETRY_LIMIT, WATCH_WAIT};
 pub use record::{
-    PublishedConfig, PublishedRoute, PublishedTarget, RouteShare, TargetName, TargetRow,
-    TargetStart,
+    EvacuatedZone, PublishedConfig, PublishedRoute, PublishedTarget, RouteShare, TargetName,
+    TargetRow, TargetStart,
 };
--- a/crates/catalog/src/member.rs
+++ b/crates/catalog/src/member.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use lovagelatch_domain::{ConfigRevision, Moment};
+use lovagelatch_membership::TableHead;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use smallvec::SmallVec;
@@ -140,6 +141,8 @@
     trouble: Option<Moment>,
     /// When it first answered anybody after that; older than `trouble` while it has not.
     returned: Option<Moment>,
+    /// When the evacuated zones were last read anew, by this process or another.
+    zones_since: Moment,
     next_head: Moment,
     asked: Option<Moment>,
     /// Ask for the whole of it next: a change did not fit.
@@ -167,6 +170,7 @@
             confirmed: None,
             trouble: None,
             returned: None,
+            zones_since: now,
             next_head: now,
             asked: None,
             ask_whole: false,
@@ -219,6 +223,13 @@
             .filter(|at| self.trouble.is_some_and(|trouble| *at >= trouble))
     }
 
+    /// When the evacuated zones that are held were read from the store, by this process or by the one that
+    /// told of them first.
+    #[must_use]
+    pub fn zones_since(&self) -> Moment {
+        self.zones_since
+    }
+
     /// Replaces the addresses at which other balancers may be found.
     pub fn set_seeds(&mut self, seeds: &[SocketAddrV4]) {
         self.peers.set_seeds(seeds);
@@ -260,8 +271,14 @@
                 let message = self.answer_to(&head, now);
                 self.send(sender, message);
             }
-            CatalogMessage::Answer { sender, age, delta } => {
-                self.accept_answer(sender, age, *delta, now);
+            CatalogMessage::Answer {
+                sender,
+                age,
+                zones_age,
+                delta,
+            } => {
+                let zones_since = now - zones_age;
+                self.accept_answer(sender, age, zones_since, *delta, now);
             }
             CatalogMessage::TooLarge { sender } => {
                 let ask = self.ask_message();
@@ -278,6 +295,7 @@
         CatalogMessage::Answer {
             sender: self.settings.own,
             age: self.age(now).unwrap_or(Duration::MAX),
+            zones_age: now.since(self.zones_since),
             delta: Box::new(self.keeper.delta_since(head)),
         }
     }
@@ -303,6 +321,7 @@
         if std::mem::take(&mut self.store_lost) {
             self.notice(CatalogNotice::StoreRegained);
         }
+        let zones_before = self.keeper.head().zones;
         let (changed, errors) = match call {
             StoreCall::List => self.keeper.take_list(answer),
             StoreCall::Watch { .. } => self.keeper.take_events(answer),
@@ -316,6 +335,7 @@
         for error in errors {
             self.notice(CatalogNotice::Refused(error));
         }
+        self.note_zones(zones_before, now);
         self.note_confirmed(now);
         self.become_ready(now);
         if changed {
@@ -367,7 +387,8 @@
             self.reading.list_again();
         }
         let newer = offered.routes.revision > held.routes.revision
-            || offered.targets.revision > held.targets.revision;
+            || offered.targets.revision > held.targets.revision
+            || offered.zones.revision > held.zones.revision;
         if newer {
             self.ask(message.sender, now);
             return;
@@ -379,11 +400,10 @@
 
     fn is_conflict(&self, offered: &CatalogHead) -> bool {
         let held = self.keeper.head();
-        let differs = |a: lovagelatch_membership::TableHead,
-                       b: lovagelatch_membership::TableHead| {
-            a.revision == b.revision && a.digest != b.digest
-        };
-        differs(held.routes, offered.routes) || differs(held.targets, offered.targets)
+        let differs = |a: TableHead, b: TableHead| a.revision == b.revision && a.digest != b.digest;
+        differs(held.routes, offered.routes)
+            || differs(held.targets, offered.targets)
+            || differs(held.zones, offered.zones)
     }
 
     fn ask(&mut self, peer: SocketAddrV4, now: Moment) {
@@ -414,11 +434,15 @@
         &mut self,
         sender: SocketAddrV4,
         age: Duration,
+        zones_since: Moment,
         delta: CatalogDelta,
         now: Moment,
     ) {
         self.asked = None;
-        match self.keeper.take_delta(delta) {
+        let zones_before = self.keeper.head().zones;
+        let taken = self.keeper.take_delta(delta);
+        self.note_zones(zones_before, zones_since);
+        match taken {
             Ok(changed) => {
                 self.confirm(age, now);
                 if changed {
@@ -432,6 +456,13 @@
         }
     }
 
+    /// Notes when the evacuated zones were read, if they are others than before.
+    fn note_zones(&mut self, before: TableHead, since: Moment) {
+        if self.keeper.head().zones != before {
+            self.zones_since = since;
+        }
+    }
+
     /// Another balancer that holds the same says how long ago the store confirmed it.
     fn confirm(&mut self, age: Duration, now: Moment) {
         if age > READY_AGE {
@@ -449,7 +480,10 @@
     }
 
     fn become_ready(&mut self, now: Moment) {
-        let known = self.keeper.head().routes.revision > 0;
+        // Not before it is known which zones are evacuated: a flow placed in one is against the
+        // operator's word.
+        let head = self.keeper.head();
+        let known = head.routes.revision > 0 && head.zones.revision > 0;
         let fresh = self.age(now).is_some_and(|age| age <= READY_AGE);
         self.ready |= known && fresh;
     }
@@ -485,7 +519,11 @@
             age: self.age(now),
             members: self.peers.known_count(now) + 1,
             is_large: self.peers.is_large(now),
-            revision: head.targets.revision.min(head.routes.revision),
+            revision: head
+                .targets
+                .revision
+                .min(head.routes.revision)
+                .min(head.zones.revision),
         }
     }
 
--- a/crates/catalog/src/message.rs
+++ b/crates/catalog/src/message.rs
@@ -10,12 +10,12 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use lovagelatch_domain::{ConfigRevision, ServiceName};
+use lovagelatch_domain::{ConfigRevision, ServiceName, ZoneName};
 use lovagelatch_membership::{TableDelta, TableHead};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-use crate::record::{PublishedRoute, TargetName, TargetRow};
+use crate::record::{EvacuatedZone, PublishedRoute, TargetName, TargetRow};
 
 /// Which state of the catalog a balancer holds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -24,6 +24,8 @@
     pub routes: TableHead,
     /// The targets.
     pub targets: TableHead,
+    /// The evacuated zones.
+    pub zones: TableHead,
 }
 
 /// What a balancer knows of one that may read the store for all.
@@ -85,6 +87,8 @@
     pub config: Option<ConfigDelta>,
     /// The targets, when they changed.
     pub targets: Option<TableDelta<TargetName, TargetRow>>,
+    /// The evacuated zones, when they changed.
+    pub zones: Option<TableDelta<ZoneName, EvacuatedZone>>,
 }
 
 /// A message between balancers.
@@ -105,6 +109,9 @@
         sender: SocketAddrV4,
         /// How long ago the store last confirmed the result.
         age: Duration,
+        /// How long ago the evacuated zones were last read anew, so that it shows how long a change takes
+        /// until it is obeyed.
+        zones_age: Duration,
         /// The changes.
         delta: Box<CatalogDelta>,
     },
--- a/crates/catalog/src/record.rs
+++ b/crates/catalog/src/record.rs
@@ -84,6 +84,19 @@
     }
 }
 
+/// A zone whose targets get no new flows, because the operator evacuates it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct EvacuatedZone(pub ZoneName);
+
+impl TableRow for EvacuatedZone {
+    type Key = ZoneName;
+
+    fn key(&self) -> ZoneName {
+        self.0.clone()
+    }
+}
+
 /// A service that a route sends flows to.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteShare {
--- a/crates/catalog/tests/all/keeper.rs
+++ b/crates/catalog/tests/all/keeper.rs
@@ -130,7 +130,9 @@
             StoreEvent::Target(target) => Some(target.name.clone()),
             StoreEvent::TargetRemoved(name) => Some(name.clone()),
             StoreEvent::Unreadable { target, .. } => target.clone(),
-            StoreEvent::Config(_) => None,
+            StoreEvent::Config(_) | StoreEvent::ZoneEvacuated(_) | StoreEvent::ZoneRestored(_) => {
+                None
+            }
         };
         let replaced: Vec<_> = case.then.iter().map(name_of).collect();
         let kept = case
--- a/crates/catalog/tests/all/main.rs
+++ b/crates/catalog/tests/all/main.rs
@@ -4,3 +4,4 @@
 mod member;
 mod readers;
 mod support;
+mod zones;
--- a/crates/catalog/tests/all/support.rs
+++ b/crates/catalog/tests/all/support.rs
@@ -76,6 +76,15 @@
                 StoreEvent::TargetRemoved(name) => {
                     items.remove(&*name.0);
                 }
+                StoreEvent::ZoneEvacuated(zone) => {
+                    items.insert(
+                        format!("zone {}", zone.as_str()),
+                        (*revision, event.clone()),
+                    );
+                }
+                StoreEvent::ZoneRestored(zone) => {
+                    items.remove(&format!("zone {}", zone.as_str()));
+                }
                 StoreEvent::Unreadable { key, target, .. } => {
                     let name = target.as_ref().map(|name| name.0.to_string());
                     items.insert(name.unwrap_or(key.clone()), (*revision, event.clone()));
@@ -201,6 +210,27 @@
         self.store.write(StoreEvent::Config(config));
     }
 
+    /// The operator evacuates a zone, or takes it back.
+    pub(crate) fn set_evacuated(&mut self, zone: &str, evacuated: bool) {
+        let zone = zone.parse().expect("a zone");
+        self.store.write(if evacuated {
+            StoreEvent::ZoneEvacuated(zone)
+        } else {
+            StoreEvent::ZoneRestored(zone)
+        });
+    }
+
+    /// The zones that each running balancer takes to be evacuated; `None` where it does not know.
+    pub(crate) fn evacuated(&self) -> Vec<Option<Vec<String>>> {
+        let running = self.nodes.values().filter(|node| !node.stopped);
+        let zones = running.map(|node| {
+            let known = node.catalog.zones_revision > 0;
+            let zones = node.catalog.evacuated.iter();
+            known.then(|| zones.map(|zone| zone.0.as_str().to_owned()).collect())
+        });
+        zones.collect()
+    }
+
     /// The running balancers that read the store for all.
     pub(crate) fn readers(&self) -> Vec<u8> {
         let nodes = self.nodes.iter();
--- a/crates/flows/benches/decision.rs
+++ b/crates/flows/benches/decision.rs
@@ -63,6 +63,8 @@
         .into(),
         targets: targets.map(TargetRow::Published).collect::<Vec<_>>().into(),
         unrouted: Arc::default(),
+        zones_revision: 1,
+        evacuated: Arc::default(),
     };
     builder.take(&catalog, Moment::ZERO);
     builder.build(Moment::ZERO)
--- a/crates/flows/src/agent.rs
+++ b/crates/flows/src/agent.rs
@@ -8,6 +8,7 @@
 mod health;
 mod inward;
 mod outward;
+mod zone;
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -16,8 +17,9 @@
 
 use self::entry::{Absence, EntryState, FlowEntry, Trial};
 use self::health::TargetHealth;
+use self::zone::ZoneStanding;
 use crate::errand::ErrandBook;
-use crate::frame::{FlowEvent, FlowNote, LoadReport, PacketFrame};
+use crate::frame::{FlowEvent, FlowNote, LoadReport, PacketFrame, ZoneNotice};
 use crate::memory::FlowMemory;
 use crate::outlook::{HeldFlow, millis};
 use crate::packet::FlowKey;
@@ -85,6 +87,8 @@
     Forgotten,
     /// The packet was returned as a reset of a flow that is gone: nobody needs it.
     Ended,
+    /// A copy of a first packet that the target is not known to have answered, and its zone is evacuated.
+    Evacuated,
 }
 
 /// What to do with a packet.
@@ -156,6 +160,7 @@
     unanswered_since: Option<Moment>,
     refused_until: Moment,
     health: TargetHealth,
+    zone: ZoneStanding,
     leaving: bool,
     listeners: HashMap<AgentAddress, Listener>,
     /// How long the target took for the request that it answered last.
@@ -188,6 +193,7 @@
             unanswered_since: None,
             refused_until: Moment::ZERO,
             health: TargetHealth::new(),
+            zone: ZoneStanding::default(),
             leaving: false,
             listeners: HashMap::new(),
             answered_after: None,
@@ -217,6 +223,12 @@
         (told, self.load(now))
     }
 
+    /// Takes a balancer's word about the target's zone; how old it is when it changes whether the zone is
+    /// evacuated.
+    pub fn take_zone(&mut self, notice: &ZoneNotice) -> Option<Duration> {
+        self.zone.take(notice)
+    }
+
     /// The load, for a balancer that asked whether this agent is there.
     pub fn answer_probe(&mut self, balancer: AgentAddress, now: Moment) -> LoadReport {
         self.listen(balancer, now);
@@ -329,6 +341,8 @@
             responsive: self.is_responsive(now),
             failing: self.health.is_failing(self.in_progress, now),
             leaving: self.leaving,
+            zones_revision: self.zone.revision,
+            evacuated: self.zone.evacuated,
         }
     }
 
--- a/crates/flows/src/agent/entry.rs
+++ b/crates/flows/src/agent/entry.rs
@@ -58,6 +58,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct FrameOrigin {
     pub(super) purpose: FramePurpose,
+    pub(super) zones_revision: u64,
     pub(super) balancer: AgentAddress,
     pub(super) asker: Option<AgentAddress>,
     pub(super) rest: SmallVec<[Candidate; 8]>,
@@ -67,6 +68,7 @@
     fn from(frame: PacketFrame) -> Self {
         Self {
             purpose: frame.purpose,
+            zones_revision: frame.zones_revision,
             balancer: frame.balancer,
             asker: frame.asker,
             rest: frame.rest,
--- a/crates/flows/src/agent/inward.rs
+++ b/crates/flows/src/agent/inward.rs
@@ -1,7 +1,6 @@
 //! Packets of clients: to the target, on to another agent, or nowhere.
 
 use lovagelatch_domain::{AgentAddress, Moment};
-use smallvec::SmallVec;
 
 use super::entry::{EntryState, FlowEntry, FrameOrigin, Trial};
 use super::{AgentStep, ErrandStep, FlowAgent, SilenceReason, TRIALS};
@@ -70,14 +69,7 @@
     ) -> ErrandStep {
         let own = self.settings.own;
         let others = self.errands.begin(errand, packet.flow, own, now);
-        let frame = PacketFrame {
-            service: errand.service,
-            balancer: errand.balancer,
-            slots: 0,
-            purpose: FramePurpose::Search,
-            asker: None,
-            rest: SmallVec::new(),
-        };
+        let frame = PacketFrame::new(FramePurpose::Search, errand.service, errand.balancer);
         let (own, note) = self.take_frame(frame, packet, now);
         ErrandStep { own, note, others }
     }
@@ -113,7 +105,12 @@
         let failing = self.health.is_failing(self.in_progress, now);
         let unable =
             self.leaving || failing || !self.is_responsive(now) || self.is_busy(frame.slots);
-        if known.is_none() && unable && !frame.rest.is_empty() {
+        let admitted = known.is_some() || self.zone.admits(frame.zones_revision);
+        if !admitted && frame.zones_revision == 0 {
+            // Its flow may be open, and a reset would end it.
+            return (AgentStep::Silence(SilenceReason::Evacuated), None);
+        }
+        if !admitted || (known.is_none() && unable && !frame.rest.is_empty()) {
             return self.pass_on(packet, frame.into(), now);
         }
         if known.is_none() {
@@ -163,6 +160,7 @@
                 service: next.service,
                 balancer,
                 slots: next.slots,
+                zones_revision: origin.zones_revision,
                 purpose,
                 asker: origin.asker,
                 rest,
--- a/crates/flows/src/balancer.rs
+++ b/crates/flows/src/balancer.rs
@@ -30,7 +30,9 @@
 use self::schedule::SearchSchedule;
 pub use self::search::DueSearch;
 pub use self::search_frames::SearchFrames;
-use crate::frame::{ErrandWord, FlowEvent, FlowNote, FramePurpose, LoadReport, PacketFrame};
+use crate::frame::{
+    ErrandWord, FlowEvent, FlowNote, FramePurpose, LoadReport, PacketFrame, ZoneNotice,
+};
 use crate::load::LoadBoard;
 use crate::memory::FlowMemory;
 use crate::packet::{FlowKey, FlowPacket};
@@ -71,6 +73,8 @@
     NoRoute,
     /// The route's services have no target that may take a flow.
     NoTarget,
+    /// The targets that could take it are in evacuated zones.
+    Evacuated,
 }
 
 /// Why an open flow got a reset.
@@ -311,6 +315,23 @@
         self.loads.lock().take(report, now);
     }
 
+    /// What to tell an agent whose report shows that it knows less of its zone than this balancer; `None`
+    /// where it knows as much, or its zone is not known here.
+    #[must_use]
+    pub fn zone_notice(
+        &self,
+        report: &LoadReport,
+        view: &FlowView,
+        now: Moment,
+    ) -> Option<ZoneNotice> {
+        if report.zones_revision >= view.zones.revision {
+            return None;
+        }
+        let mut targets = view.service(report.service)?.targets().iter();
+        let target = targets.find(|target| target.agent == report.agent)?;
+        Some(view.zones.notice_of(target.zone, now))
+    }
+
     /// When [`due_offers`](Self::due_offers) or [`due_searches`](Self::due_searches) has something
     /// to do next.
     #[must_use]
@@ -383,12 +404,8 @@
         BalancerStep::Send {
             to: entry.agent,
             frame: PacketFrame {
-                service: entry.service,
-                balancer: self.own,
-                slots: 0,
-                purpose: FramePurpose::Known,
-                asker: None,
                 rest: others.copied().collect(),
+                ..PacketFrame::new(FramePurpose::Known, entry.service, self.own)
             },
             placed: None,
         }
--- a/crates/flows/src/balancer/offer.rs
+++ b/crates/flows/src/balancer/offer.rs
@@ -9,7 +9,7 @@
 use crate::frame::{Candidate, FramePurpose, PacketFrame};
 use crate::load::LoadBoard;
 use crate::packet::{FlowKey, FlowPacket};
-use crate::ring::{CANDIDATES, FlowStanding, FlowTarget, PLACES};
+use crate::ring::{CANDIDATES, FlowStanding, FlowTarget, PLACES, ServiceTargets};
 use crate::view::{FlowRoute, FlowView};
 
 impl FlowBalancer {
@@ -40,7 +40,7 @@
         };
         let step = self.offer(&flow, route, &tried, view, now);
         let Some(step) = step.or_else(|| self.offer(&flow, route, &[], view, now)) else {
-            return BalancerStep::Reset(RefusalReason::NoTarget);
+            return BalancerStep::Reset(refusal_reason(route, view));
         };
         self.wait_for_answer(flow, SmallVec::from_slice(bytes), now);
         step
@@ -90,14 +90,8 @@
     fn repeat_offer(&self, entry: &FlowEntry) -> BalancerStep {
         BalancerStep::Send {
             to: entry.agent,
-            frame: PacketFrame {
-                service: entry.service,
-                balancer: self.own,
-                slots: 0,
-                purpose: FramePurpose::Offer,
-                asker: None,
-                rest: SmallVec::new(),
-            },
+            // It vouches for nothing: the target's zone may be evacuated by now.
+            frame: PacketFrame::new(FramePurpose::Offer, entry.service, self.own),
             placed: None,
         }
     }
@@ -134,12 +128,10 @@
         Some(BalancerStep::Send {
             to: chosen.agent,
             frame: PacketFrame {
-                service: chosen.service,
-                balancer: self.own,
                 slots: chosen.slots,
-                purpose: FramePurpose::Offer,
-                asker: None,
+                zones_revision: view.zones.revision,
                 rest,
+                ..PacketFrame::new(FramePurpose::Offer, chosen.service, self.own)
             },
             placed: Some(PlacedFlow {
                 agent: chosen.agent,
@@ -206,7 +198,7 @@
         };
         let loads = self.loads.lock();
         let mut ordered: SmallVec<[(u8, f32, &FlowTarget); CANDIDATES]> = SmallVec::new();
-        for target in targets.candidates(point).into_iter() {
+        for target in targets.following(point) {
             let is_known = ordered
                 .iter()
                 .any(|(_, _, known)| known.agent == target.agent);
@@ -216,8 +208,9 @@
             if ordered.len() == PLACES {
                 break;
             }
-            if let Some(tier) = tier_of(target, &loads, now) {
-                let score = loads.score(target, random_part(point, target), now);
+            if let Some(tier) = tier_of(target, view, &loads, now) {
+                let near = view.zones.is_near(target.zone);
+                let score = loads.score(target, near, random_part(point, target), now);
                 ordered.push((tier, score, target));
             }
         }
@@ -248,8 +241,27 @@
     }
 }
 
+/// Why a flow of a route finds no target.
+fn refusal_reason(route: &FlowRoute, view: &FlowView) -> RefusalReason {
+    let shares = route.shares.iter();
+    let rings = shares.filter_map(|(service, _)| view.service(*service));
+    let mut targets = rings.flat_map(ServiceTargets::targets);
+    let is_evacuated = |target: &FlowTarget| {
+        target.standing == FlowStanding::Serving && view.zones.is_evacuated(target.zone)
+    };
+    if targets.any(is_evacuated) {
+        RefusalReason::Evacuated
+    } else {
+        RefusalReason::NoTarget
+    }
+}
+
 /// How good a target's standing is for a new flow, 0 best; `None` when it must not get one.
-fn tier_of(target: &FlowTarget, loads: &LoadBoard, now: Moment) -> Option<u8> {
+fn tier_of(target: &FlowTarget, view: &FlowView, loads: &LoadBoard, now: Moment) -> Option<u8> {
+    let zones = &view.zones;
+    if zones.is_evacuated(target.zone) || loads.knows_evacuated(target.agent, zones.revision) {
+        return None;
+    }
     match target.standing {
         FlowStanding::Serving if !loads.is_suspected(target.agent, now) => Some(0),
         FlowStanding::Serving | FlowStanding::Lapsed => Some(1),
--- a/crates/flows/src/balancer/search_frames.rs
+++ b/crates/flows/src/balancer/search_frames.rs
@@ -161,14 +161,7 @@
 }
 
 fn ask_frame(own: AgentAddress, next: &Candidate) -> PeerFrame {
-    PeerFrame::Packet(PacketFrame {
-        service: next.service,
-        balancer: own,
-        slots: next.slots,
-        purpose: FramePurpose::Search,
-        asker: None,
-        rest: SmallVec::new(),
-    })
+    PeerFrame::Packet(PacketFrame::new(FramePurpose::Search, next.service, own))
 }
 
 fn errand_frame(own: AgentAddress, delegate: &Candidate, others: &[Candidate]) -> PeerFrame {
--- a/crates/flows/src/errand.rs
+++ b/crates/flows/src/errand.rs
@@ -57,15 +57,8 @@
         for group in &errand.others {
             for &instance in &group.instances {
                 let agent = AgentAddress(SocketAddrV4::new(instance, own.0.port()));
-                let frame = PacketFrame {
-                    service: group.service,
-                    balancer: errand.balancer,
-                    slots: 0,
-                    purpose: FramePurpose::Search,
-                    asker: Some(own),
-                    rest: SmallVec::new(),
-                };
-                frames.push((agent, frame));
+                let frame = PacketFrame::new(FramePurpose::Search, group.service, errand.balancer);
+                frames.push((agent, frame.with_asker(own)));
             }
         }
         frames.truncate(ERRAND_AGENTS);
--- a/crates/flows/src/frame.rs
+++ b/crates/flows/src/frame.rs
@@ -2,6 +2,7 @@
 //! it, where one travels, the packet as it was received.
 
 use std::net::Ipv4Addr;
+use std::time::Duration;
 
 use lovagelatch_domain::{AgentAddress, ServiceId};
 use serde::{Deserialize, Serialize};
@@ -42,6 +43,10 @@
     pub balancer: AgentAddress,
     /// How many requests the receiver's target runs at once, as the sender knows it.
     pub slots: u16,
+    /// Of an offer, the store's revision up to which the balancer knew which zones are evacuated; by that
+    /// the receiver's is not, nor that of anybody in `rest`. 0 where it vouches for nothing: the packet is
+    /// a copy of one that the receiver's target answered.
+    pub zones_revision: u64,
     /// Why it comes here.
     pub purpose: FramePurpose,
     /// Who counts the answers of a search; the balancer itself where nobody is named.
@@ -51,6 +56,29 @@
     pub rest: SmallVec<[Candidate; 8]>,
 }
 
+impl PacketFrame {
+    /// A frame for an agent of `service` that names nobody else.
+    #[must_use]
+    pub fn new(purpose: FramePurpose, service: ServiceId, balancer: AgentAddress) -> Self {
+        Self {
+            service,
+            balancer,
+            slots: 0,
+            zones_revision: 0,
+            purpose,
+            asker: None,
+            rest: SmallVec::new(),
+        }
+    }
+
+    /// The same, whose answers another agent counts.
+    #[must_use]
+    pub fn with_asker(mut self, asker: AgentAddress) -> Self {
+        self.asker = Some(asker);
+        self
+    }
+}
+
 /// A balancer's request that an agent look for a flow among others; the client's packet follows.
 ///
 /// What goes wrong without it: after a power loss a balancer with a link of 11 Mbit/s and a
@@ -106,6 +134,10 @@
     pub failing: bool,
     /// Whether the agent has been told to stop.
     pub leaving: bool,
+    /// The store's revision up to which the agent knows whether its zone is evacuated; 0 before any word.
+    pub zones_revision: u64,
+    /// Whether its zone is, so that its target gets no new flows.
+    pub evacuated: bool,
 }
 
 impl LoadReport {
@@ -121,6 +153,8 @@
             responsive: true,
             failing: false,
             leaving: false,
+            zones_revision: 0,
+            evacuated: false,
         }
     }
 }
@@ -149,6 +183,17 @@
     pub load: LoadReport,
 }
 
+/// A balancer's word about the zone of the agent that it is sent to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneNotice {
+    /// The store's revision up to which it holds: a later one goes before it, whoever brings it.
+    pub revision: u64,
+    /// Whether the zone is evacuated.
+    pub evacuated: bool,
+    /// How long ago the store said so.
+    pub age: Duration,
+}
+
 /// A datagram between a balancer and an agent, or two agents.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerFrame {
@@ -164,6 +209,8 @@
         /// The balancer that asks.
         balancer: AgentAddress,
     },
+    /// Whether the agent's zone is evacuated, for an agent whose report shows that it has not heard.
+    Zone(ZoneNotice),
     /// Look for a flow, for a balancer; the packet follows.
     Errand(SearchErrand),
     /// What came of an errand, for its balancer.
--- a/crates/flows/src/lib.rs
+++ b/crates/flows/src/lib.rs
@@ -33,10 +33,13 @@
 };
 pub use frame::{
     Candidate, ErrandGroup, ErrandWord, FlowEvent, FlowNote, FrameError, FramePurpose, LoadReport,
-    PacketFrame, PeerFrame, SearchErrand, open_frame, write_frame,
+    PacketFrame, PeerFrame, SearchErrand, ZoneNotice, open_frame, write_frame,
 };
 pub use load::{LoadBoard, TargetLoad};
 pub use outlook::{CandidateOutlook, FlowOutlook, HeldFlow};
 pub use packet::{FlowKey, FlowPacket, PacketFlags};
 pub use ring::{CANDIDATES, FlowStanding, FlowTarget, NameKey, PLACES, ServiceTargets, TargetKey};
-pub use view::{FlowRoute, FlowView, FlowViewBuilder, ViewCoverage, ViewDoubt, ViewSettings};
+pub use view::{
+    FlowRoute, FlowView, FlowViewBuilder, ViewCoverage, ViewDoubt, ViewSettings, ZoneIndex,
+    ZoneOutlook,
+};
--- a/crates/flows/src/load.rs
+++ b/crates/flows/src/load.rs
@@ -234,6 +234,13 @@
         })
     }
 
+    /// Whether an agent says that its zone is evacuated, and knows that by a later word than `revision`.
+    #[must_use]
+    pub fn knows_evacuated(&self, agent: AgentAddress, revision: u64) -> bool {
+        let load = self.loads.get(&agent);
+        load.is_some_and(|load| load.report.evacuated && load.report.zones_revision > revision)
+    }
+
     /// When an agent was last heard; `None` when never, or when it said something that speaks
     /// against asking it for a favour.
     #[must_use]
@@ -254,7 +261,7 @@
     /// The cost of one more flow at a target: requests in progress per slot, and what else counts.
     /// `random` in 0 to 1 breaks ties.
     #[must_use]
-    pub fn score(&self, target: &FlowTarget, random: f32, now: Moment) -> f32 {
+    pub fn score(&self, target: &FlowTarget, near: bool, random: f32, now: Moment) -> f32 {
         let busy = self.loads.get(&target.agent).map_or(0.0, busy_requests);
         let slots = f32::from(target.slots.max(1));
         let slow = if now < target.warm_at {
@@ -262,7 +269,7 @@
         } else {
             1.0
         };
-        let far = if target.near { 0.0 } else { FAR_COST };
+        let far = if near { 0.0 } else { FAR_COST };
         (busy + 1.0) / slots * slow + far + random * SCORE_SPREAD
     }
 
--- a/crates/flows/src/outlook.rs
+++ b/crates/flows/src/outlook.rs
@@ -21,6 +21,8 @@
     pub listed: bool,
     /// Whether it is in the balancer's zone.
     pub near: bool,
+    /// Whether its zone is evacuated, so that it gets no new flows.
+    pub evacuated: bool,
     /// How many requests it runs at once.
     pub slots: u16,
     /// Requests in progress by its last report; `None` before any.
@@ -69,12 +71,17 @@
             coverage: view.coverage,
             holders: possible_holders(view, now).len(),
             candidates: candidates
-                .map(|target| self.candidate_outlook(target, now))
+                .map(|target| self.candidate_outlook(target, view, now))
                 .collect(),
         }
     }
 
-    fn candidate_outlook(&self, target: &FlowTarget, now: Moment) -> CandidateOutlook {
+    fn candidate_outlook(
+        &self,
+        target: &FlowTarget,
+        view: &FlowView,
+        now: Moment,
+    ) -> CandidateOutlook {
         let loads = self.loads();
         let load = loads.load(target.agent);
         let load = load.filter(|load| load.heard > Moment::ZERO);
@@ -82,7 +89,8 @@
             agent: target.agent,
             standing: standing_word(target.standing),
             listed: target.listed,
-            near: target.near,
+            near: view.zones.is_near(target.zone),
+            evacuated: view.zones.is_evacuated(target.zone),
             slots: target.slots,
             in_progress: load.map(|load| load.report.in_progress),
             load_age_ms: load.map(|load| millis(now.since(load.heard))),
--- a/crates/flows/src/ring.rs
+++ b/crates/flows/src/ring.rs
@@ -18,6 +18,8 @@
 use siphasher::sip::SipHasher13;
 use smallvec::SmallVec;
 
+use crate::view::ZoneIndex;
+
 /// How many targets a new flow may be placed at. Enough that the best of them by load is about as
 /// good as the best of all.
 pub const PLACES: usize = 10;
@@ -85,8 +87,8 @@
     pub service: ServiceId,
     /// Whether the store lists it.
     pub listed: bool,
-    /// Whether it is in this process's zone.
-    pub near: bool,
+    /// Its zone.
+    pub zone: ZoneIndex,
     /// How many requests it runs at once. Invariant: at least 1.
     pub slots: u16,
     /// Whether it may be given new flows.
@@ -145,8 +147,13 @@
     /// those that it may be placed at.
     #[must_use]
     pub fn candidates(&self, point: u64) -> SmallVec<[&FlowTarget; CANDIDATES]> {
+        self.following(point).take(CANDIDATES).collect()
+    }
+
+    /// All targets, nearest on the ring first.
+    pub(crate) fn following(&self, point: u64) -> impl Iterator<Item = &FlowTarget> {
         let first = self.targets.partition_point(|target| target.key.0 < point);
         let (before, after) = self.targets.split_at(first);
-        after.iter().chain(before).take(CANDIDATES).collect()
+        after.iter().chain(before)
     }
 }
--- a/crates/flows/src/view.rs
+++ b/crates/flows/src/view.rs
@@ -5,6 +5,7 @@
 
 mod builder;
 mod doubt;
+mod zones;
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddrV4;
@@ -19,6 +20,7 @@
 
 pub use self::builder::{FlowViewBuilder, ViewSettings};
 pub use self::doubt::{ViewCoverage, ViewDoubt};
+pub use self::zones::{ZoneIndex, ZoneOutlook};
 
 /// Routes by the address that callers send to.
 type RouteMap = HashMap<SocketAddrV4, Arc<FlowRoute>>;
@@ -80,6 +82,8 @@
     pub idle_timeout: Duration,
     /// Whether every living target is in it. Only then is a flow that nobody holds known to be lost.
     pub coverage: ViewCoverage,
+    /// Which zones get no new flows.
+    pub zones: ZoneOutlook,
     routes: Arc<RouteMap>,
     services: Arc<ServiceMap>,
     names: Arc<HashMap<ServiceId, ServiceName>>,
@@ -90,10 +94,11 @@
 }
 
 impl FlowView {
-    /// Whether a configuration is known at all: before, no address can be said to have no route.
+    /// Whether enough is known to decide: before a configuration is, no address can be said to have no
+    /// route, and before the evacuated zones are, no target may be given a flow.
     #[must_use]
     pub fn is_known(&self) -> bool {
-        self.version > ConfigRevision::default()
+        self.version > ConfigRevision::default() && self.zones.is_known()
     }
 
     /// Whether every living target is in it.
--- a/crates/flows/src/view/builder.rs
+++ b/crates/flows/src/view/builder.rs
@@ -16,6 +16,7 @@
 use smallvec::SmallVec;
 
 use super::doubt::{DoubtRecord, UNREADABLE_SPAN, ViewCoverage};
+use super::zones::ZoneNames;
 use super::{FlowRoute, FlowView, RouteMap, ServiceMap};
 use crate::ring::{FlowStanding, FlowTarget, NameKey, ServiceTargets, TargetKey};
 
@@ -73,6 +74,7 @@
     former: HashMap<SocketAddrV4, FormerServices>,
     /// The services that the configuration names and sends no route's flows to.
     unrouted: Arc<Vec<ServiceName>>,
+    zones: ZoneNames,
     doubts: DoubtRecord,
 }
 
@@ -80,9 +82,13 @@
     /// A builder that remembers nothing.
     #[must_use]
     pub fn new(settings: ViewSettings) -> Self {
+        let mut zones = ZoneNames::default();
+        let mut view = FlowView::default();
+        view.zones.own = zones.index_of(&settings.zone);
         Self {
             settings,
-            view: FlowView::default(),
+            view,
+            zones,
             vanished: HashMap::new(),
             former: HashMap::new(),
             unrouted: Arc::default(),
@@ -105,6 +111,11 @@
         self.doubts.set_informed(informed);
     }
 
+    /// Notes when the store was asked for the evacuated zones of the next catalog.
+    pub fn set_zones_since(&mut self, since: Moment) {
+        self.view.zones.since = since;
+    }
+
     /// Takes a catalog, with what changed since the last one that was taken.
     pub fn take_changes(&mut self, catalog: &Catalog, changes: &CatalogChanges, now: Moment) {
         let CatalogChanges::Rows { targets, routes } = changes else {
@@ -159,8 +170,14 @@
         self.take_head(catalog);
     }
 
-    /// Takes what the configuration says besides its routes.
+    /// Takes what the catalog says besides routes and targets.
     fn take_head(&mut self, catalog: &Catalog) {
+        if self.view.zones.revision != catalog.zones_revision {
+            let zones = catalog.evacuated.iter();
+            let zones = zones.map(|zone| self.zones.index_of(&zone.0)).collect();
+            self.view.zones.evacuated = zones;
+            self.view.zones.revision = catalog.zones_revision;
+        }
         let changed = self.view.version != catalog.version || self.unrouted != catalog.unrouted;
         self.view.version = catalog.version;
         self.view.idle_timeout = catalog.idle_timeout;
@@ -297,13 +314,14 @@
         (target.name, target.key, target.service)
     }
 
-    fn target_of(&self, row: &PublishedTarget, now: Moment) -> FlowTarget {
+    fn target_of(&mut self, row: &PublishedTarget, now: Moment) -> FlowTarget {
         let (key, service) = (key_of(row), row.service.id());
         let standing = if row.leaving {
             FlowStanding::Leaving
         } else {
             FlowStanding::Serving
         };
+        let zone = self.zones.index_of(&row.zone);
         let held = self.target(service, key);
         let since = match held {
             Some(held) if held.standing == standing => held.since,
@@ -319,7 +337,7 @@
             agent: AgentAddress(agent),
             service,
             listed: true,
-            near: row.zone == self.settings.zone,
+            zone,
             slots: row.slots.max(1),
             standing,
             since,
--- /dev/null
+++ b/crates/flows/src/view/zones.rs
@@ -0,0 +1,81 @@
+//! Which zones a view names, and which of them get no new flows.
+//!
+//! What goes wrong without it: an operator evacuates a zone to work on it, and the targets there go on
+//! getting flows until the moment at which they are switched off. One notices by sessions that are cut
+//! although the zone was evacuated in time.
+
+use std::collections::HashMap;
+
+use lovagelatch_domain::{Moment, ZoneName};
+use smallvec::SmallVec;
+
+use crate::frame::ZoneNotice;
+
+/// A zone's number in one process. Names are compared for each new flow and target: two bytes in place of
+/// sixteen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ZoneIndex(pub u16);
+
+/// The zones' numbers. A number once given stays.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ZoneNames {
+    numbers: HashMap<ZoneName, ZoneIndex>,
+}
+
+impl ZoneNames {
+    /// The number of a zone. Those beyond 65,535 share the last one, so evacuating one of them evacuates
+    /// all: the safe side.
+    pub(super) fn index_of(&mut self, zone: &ZoneName) -> ZoneIndex {
+        if let Some(known) = self.numbers.get(zone) {
+            return *known;
+        }
+        let next = ZoneIndex(u16::try_from(self.numbers.len()).unwrap_or(u16::MAX));
+        if next.0 < u16::MAX {
+            self.numbers.insert(zone.clone(), next);
+        }
+        next
+    }
+}
+
+/// What is known of the zones.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ZoneOutlook {
+    /// The store's revision up to which it is known; 0 while nothing is.
+    pub revision: u64,
+    /// When the store was asked, by this process or by whoever told it.
+    pub since: Moment,
+    /// This process's zone.
+    pub own: ZoneIndex,
+    /// The zones whose targets get no new flows.
+    pub evacuated: SmallVec<[ZoneIndex; 4]>,
+}
+
+impl ZoneOutlook {
+    /// Whether it is known at all: before, every zone may be evacuated.
+    #[must_use]
+    pub fn is_known(&self) -> bool {
+        self.revision > 0
+    }
+
+    /// Whether a zone's targets get no new flows.
+    #[must_use]
+    pub fn is_evacuated(&self, zone: ZoneIndex) -> bool {
+        self.evacuated.contains(&zone)
+    }
+
+    /// Whether a zone is this process's own.
+    #[must_use]
+    pub fn is_near(&self, zone: ZoneIndex) -> bool {
+        zone == self.own
+    }
+
+    /// What an agent in a zone is told of it.
+    #[must_use]
+    pub fn notice_of(&self, zone: ZoneIndex, now: Moment) -> ZoneNotice {
+        ZoneNotice {
+            revision: self.revision,
+            evacuated: self.is_evacuated(zone),
+            age: now.since(self.since),
+        }
+    }
+}
--- a/crates/flows/tests/all/agent.rs
+++ b/crates/flows/tests/all/agent.rs
@@ -23,15 +23,15 @@
     }
 }
 
-fn old_agent() -> FlowAgent {
+pub(crate) fn old_agent() -> FlowAgent {
     FlowAgent::new(settings(true), at(0))
 }
 
-fn restarted_agent() -> FlowAgent {
+pub(crate) fn restarted_agent() -> FlowAgent {
     FlowAgent::new(settings(false), at(0))
 }
 
-fn frame(purpose: FramePurpose, rest: &[u8]) -> PacketFrame {
+pub(crate) fn frame(purpose: FramePurpose, rest: &[u8]) -> PacketFrame {
     let rest = rest.iter().map(|&number| Candidate {
         agent: agent(number),
         service: claims(),
@@ -41,13 +41,14 @@
         service: claims(),
         balancer: balancer(),
         slots: 3,
+        zones_revision: 0,
         purpose,
         asker: None,
         rest: rest.collect(),
     }
 }
 
-fn answer(flow: FlowKey) -> FlowPacket {
+pub(crate) fn answer(flow: FlowKey) -> FlowPacket {
     FlowPacket {
         flags: PacketFlags {
             syn: true,
@@ -60,7 +61,7 @@
     }
 }
 
-fn returned(packet: &FlowPacket, tag: u32) -> FlowPacket {
+pub(crate) fn returned(packet: &FlowPacket, tag: u32) -> FlowPacket {
     let flags = PacketFlags {
         returned: true,
         ..packet.flags
@@ -79,14 +80,14 @@
     }
 }
 
-fn delivered(step: AgentStep) -> u32 {
+pub(crate) fn delivered(step: AgentStep) -> u32 {
     match step {
         AgentStep::Deliver { tag } => tag,
         other => panic!("not delivered: {other:?}"),
     }
 }
 
-fn passed(step: AgentStep) -> (u8, SmallVec<[Candidate; 8]>) {
+pub(crate) fn passed(step: AgentStep) -> (u8, SmallVec<[Candidate; 8]>) {
     match step {
         AgentStep::Pass { to, frame } => (to.0.ip().octets()[3], frame.rest),
         other => panic!("not passed on: {other:?}"),
--- a/crates/flows/tests/all/frame.rs
+++ b/crates/flows/tests/all/frame.rs
@@ -21,6 +21,7 @@
             service: claims(),
             balancer: balancer(),
             slots: 3,
+            zones_revision: 0,
             purpose: FramePurpose::Offer,
             asker: None,
             rest: smallvec![rest; 4],
--- a/crates/flows/tests/all/load.rs
+++ b/crates/flows/tests/all/load.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use lovagelatch_flows::{FlowTarget, LoadBoard, LoadReport};
+use lovagelatch_flows::{FlowTarget, LoadBoard, LoadReport, ZoneIndex};
 
 use crate::support::{agent, at, claims, claims_view, idle_load};
 
@@ -17,6 +17,11 @@
     targets
 }
 
+/// The score without its random part; zone 0 is the balancer's own.
+fn score(board: &LoadBoard, target: &FlowTarget, millis: u64) -> f32 {
+    board.score(target, target.zone == ZoneIndex(0), 0.0, at(millis))
+}
+
 struct ScoreCase {
     name: &'static str,
     /// What is different about the second target, which must cost more.
@@ -40,7 +45,7 @@
         },
         ScoreCase {
             name: "another zone",
-            change: |target, _| target.near = false,
+            change: |target, _| target.zone = ZoneIndex(1),
         },
         ScoreCase {
             name: "fewer slots",
@@ -61,9 +66,7 @@
         let mut board = LoadBoard::default();
         board.take(&idle_load(agent(1)), at(0));
         board.take(&load, at(0));
-        let scores = targets
-            .iter()
-            .map(|target| board.score(target, 0.0, at(10)));
+        let scores = targets.iter().map(|target| score(&board, target, 10));
         let scores: Vec<_> = scores.collect();
         assert!(scores[0] < scores[1], "{}: {scores:?}", case.name);
     }
@@ -81,11 +84,9 @@
     for _ in 0..4 {
         board.note_offer(&targets[0]);
     }
-    assert!(board.score(&targets[0], 0.0, at(10)) > board.score(&targets[1], 0.0, at(10)));
+    assert!(score(&board, &targets[0], 10) > score(&board, &targets[1], 10));
     board.take(&idle_load(agent(1)), at(20));
-    let scores = targets
-        .iter()
-        .map(|target| board.score(target, 0.0, at(20)));
+    let scores = targets.iter().map(|target| score(&board, target, 20));
     let scores: Vec<_> = scores.collect();
     assert!((scores[0] - scores[1]).abs() < f32::EPSILON, "{scores:?}");
 }
--- a/crates/flows/tests/all/main.rs
+++ b/crates/flows/tests/all/main.rs
@@ -15,3 +15,4 @@
 mod support;
 mod view;
 mod view_changes;
+mod zones;
--- a/crates/flows/tests/all/support.rs
+++ b/crates/flows/tests/all/support.rs
@@ -97,6 +97,8 @@
         }]
         .into(),
         targets: rows.into(),
+        zones_revision: 1,
+        evacuated: Vec::new().into(),
     }
 }
 
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -43,11 +43,13 @@
     SuspicionChanged,
     /// A view of the targets became complete, or ceased to be.
     ViewCoverage,
+    /// A zone was evacuated, or takes new flows again.
+    ZoneChanged,
 }
 
 impl DecisionKind {
     /// Every kind.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::FlowPlaced,
         Self::FlowHandedOn,
         Self::FlowAccepted,
@@ -63,6 +65,7 @@
         Self::LeavingSeen,
         Self::SuspicionChanged,
         Self::ViewCoverage,
+        Self::ZoneChanged,
     ];
 
     /// The word that stands in the log.
@@ -84,6 +87,7 @@
             Self::LeavingSeen => "leaving_seen",
             Self::SuspicionChanged => "suspicion_changed",
             Self::ViewCoverage => "view_coverage",
+            Self::ZoneChanged => "zone_changed",
         }
     }
 }
--- a/tests/matrix/src/opaque/world.rs
+++ b/tests/matrix/src/opaque/world.rs
@@ -261,6 +261,8 @@
             targets: targets.into(),
             // A route may have been moved from either.
             unrouted: vec![claims(), vault()].into(),
+            zones_revision: 1,
+            evacuated: Vec::new().into(),
         }
     }
 
