--- a/bins/agent/src/opaque/count.rs
+++ b/bins/agent/src/opaque/count.rs
@@ -21,6 +21,10 @@
     SearchedFor,
     /// Nobody holds its flow.
     Unheld,
+    /// Neither given to the target nor refused: its zone is evacuated, and its flow may be open.
+    HeldEvacuated,
+    /// Neither given to the target nor refused: what a cold target has been given is not known.
+    HeldCold,
     /// A datagram was no packet.
     Malformed,
     /// A datagram between processes was no frame, or none for an agent.
@@ -39,6 +43,8 @@
         Self::Reset,
         Self::SearchedFor,
         Self::Unheld,
+        Self::HeldEvacuated,
+        Self::HeldCold,
         Self::Malformed,
         Self::BadFrame,
         Self::NotSent,
@@ -58,6 +64,8 @@
             Self::Reset => "reset",
             Self::SearchedFor => "searched_for",
             Self::Unheld => "unheld",
+            Self::HeldEvacuated => "held_evacuated",
+            Self::HeldCold => "held_cold",
             Self::Malformed => "malformed",
             Self::BadFrame => "bad_frame",
             Self::NotSent => "not_sent",
--- a/bins/agent/src/opaque/notice.rs
+++ b/bins/agent/src/opaque/notice.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use lovagelatch_domain::AgentAddress;
-use lovagelatch_flows::{ErrandWord, FlowNote, FlowPacket, PacketFrame, ZoneNotice};
+use lovagelatch_flows::{ErrandWord, FlowNote, FlowPacket, LoadReport, PacketFrame, ZoneNotice};
 use lovagelatch_telemetry::{DecisionKind, LineBudget, Logger, info, warn};
 
 /// Lines about flows a second, of each kind. An agent of today's users sees about 20 new flows a
@@ -88,7 +88,13 @@
             "age_ms" => notice.age.as_secs_f64() * 1_000.0);
     }
 
-    pub(crate) fn refused(&mut self, packet: &FlowPacket, outcome: &'static str) {
+    /// Writes that a packet went nowhere, with what the agent takes its target to be able to do.
+    pub(crate) fn refused(
+        &mut self,
+        packet: &FlowPacket,
+        outcome: &'static str,
+        load: &LoadReport,
+    ) {
         let Some(left_out) = self.refused.spend(Instant::now()) else {
             return;
         };
@@ -98,6 +104,11 @@
             "address" => packet.flow.service_address.to_string(),
             "outcome" => outcome,
             "opens" => packet.opens(),
+            "in_progress" => load.in_progress,
+            "responsive" => load.responsive,
+            "evacuated" => load.evacuated,
+            "zones_revision" => load.zones_revision,
+            "cold_room" => load.room,
             "left_out" => left_out);
     }
 }
--- a/bins/agent/src/opaque/packets.rs
+++ b/bins/agent/src/opaque/packets.rs
@@ -11,7 +11,7 @@
 use lovagelatch_fleet::ProcessClock;
 use lovagelatch_flows::{
     AgentStep, ErrandWord, FlowAgent, FlowNote, FlowPacket, PacketFrame, PeerFrame, SearchErrand,
-    ZoneNotice, open_frame, write_frame,
+    SilenceReason, ZoneNotice, open_frame, write_frame,
 };
 use lovagelatch_network::{BUFFER_BYTES, ReceiveBatch, SendBatch, wait_readable};
 use lovagelatch_telemetry::EventOutcome;
@@ -163,7 +163,7 @@
         let (frame, packet) = match open_frame(datagram) {
             Ok((PeerFrame::Probe { balancer }, _)) => return self.answer_probe(balancer, now),
             Ok((PeerFrame::Note(word), _)) => return self.take_word(&word),
-            Ok((PeerFrame::Zone(notice), _)) => return self.take_zone(&notice),
+            Ok((PeerFrame::Zone(notice), _)) => return self.take_zone(&notice, now),
             Ok((frame, packet)) => (frame, packet),
             Err(_) => return self.counts.add(PacketOutcome::BadFrame),
         };
@@ -189,8 +189,8 @@
         self.tell(balancer, &PeerFrame::Load(report));
     }
 
-    fn take_zone(&mut self, notice: &ZoneNotice) {
-        if let Some(age) = self.state.agent.lock().take_zone(notice) {
+    fn take_zone(&mut self, notice: &ZoneNotice, now: Moment) {
+        if let Some(age) = self.state.agent.lock().take_zone(notice, now) {
             self.log.zone(notice);
             self.metrics.zone_delay.record(age.as_secs_f64(), &[]);
         }
@@ -255,19 +255,22 @@
                 self.push_outward(to, |out| copy_to(bytes, out));
             }
             AgentStep::Reset => {
-                self.counts.add(PacketOutcome::Reset);
-                self.log.refused(packet, PacketOutcome::Reset.as_str());
+                self.count_refused(packet, PacketOutcome::Reset);
                 let to = self.client_address(packet);
                 let reset = encode_reset(&packet.flow, packet.acknowledged);
                 self.push_outward(to, |out| copy_to(&reset, out));
             }
-            AgentStep::Silence(_) => {
-                self.counts.add(PacketOutcome::Unheld);
-                self.log.refused(packet, PacketOutcome::Unheld.as_str());
-            }
+            AgentStep::Silence(reason) => self.count_refused(packet, outcome_of(reason)),
         }
     }
 
+    fn count_refused(&mut self, packet: &FlowPacket, outcome: PacketOutcome) {
+        self.counts.add(outcome);
+        let now = self.state.clock.now();
+        let load = self.state.agent.lock().status(now).load;
+        self.log.refused(packet, outcome.as_str(), &load);
+    }
+
     fn pass(&mut self, to: AgentAddress, frame: PacketFrame, bytes: &[u8]) {
         let frame = PeerFrame::Packet(frame);
         self.push_outward(to.0, |out| write_frame(&frame, bytes, out));
@@ -330,9 +333,12 @@
         let mut refused = 0;
         if !self.inward.is_empty() {
             refused += self.inward.send(&self.sockets.target);
-            if self.inward.take_answered() {
-                let now = self.state.clock.now();
-                self.state.agent.lock().take_refusal(now);
+            let answered = self.inward.take_answered();
+            let now = self.state.clock.now();
+            let mut agent = self.state.agent.lock();
+            agent.note_sent(now);
+            if answered {
+                agent.take_refusal(now);
             }
         }
         if !self.outward.is_empty() {
@@ -348,6 +354,16 @@
     }
 }
 
+fn outcome_of(reason: SilenceReason) -> PacketOutcome {
+    match reason {
+        SilenceReason::Unheld | SilenceReason::Forgotten | SilenceReason::Ended => {
+            PacketOutcome::Unheld
+        }
+        SilenceReason::Evacuated => PacketOutcome::HeldEvacuated,
+        SilenceReason::Unwarmed => PacketOutcome::HeldCold,
+    }
+}
+
 fn copy_to(bytes: &[u8], out: &mut Vec<u8>) {
     out.clear();
     out.extend_from_slice(bytes);
--- a/bins/agent/src/opaque/process.rs
+++ b/bins/agent/src/opaque/process.rs
@@ -8,7 +8,7 @@
 use lovagelatch_adapter::READY_PATH;
 use lovagelatch_domain::{AgentAddress, ServiceName};
 use lovagelatch_fleet::ProcessClock;
-use lovagelatch_flows::{AgentSettings, FlowAgent, FlowKey};
+use lovagelatch_flows::{AgentSettings, FlowAgent, FlowKey, WarmupSettings};
 use lovagelatch_operations::{
     CarrierAnswers, CarrierError, ReadyFlag, SettingsWatch, open_datagrams, serve_carrier,
     start_packet_thread,
@@ -49,6 +49,10 @@
         service: settings.service.id(),
         sees_all: settings.first_start,
         flow_lifetime: common.flow_lifetime,
+        warmup: WarmupSettings {
+            overshoot: settings.cold_overshoot,
+            slack: settings.cold_slack,
+        },
     };
     let state = Arc::new(PacketState {
         agent: Mutex::new(FlowAgent::new(agent, clock.now())),
@@ -198,5 +202,6 @@
         "knows_all": status.knows_all,
         "zones_revision": status.load.zones_revision,
         "evacuated": status.load.evacuated,
+        "cold_room": status.load.room,
     })
 }
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -30,5 +30,5 @@
 pub use reading::{RETRY_LIMIT, WATCH_WAIT};
 pub use record::{
     EvacuatedZone, PublishedConfig, PublishedRoute, PublishedTarget, RouteShare, TargetName,
-    TargetRow, TargetStart,
+    TargetRow, TargetStart, WarmupRule,
 };
--- a/crates/catalog/src/record.rs
+++ b/crates/catalog/src/record.rs
@@ -1,6 +1,7 @@
 //! The records that the store holds, in the project's own words.
 
 use std::net::SocketAddrV4;
+use std::num::NonZeroU32;
 use std::time::Duration;
 
 use lovagelatch_domain::{ConfigRevision, ServiceName, ZoneName};
@@ -38,8 +39,8 @@
     pub slots: u16,
     /// Whether it has announced that it will stop: no new flows.
     pub leaving: bool,
-    /// How long it stays slow after its start, counted from when the record was written.
-    pub warming: Duration,
+    /// How long it stays slow after its start, in milliseconds from when the record was written.
+    pub warming_ms: u32,
     /// Which of its starts this is: another one holds none of the flows of the one before.
     pub start: TargetStart,
 }
@@ -97,6 +98,15 @@
     }
 }
 
+/// What a service's targets bear in the time after their start, where the operator names a bound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct WarmupRule {
+    /// How long a target is cold from its start on, in milliseconds.
+    pub span_ms: u32,
+    /// How many new flows it bears a second meanwhile, in thousandths. Never 0: no bound is no rule.
+    pub rate_milli: NonZeroU32,
+}
+
 /// A service that a route sends flows to.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteShare {
@@ -104,6 +114,8 @@
     pub service: ServiceName,
     /// Its part of the new flows, relative to the route's other shares.
     pub weight: u32,
+    /// What its targets bear while they are cold; the same in every share of the service.
+    pub warmup: Option<WarmupRule>,
 }
 
 /// One address that callers send to, and the services behind it.
--- a/crates/catalog/tests/all/support.rs
+++ b/crates/catalog/tests/all/support.rs
@@ -24,7 +24,7 @@
         zone: "hall-a".parse().expect("a zone"),
         slots: 3,
         leaving: false,
-        warming: Duration::ZERO,
+        warming_ms: 0,
         start: TargetStart::default(),
     }
 }
@@ -37,6 +37,7 @@
         shares: smallvec![RouteShare {
             service: "claims".parse().expect("a service"),
             weight: 1,
+            warmup: None,
         }],
     };
     PublishedConfig {
--- a/crates/flows/benches/decision.rs
+++ b/crates/flows/benches/decision.rs
@@ -45,7 +45,7 @@
         zone: "hall-a".parse().expect("a zone"),
         slots: 3,
         leaving: false,
-        warming: Duration::ZERO,
+        warming_ms: 0,
         start: TargetStart::default(),
     });
     let catalog = Catalog {
@@ -58,6 +58,7 @@
             shares: smallvec![RouteShare {
                 service: service(),
                 weight: 1,
+                warmup: None,
             }],
         }]
         .into(),
--- a/crates/flows/benches/memory.rs
+++ b/crates/flows/benches/memory.rs
@@ -12,7 +12,7 @@
 use lovagelatch_domain::{AgentAddress, ConfigRevision, Moment, ServiceId, ServiceName, ZoneName};
 use lovagelatch_flows::{
     AgentSettings, FlowAgent, FlowBalancer, FlowEvent, FlowKey, FlowNote, FlowPacket,
-    FlowViewBuilder, LoadReport, PacketFlags, ViewSettings,
+    FlowViewBuilder, LoadReport, PacketFlags, ViewSettings, WarmupSettings,
 };
 use smallvec::smallvec;
 
@@ -69,7 +69,7 @@
             zone: zone[place % zone.len()].clone(),
             slots: 8,
             leaving: false,
-            warming: Duration::ZERO,
+            warming_ms: 0,
             start: TargetStart::default(),
         })
     });
@@ -80,6 +80,7 @@
         shares: smallvec![RouteShare {
             service: services[number as usize % services.len()].clone(),
             weight: 1,
+            warmup: None,
         }],
     });
     let config = StoreEvent::Config(PublishedConfig {
@@ -203,6 +204,10 @@
         service: ServiceId(1),
         sees_all: false,
         flow_lifetime: Duration::from_secs(60),
+        warmup: WarmupSettings {
+            overshoot: 1.0,
+            slack: 0.0,
+        },
     };
     let mut decisions = FlowAgent::new(settings, Moment::ZERO);
     for count in [0, 2_000, 10_000] {
--- a/crates/flows/src/agent.rs
+++ b/crates/flows/src/agent.rs
@@ -8,6 +8,7 @@
 mod health;
 mod inward;
 mod outward;
+mod warmup;
 mod zone;
 
 use std::collections::HashMap;
@@ -17,6 +18,7 @@
 
 use self::entry::{Absence, EntryState, FlowEntry, Trial};
 use self::health::TargetHealth;
+use self::warmup::WarmupGate;
 use self::zone::ZoneStanding;
 use crate::errand::ErrandBook;
 use crate::frame::{FlowEvent, FlowNote, LoadReport, PacketFrame, ZoneNotice};
@@ -65,8 +67,17 @@
 /// twice its slots a new request waits for about one other.
 const BUSY_FACTOR: u16 = 2;
 
+/// By how much the new flows of a cold target may go over what the operator says that it bears.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WarmupSettings {
+    /// This many times the flows of a second,
+    pub overshoot: f32,
+    /// and so many more.
+    pub slack: f32,
+}
+
 /// What an agent is told at its start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AgentSettings {
     /// Where it listens for frames.
     pub own: AgentAddress,
@@ -76,6 +87,8 @@
     pub sees_all: bool,
     /// The longest that a flow lives: after that much time it has seen every flow's beginning.
     pub flow_lifetime: Duration,
+    /// How a cold target's new flows are bounded.
+    pub warmup: WarmupSettings,
 }
 
 /// Why a packet went nowhere.
@@ -89,6 +102,9 @@
     Ended,
     /// A copy of a first packet that the target is not known to have answered, and its zone is evacuated.
     Evacuated,
+    /// The target may be cold, and what it was given before this agent started is not known: its client's
+    /// next copy comes when it is.
+    Unwarmed,
 }
 
 /// What to do with a packet.
@@ -161,6 +177,7 @@
     refused_until: Moment,
     health: TargetHealth,
     zone: ZoneStanding,
+    warmup: WarmupGate,
     leaving: bool,
     listeners: HashMap<AgentAddress, Listener>,
     /// How long the target took for the request that it answered last.
@@ -194,6 +211,7 @@
             refused_until: Moment::ZERO,
             health: TargetHealth::new(),
             zone: ZoneStanding::default(),
+            warmup: WarmupGate::new(settings.warmup, now),
             leaving: false,
             listeners: HashMap::new(),
             answered_after: None,
@@ -225,8 +243,17 @@
 
     /// Takes a balancer's word about the target's zone; how old it is when it changes whether the zone is
     /// evacuated.
-    pub fn take_zone(&mut self, notice: &ZoneNotice) -> Option<Duration> {
-        self.zone.take(notice)
+    pub fn take_zone(&mut self, notice: &ZoneNotice, now: Moment) -> Option<Duration> {
+        let age = self.zone.take(notice);
+        if age.is_some() && !notice.evacuated {
+            self.warmup.doubt(now);
+        }
+        age
+    }
+
+    /// Notes that what was to be delivered has been sent.
+    pub fn note_sent(&mut self, now: Moment) {
+        self.warmup.note_sent(now);
     }
 
     /// The load, for a balancer that asked whether this agent is there.
@@ -343,6 +370,7 @@
             leaving: self.leaving,
             zones_revision: self.zone.revision,
             evacuated: self.zone.evacuated,
+            room: self.warmup.room(now),
         }
     }
 
--- a/crates/flows/src/agent/inward.rs
+++ b/crates/flows/src/agent/inward.rs
@@ -3,6 +3,7 @@
 use lovagelatch_domain::{AgentAddress, Moment};
 
 use super::entry::{EntryState, FlowEntry, FrameOrigin, Trial};
+use super::warmup::WarmupVerdict;
 use super::{AgentStep, ErrandStep, FlowAgent, SilenceReason, TRIALS};
 use crate::frame::{ErrandWord, FlowEvent, FlowNote, FramePurpose, PacketFrame, SearchErrand};
 use crate::packet::{FlowKey, FlowPacket};
@@ -105,23 +106,41 @@
         let failing = self.health.is_failing(self.in_progress, now);
         let unable =
             self.leaving || failing || !self.is_responsive(now) || self.is_busy(frame.slots);
-        let admitted = known.is_some() || self.zone.admits(frame.zones_revision);
-        if !admitted && frame.zones_revision == 0 {
-            // Its flow may be open, and a reset would end it.
-            return (AgentStep::Silence(SilenceReason::Evacuated), None);
-        }
-        if !admitted || (known.is_none() && unable && !frame.rest.is_empty()) {
-            return self.pass_on(packet, frame.into(), now);
-        }
         if known.is_none() {
+            let admitted = self.admits_zone(frame.zones_revision, now);
+            if !admitted && frame.zones_revision == 0 {
+                // Its flow may be open, and a reset would end it.
+                return (AgentStep::Silence(SilenceReason::Evacuated), None);
+            }
+            let warmup = self.warmup.judge(frame.warmup, now);
+            let last = frame.rest.is_empty();
+            if admitted && last && warmup == WarmupVerdict::Unknown {
+                return (AgentStep::Silence(SilenceReason::Unwarmed), None);
+            }
+            let full = matches!(warmup, WarmupVerdict::Full | WarmupVerdict::Unknown);
+            let better_elsewhere = unable || warmup == WarmupVerdict::Sparing;
+            if !admitted || full || (better_elsewhere && !last) {
+                return self.pass_on(packet, frame.into(), now);
+            }
             let entry = FlowEntry::new(EntryState::Offered, Some(frame.balancer), now);
             self.begin_flow(packet.flow, entry, now);
         }
         self.unanswered_since.get_or_insert(now);
+        self.warmup.note_admitted(now);
         let tag = self.try_target(frame);
         (AgentStep::Deliver { tag }, None)
     }
 
+    /// Whether the target's zone takes new flows, by an offer whose sender knew the zones up to `revision`.
+    fn admits_zone(&mut self, revision: u64, now: Moment) -> bool {
+        let before = self.zone.evacuated;
+        let admitted = self.zone.admits(revision);
+        if admitted && before {
+            self.warmup.doubt(now);
+        }
+        admitted
+    }
+
     pub(super) fn take_stranger(
         &mut self,
         frame: PacketFrame,
@@ -160,6 +179,7 @@
                 service: next.service,
                 balancer,
                 slots: next.slots,
+                warmup: next.warmup,
                 zones_revision: origin.zones_revision,
                 purpose,
                 asker: origin.asker,
--- a/crates/flows/src/agent/outward.rs
+++ b/crates/flows/src/agent/outward.rs
@@ -16,6 +16,9 @@
         packet: &FlowPacket,
         now: Moment,
     ) -> (AgentStep, Option<(AgentAddress, FlowNote)>) {
+        if !self.is_responsive(now) {
+            self.warmup.doubt(now);
+        }
         self.unanswered_since = None;
         self.refused_until = Moment::ZERO;
         if packet.flags.returned {
@@ -34,6 +37,7 @@
     /// Takes the operating system's word that nobody listens where the target should: it is gone.
     pub fn take_refusal(&mut self, now: Moment) {
         self.refused_until = now + REFUSED_SPAN;
+        self.warmup.doubt(now);
     }
 
     pub(super) fn take_trial(&mut self, tag: u32) -> Option<Trial> {
@@ -47,6 +51,7 @@
     ) -> (AgentStep, Option<(AgentAddress, FlowNote)>) {
         if let Some(trial) = self.take_trial(packet.tag) {
             if packet.opens() {
+                self.warmup.note_returned();
                 let known = self.flows.get(&packet.flow).map(|entry| entry.state);
                 if known.is_some_and(|state| state != EntryState::Offered) {
                     // A late copy: the flow opened long ago, and nobody else must be offered it.
@@ -64,6 +69,9 @@
         let Some(entry) = self.forget(&packet.flow) else {
             return (AgentStep::Silence(SilenceReason::Forgotten), None);
         };
+        if entry.state == EntryState::Open {
+            self.warmup.doubt(now);
+        }
         let balancer = entry.balancer;
         let note = balancer.map(|to| (to, self.note(packet.flow, FlowEvent::Absent, now)));
         if packet.flags.rst {
@@ -86,6 +94,7 @@
                 let lifetime = self.settings.flow_lifetime;
                 self.flows.insert(flow, entry, lifetime, now);
                 self.open += 1;
+                self.warmup.note_older_target();
             }
             return None;
         };
--- /dev/null
+++ b/crates/flows/src/agent/warmup.rs
@@ -0,0 +1,165 @@
+//! How many new flows a target is given while it is cold.
+//!
+//! Load pattern: targets are added, or come back with their zone, during a rush. They look idle, so they
+//! draw more new flows than any other, and are swamped while they are slow. Where the operator names how many
+//! flows a second a cold target bears, the agent beside it lets in no more in any second, since it alone sees
+//! everything that reaches the target.
+//!
+//! One notices by requests that take seconds at targets that have just started. What is not known is taken
+//! at its worst: an agent that has just started does not know what its predecessor let in a moment ago, nor
+//! whether the target started with it; a target whose zone comes back, or that failed to answer, may be cold
+//! before its entry in the store says so.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use lovagelatch_domain::Moment;
+
+use super::WarmupSettings;
+use crate::frame::WarmupLimit;
+
+/// For how long a first packet counts. A second, and what a busy machine may take between two packets more
+/// than between two others.
+const WINDOW: Duration = Duration::from_millis(1_100);
+
+/// First packets remembered at most; a target at its limit has long been full by then.
+const MAX_RECENT: usize = 4_096;
+
+/// Whether the target may be given one more flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum WarmupVerdict {
+    /// It may.
+    Open,
+    /// It has as many as it bears in a second: others are asked first.
+    Sparing,
+    /// It must not.
+    Full,
+    /// It must not, because of what may have been let in before this agent started.
+    Unknown,
+}
+
+/// See the module.
+#[derive(Clone, Debug)]
+pub(super) struct WarmupGate {
+    settings: WarmupSettings,
+    /// When this agent started, while the target may be younger than it.
+    started: Option<Moment>,
+    /// When each first packet of the last [`WINDOW`] was handed to the target. Invariant: in order.
+    recent: VecDeque<Moment>,
+    /// How many of the newest of these may not have been sent yet.
+    unsent: usize,
+    /// The last bound that a balancer named.
+    limit: Option<WarmupLimit>,
+    /// Until when the target is cold by the balancers' word.
+    cold_until: Moment,
+    /// When something last happened after which it may be cold.
+    doubted: Option<Moment>,
+}
+
+impl WarmupGate {
+    pub(super) fn new(settings: WarmupSettings, now: Moment) -> Self {
+        Self {
+            settings,
+            started: Some(now),
+            recent: VecDeque::new(),
+            unsent: 0,
+            limit: None,
+            cold_until: Moment::ZERO,
+            doubted: None,
+        }
+    }
+
+    /// Judges an offer whose balancer names this bound.
+    pub(super) fn judge(&mut self, limit: Option<WarmupLimit>, now: Moment) -> WarmupVerdict {
+        if let Some(limit) = limit {
+            self.limit = Some(limit);
+            self.cold_until = self.cold_until.max(now + limit.left());
+        }
+        self.forget(now);
+        let Some(limit) = self.cold_limit(now) else {
+            return WarmupVerdict::Open;
+        };
+        let fresh = self.started.is_some_and(|at| now.since(at) < WINDOW);
+        if fresh {
+            return WarmupVerdict::Unknown;
+        }
+        if self.recent.len() >= self.most(limit) {
+            WarmupVerdict::Full
+        } else if self.recent.len() >= limit.a_second() {
+            WarmupVerdict::Sparing
+        } else {
+            WarmupVerdict::Open
+        }
+    }
+
+    /// How many more flows the target bears in this second; `None` where no bound holds.
+    pub(super) fn room(&mut self, now: Moment) -> Option<u16> {
+        self.forget(now);
+        let limit = self.cold_limit(now)?;
+        let room = limit.a_second().saturating_sub(self.recent.len());
+        Some(u16::try_from(room).unwrap_or(u16::MAX))
+    }
+
+    /// A first packet is handed to the target.
+    pub(super) fn note_admitted(&mut self, now: Moment) {
+        if self.recent.len() >= MAX_RECENT {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(now);
+        self.unsent += 1;
+    }
+
+    /// What was admitted has left this process. What goes wrong without it: a process that stands still
+    /// between the two counts packets that arrive now as of seconds ago, and lets in as many again.
+    pub(super) fn note_sent(&mut self, now: Moment) {
+        let first = self.recent.len().saturating_sub(self.unsent);
+        for at in self.recent.range_mut(first..) {
+            *at = now;
+        }
+        self.unsent = 0;
+    }
+
+    /// The target returned a first packet: it did not take it. Which one does not matter; the oldest keeps
+    /// the count on the safe side.
+    pub(super) fn note_returned(&mut self) {
+        self.recent.pop_front();
+        self.unsent = self.unsent.min(self.recent.len());
+    }
+
+    /// The target may have started again, or its zone has come back.
+    pub(super) fn doubt(&mut self, now: Moment) {
+        self.doubted = Some(now);
+    }
+
+    /// The target holds a flow from before this agent's start: it is older than the agent.
+    pub(super) fn note_older_target(&mut self) {
+        self.started = None;
+    }
+
+    /// The bound, while the target is or may be cold.
+    fn cold_limit(&self, now: Moment) -> Option<WarmupLimit> {
+        let limit = self.limit?;
+        let events = [self.started, self.doubted];
+        let mut events = events.into_iter().flatten();
+        let doubtful = events.any(|at| now.since(at) < limit.span());
+        (doubtful || now < self.cold_until).then_some(limit)
+    }
+
+    fn most(&self, limit: WarmupLimit) -> usize {
+        let most = limit.rate() * self.settings.overshoot + self.settings.slack;
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let most = most as usize;
+        most
+    }
+
+    fn forget(&mut self, now: Moment) {
+        while self
+            .recent
+            .front()
+            .is_some_and(|at| now.since(*at) >= WINDOW)
+        {
+            self.recent.pop_front();
+        }
+        self.unsent = self.unsent.min(self.recent.len());
+    }
+}
--- a/crates/flows/src/balancer.rs
+++ b/crates/flows/src/balancer.rs
@@ -404,7 +404,7 @@
         BalancerStep::Send {
             to: entry.agent,
             frame: PacketFrame {
-                rest: others.copied().collect(),
+                rest: others.map(|other| other.as_candidate()).collect(),
                 ..PacketFrame::new(FramePurpose::Known, entry.service, self.own)
             },
             placed: None,
--- a/crates/flows/src/balancer/asking.rs
+++ b/crates/flows/src/balancer/asking.rs
@@ -5,9 +5,7 @@
 use lovagelatch_domain::{AgentAddress, Moment};
 use smallvec::SmallVec;
 
-use super::entry::{FlowSearch, OpenAsk, SearchStep};
-use super::offer::candidate_of;
-use crate::frame::Candidate;
+use super::entry::{FlowSearch, OpenAsk, SearchStep, ServiceAgent};
 use crate::packet::FlowPacket;
 use crate::ring::{CANDIDATES, FlowTarget, ServiceTargets};
 use crate::view::{FlowRoute, FlowView};
@@ -23,7 +21,7 @@
 pub(crate) type HolderList<'v> = SmallVec<[&'v FlowTarget; CANDIDATES]>;
 
 /// Agents that are shown a packet.
-pub(super) type AskedList = SmallVec<[Candidate; CANDIDATES]>;
+pub(super) type AskedList = SmallVec<[ServiceAgent; CANDIDATES]>;
 
 impl FlowSearch {
     /// Adds targets, one for each agent that was not asked, to those who are asked. A target that has
@@ -36,7 +34,7 @@
     ) -> AskedList {
         let mut asked = AskedList::new();
         for target in targets {
-            let candidate = candidate_of(target);
+            let candidate = ServiceAgent::of(target);
             self.asked.push(target.agent);
             asked.push(candidate);
             if is_likely(target, now) {
--- a/crates/flows/src/balancer/entry.rs
+++ b/crates/flows/src/balancer/entry.rs
@@ -7,6 +7,34 @@
 
 use crate::frame::Candidate;
 use crate::memory::Remembered;
+use crate::ring::FlowTarget;
+
+/// An agent, and the service of its target.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ServiceAgent {
+    pub(super) agent: AgentAddress,
+    pub(super) service: ServiceId,
+}
+
+impl ServiceAgent {
+    /// The agent beside a target.
+    pub(super) fn of(target: &FlowTarget) -> Self {
+        Self {
+            agent: target.agent,
+            service: target.service,
+        }
+    }
+
+    /// The agent as one to try next with a packet that opens no flow.
+    pub(super) fn as_candidate(self) -> Candidate {
+        Candidate {
+            agent: self.agent,
+            service: self.service,
+            slots: 0,
+            warmup: None,
+        }
+    }
+}
 
 /// How far a flow has come, as far as this balancer knows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,7 +60,7 @@
     /// What the client last acknowledged: a reset must carry a number near it.
     pub(super) acknowledged: u32,
     /// Every agent that it was offered to, while none holds it for sure.
-    pub(super) offered: SmallVec<[Candidate; 2]>,
+    pub(super) offered: SmallVec<[ServiceAgent; 2]>,
 }
 
 impl FlowEntry {
@@ -79,7 +107,7 @@
 /// An agent whose word about a flow is needed and has not come.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct OpenAsk {
-    pub(super) candidate: Candidate,
+    pub(super) candidate: ServiceAgent,
     /// The agent that asks for this balancer.
     pub(super) through: Option<AgentAddress>,
 }
--- a/crates/flows/src/balancer/offer.rs
+++ b/crates/flows/src/balancer/offer.rs
@@ -3,7 +3,7 @@
 use lovagelatch_domain::{AgentAddress, Moment, ServiceId};
 use smallvec::SmallVec;
 
-use super::entry::{EntryState, FlowEntry};
+use super::entry::{EntryState, FlowEntry, ServiceAgent};
 use super::{ANSWER_TIMEOUT, COPY_SPAN, LAST_RESORT_SPAN, MAX_OFFERS, OFFER_REST};
 use super::{BalancerStep, DueOffer, FlowBalancer, PendingOffer, PlacedFlow, RefusalReason};
 use crate::frame::{Candidate, FramePurpose, PacketFrame};
@@ -107,7 +107,7 @@
         &self,
         flow: &FlowKey,
         route: &FlowRoute,
-        tried: &[Candidate],
+        tried: &[ServiceAgent],
         view: &FlowView,
         now: Moment,
     ) -> Option<BalancerStep> {
@@ -123,12 +123,13 @@
         loads.note_sent(chosen.agent, chosen.service, now);
         drop(loads);
         let rest = ordered.iter().skip(1);
-        let rest = rest.map(|(_, target)| candidate_of(target)).collect();
+        let rest = rest.map(|(_, target)| offered(target, view, now)).collect();
         self.remember_offer(flow, chosen, tried, now);
         Some(BalancerStep::Send {
             to: chosen.agent,
             frame: PacketFrame {
                 slots: chosen.slots,
+                warmup: view.warmup_of(chosen, now),
                 zones_revision: view.zones.revision,
                 rest,
                 ..PacketFrame::new(FramePurpose::Offer, chosen.service, self.own)
@@ -152,7 +153,7 @@
         &self,
         route: &FlowRoute,
         drawn: ServiceId,
-        tried: &[Candidate],
+        tried: &[ServiceAgent],
         view: &'v FlowView,
         point: u64,
         now: Moment,
@@ -170,14 +171,14 @@
         &self,
         flow: &FlowKey,
         chosen: &FlowTarget,
-        tried: &[Candidate],
+        tried: &[ServiceAgent],
         now: Moment,
     ) {
         let mut shard = self.shard(flow.point()).lock();
         let before = shard.flows.get(flow).map(|entry| entry.created);
         let mut entry = FlowEntry::new(chosen.agent, chosen.service, EntryState::Offered, now);
         entry.offered = SmallVec::from_slice(tried);
-        entry.offered.push(candidate_of(chosen));
+        entry.offered.push(ServiceAgent::of(chosen));
         if !tried.is_empty() {
             entry.created = before.unwrap_or(now);
         }
@@ -188,7 +189,7 @@
     fn order<'v>(
         &self,
         service: ServiceId,
-        tried: &[Candidate],
+        tried: &[ServiceAgent],
         view: &'v FlowView,
         point: u64,
         now: Moment,
@@ -233,11 +234,13 @@
     }
 }
 
-pub(super) fn candidate_of(target: &FlowTarget) -> Candidate {
+/// A target to which a new flow is offered.
+fn offered(target: &FlowTarget, view: &FlowView, now: Moment) -> Candidate {
     Candidate {
         agent: target.agent,
         service: target.service,
         slots: target.slots,
+        warmup: view.warmup_of(target, now),
     }
 }
 
@@ -263,7 +266,7 @@
         return None;
     }
     match target.standing {
-        FlowStanding::Serving if !loads.is_suspected(target.agent, now) => Some(0),
+        FlowStanding::Serving if loads.is_eligible(target.agent, now) => Some(0),
         FlowStanding::Serving | FlowStanding::Lapsed => Some(1),
         FlowStanding::Unreadable => None,
         FlowStanding::Leaving => {
--- a/crates/flows/src/balancer/search_frames.rs
+++ b/crates/flows/src/balancer/search_frames.rs
@@ -13,9 +13,9 @@
 
 use super::asking::AskedList;
 use super::budget::SearchBudget;
-use super::entry::FlowSearch;
+use super::entry::{FlowSearch, ServiceAgent};
 use crate::errand::ERRAND_AGENTS;
-use crate::frame::{Candidate, ErrandGroup, FramePurpose, PacketFrame, PeerFrame, SearchErrand};
+use crate::frame::{ErrandGroup, FramePurpose, PacketFrame, PeerFrame, SearchErrand};
 use crate::load::LoadBoard;
 use crate::packet::FlowKey;
 use crate::ring::CANDIDATES;
@@ -81,7 +81,7 @@
 
     fn errands(&self, flow: FlowKey, search: &mut FlowSearch, asked: AskedList) -> SearchFrames {
         let delegates = self.delegates(flow, search, &asked);
-        let is_delegate = |asked: &Candidate| {
+        let is_delegate = |asked: &ServiceAgent| {
             delegates
                 .iter()
                 .any(|delegate| delegate.agent == asked.agent)
@@ -110,20 +110,20 @@
         &self,
         flow: FlowKey,
         search: &FlowSearch,
-        asked: &[Candidate],
-    ) -> SmallVec<[Candidate; 4]> {
+        asked: &[ServiceAgent],
+    ) -> SmallVec<[ServiceAgent; 4]> {
         let errands = asked.len().div_ceil(ERRAND_AGENTS);
         let failed = |agent| search.open.iter().any(|open| open.through == Some(agent));
-        let fresh: SmallVec<[Candidate; CANDIDATES]> = asked
+        let fresh: SmallVec<[ServiceAgent; CANDIDATES]> = asked
             .iter()
             .filter(|asked| !failed(asked.agent))
             .copied()
             .collect();
-        let is_well = |asked: &&Candidate| {
+        let is_well = |asked: &&ServiceAgent| {
             let heard = self.loads.well_since(asked.agent);
             heard.is_some_and(|heard| self.now.since(heard) < DELEGATE_SPAN)
         };
-        let mut best: SmallVec<[Candidate; CANDIDATES]> =
+        let mut best: SmallVec<[ServiceAgent; CANDIDATES]> =
             fresh.iter().filter(is_well).copied().collect();
         if best.len() < errands {
             best = if fresh.len() < errands {
@@ -142,7 +142,7 @@
 }
 
 /// Notes that the balancer itself asks these few.
-fn ask_directly(search: &mut FlowSearch, asked: &[Candidate]) {
+fn ask_directly(search: &mut FlowSearch, asked: &[ServiceAgent]) {
     for open in &mut search.open {
         let mut asked = asked.iter();
         if asked.any(|asked| asked.agent == open.candidate.agent) {
@@ -160,11 +160,11 @@
     }
 }
 
-fn ask_frame(own: AgentAddress, next: &Candidate) -> PeerFrame {
+fn ask_frame(own: AgentAddress, next: &ServiceAgent) -> PeerFrame {
     PeerFrame::Packet(PacketFrame::new(FramePurpose::Search, next.service, own))
 }
 
-fn errand_frame(own: AgentAddress, delegate: &Candidate, others: &[Candidate]) -> PeerFrame {
+fn errand_frame(own: AgentAddress, delegate: &ServiceAgent, others: &[ServiceAgent]) -> PeerFrame {
     let mut groups = Vec::new();
     for other in others {
         let instance = *other.agent.0.ip();
--- a/crates/flows/src/frame.rs
+++ b/crates/flows/src/frame.rs
@@ -2,8 +2,10 @@
 //! it, where one travels, the packet as it was received.
 
 use std::net::Ipv4Addr;
+use std::num::NonZeroU16;
 use std::time::Duration;
 
+use lovagelatch_catalog::WarmupRule;
 use lovagelatch_domain::{AgentAddress, ServiceId};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -22,6 +24,57 @@
     Search,
 }
 
+/// How many new flows a target bears while it is cold, and for how long that is. In tenths, so that an offer
+/// with four others to try stays small.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct WarmupLimit {
+    /// New flows a second, in tenths.
+    rate_tenths: NonZeroU16,
+    /// How long a target is cold from its start on, in tenths of a second.
+    span_tenths: u16,
+    /// How much of that is left, as far as the sender knows, in tenths of a second.
+    left_tenths: u16,
+}
+
+impl WarmupLimit {
+    /// The limit by a rule of the operator's, for a target that is cold for `left` more. Rounded to the safe
+    /// side: fewer flows, for longer.
+    #[must_use]
+    pub fn new(rule: &WarmupRule, left: Duration) -> Self {
+        let rate = u16::try_from(rule.rate_milli.get() / 100).unwrap_or(u16::MAX);
+        let tenths = |millis: u128| u16::try_from(millis.div_ceil(100)).unwrap_or(u16::MAX);
+        Self {
+            rate_tenths: NonZeroU16::new(rate).unwrap_or(NonZeroU16::MIN),
+            span_tenths: tenths(rule.span_ms.into()),
+            left_tenths: tenths(left.as_millis()),
+        }
+    }
+
+    /// New flows a second.
+    #[must_use]
+    pub fn rate(&self) -> f32 {
+        f32::from(self.rate_tenths.get()) / 10.0
+    }
+
+    /// Whole new flows in a second, one at least.
+    #[must_use]
+    pub fn a_second(&self) -> usize {
+        usize::from(self.rate_tenths.get() / 10).max(1)
+    }
+
+    /// How long a target is cold from its start on.
+    #[must_use]
+    pub fn span(&self) -> Duration {
+        Duration::from_millis(u64::from(self.span_tenths) * 100)
+    }
+
+    /// How much of that is left.
+    #[must_use]
+    pub fn left(&self) -> Duration {
+        Duration::from_millis(u64::from(self.left_tenths) * 100)
+    }
+}
+
 /// An agent that may be tried next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Candidate {
@@ -32,6 +85,9 @@
     pub service: ServiceId,
     /// How many requests that target runs at once.
     pub slots: u16,
+    /// How many new flows it bears while it is cold; `None` where no bound is named, and in what is no
+    /// offer.
+    pub warmup: Option<WarmupLimit>,
 }
 
 /// A client's packet on its way to a target.
@@ -43,6 +99,9 @@
     pub balancer: AgentAddress,
     /// How many requests the receiver's target runs at once, as the sender knows it.
     pub slots: u16,
+    /// How many new flows that target bears while it is cold; `None` where no bound is named, and in what
+    /// is no offer.
+    pub warmup: Option<WarmupLimit>,
     /// Of an offer, the store's revision up to which the balancer knew which zones are evacuated; by that
     /// the receiver's is not, nor that of anybody in `rest`. 0 where it vouches for nothing: the packet is
     /// a copy of one that the receiver's target answered.
@@ -53,7 +112,7 @@
     pub asker: Option<AgentAddress>,
     /// Who is tried next, best first; whoever passes the frame on takes itself out, so no agent
     /// sees it twice and the walk ends.
-    pub rest: SmallVec<[Candidate; 8]>,
+    pub rest: SmallVec<[Candidate; 6]>,
 }
 
 impl PacketFrame {
@@ -64,6 +123,7 @@
             service,
             balancer,
             slots: 0,
+            warmup: None,
             zones_revision: 0,
             purpose,
             asker: None,
@@ -138,6 +198,9 @@
     pub zones_revision: u64,
     /// Whether its zone is, so that its target gets no new flows.
     pub evacuated: bool,
+    /// How many more new flows its target bears in this second, because it is cold; `None` where no bound
+    /// holds.
+    pub room: Option<u16>,
 }
 
 impl LoadReport {
@@ -155,6 +218,7 @@
             leaving: false,
             zones_revision: 0,
             evacuated: false,
+            room: None,
         }
     }
 }
--- a/crates/flows/src/lib.rs
+++ b/crates/flows/src/lib.rs
@@ -26,14 +26,16 @@
 mod ring;
 mod view;
 
-pub use agent::{AgentSettings, AgentStatus, AgentStep, ErrandStep, FlowAgent, SilenceReason};
+pub use agent::{
+    AgentSettings, AgentStatus, AgentStep, ErrandStep, FlowAgent, SilenceReason, WarmupSettings,
+};
 pub use balancer::{
     BalancerStep, DueOffer, DueSearch, FlowBalancer, FlowReset, LossReason, NoteOutcome,
     PlacedFlow, RefusalReason, SearchFrames,
 };
 pub use frame::{
     Candidate, ErrandGroup, ErrandWord, FlowEvent, FlowNote, FrameError, FramePurpose, LoadReport,
-    PacketFrame, PeerFrame, SearchErrand, ZoneNotice, open_frame, write_frame,
+    PacketFrame, PeerFrame, SearchErrand, WarmupLimit, ZoneNotice, open_frame, write_frame,
 };
 pub use load::{LoadBoard, TargetLoad};
 pub use outlook::{CandidateOutlook, FlowOutlook, HeldFlow};
--- a/crates/flows/src/load.rs
+++ b/crates/flows/src/load.rs
@@ -41,6 +41,9 @@
 /// How long an agent that said it stops may be silent before that counts against it.
 const RESTART_SPAN: Duration = Duration::from_secs(6);
 
+/// How long an agent's word holds that its target bears no more in this second.
+const ROOM_SPAN: Duration = Duration::from_secs(1);
+
 /// What another zone costs in the score, in requests in progress per slot. Bytes between zones
 /// are paid for; waiting half a request's time is worth more.
 const FAR_COST: f32 = 0.35;
@@ -241,6 +244,19 @@
         load.is_some_and(|load| load.report.evacuated && load.report.zones_revision > revision)
     }
 
+    /// Whether a target is among the first choices: it is well, and where it is cold it bears one more flow
+    /// in this second, by its agent's last word and what was offered since.
+    #[must_use]
+    pub fn is_eligible(&self, agent: AgentAddress, now: Moment) -> bool {
+        let load = self.loads.get(&agent);
+        let has_room = load.is_none_or(|load| {
+            let fresh = now.since(load.heard) < ROOM_SPAN;
+            let room = load.report.room.filter(|_| fresh);
+            room.is_none_or(|room| room > load.placed_since)
+        });
+        has_room && !self.is_suspected(agent, now)
+    }
+
     /// When an agent was last heard; `None` when never, or when it said something that speaks
     /// against asking it for a favour.
     #[must_use]
--- a/crates/flows/src/ring.rs
+++ b/crates/flows/src/ring.rs
@@ -95,6 +95,8 @@
     pub standing: FlowStanding,
     /// When the standing was last changed, or the target first seen.
     pub since: Moment,
+    /// How long it was to be slow still, in milliseconds, by the record that was taken last.
+    pub warming_ms: u32,
     /// Until when it is slow after its start.
     pub warm_at: Moment,
 }
--- a/crates/flows/src/view.rs
+++ b/crates/flows/src/view.rs
@@ -12,9 +12,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use lovagelatch_catalog::WarmupRule;
 use lovagelatch_domain::{AgentAddress, ConfigRevision, Moment, ServiceId, ServiceName};
 use smallvec::SmallVec;
 
+use crate::frame::WarmupLimit;
 use crate::packet::FlowKey;
 use crate::ring::{FlowStanding, FlowTarget, ServiceTargets};
 
@@ -87,6 +89,8 @@
     routes: Arc<RouteMap>,
     services: Arc<ServiceMap>,
     names: Arc<HashMap<ServiceId, ServiceName>>,
+    /// What cold targets of services bear, where the operator names a bound.
+    warmups: Arc<HashMap<ServiceId, WarmupRule>>,
     /// The services that the configuration names: entries of others are another writer's.
     named: Arc<HashSet<ServiceId>>,
     /// Targets that the store lists no more, beside agents of which it lists none.
@@ -151,6 +155,19 @@
         agents.filter(|agent| !differs(*agent)).collect()
     }
 
+    /// What a target bears while it is cold, and for how long it is; `None` where no bound is named.
+    #[must_use]
+    pub fn warmup_of(&self, target: &FlowTarget, now: Moment) -> Option<WarmupLimit> {
+        if self.warmups.is_empty() {
+            return None;
+        }
+        let rule = self.warmups.get(&target.service)?;
+        let span = Duration::from_millis(rule.span_ms.into());
+        let back = self.zones.restored_at(target.zone);
+        let warm_at = back.map_or(target.warm_at, |back| target.warm_at.max(back + span));
+        Some(WarmupLimit::new(rule, warm_at.since(now)))
+    }
+
     /// A service's name, for logs.
     #[must_use]
     pub fn service_name(&self, service: ServiceId) -> &str {
--- a/crates/flows/src/view/builder.rs
+++ b/crates/flows/src/view/builder.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use lovagelatch_catalog::{
-    Catalog, CatalogChanges, PublishedRoute, PublishedTarget, TargetName, TargetRow,
+    Catalog, CatalogChanges, PublishedRoute, PublishedTarget, TargetName, TargetRow, WarmupRule,
 };
 use lovagelatch_domain::{AgentAddress, Moment, ServiceId, ServiceName, ZoneName};
 use smallvec::SmallVec;
@@ -160,23 +160,22 @@
                 self.set_route(address, change.new.as_ref(), now);
             }
         }
-        self.take_head(catalog);
+        self.take_head(catalog, now);
     }
 
     /// Takes a whole catalog.
     pub fn take(&mut self, catalog: &Catalog, now: Moment) {
         self.take_targets(&catalog.targets, now);
         self.take_routes(&catalog.routes, now);
-        self.take_head(catalog);
+        self.take_head(catalog, now);
     }
 
     /// Takes what the catalog says besides routes and targets.
-    fn take_head(&mut self, catalog: &Catalog) {
+    fn take_head(&mut self, catalog: &Catalog, now: Moment) {
         if self.view.zones.revision != catalog.zones_revision {
             let zones = catalog.evacuated.iter();
             let zones = zones.map(|zone| self.zones.index_of(&zone.0)).collect();
-            self.view.zones.evacuated = zones;
-            self.view.zones.revision = catalog.zones_revision;
+            self.view.zones.take(catalog.zones_revision, zones, now);
         }
         let changed = self.view.version != catalog.version || self.unrouted != catalog.unrouted;
         self.view.version = catalog.version;
@@ -268,7 +267,9 @@
         let mut unreadable = Vec::new();
         for row in rows {
             match row {
-                TargetRow::Published(row) => listed.push(self.list_target(row, &mut edits, now)),
+                TargetRow::Published(row) => {
+                    listed.push(self.list_target(row, &mut edits, now));
+                }
                 TargetRow::Unreadable(name) => unreadable.push(name),
             }
         }
@@ -327,9 +328,11 @@
             Some(held) if held.standing == standing => held.since,
             _ => now,
         };
-        // The same record may be taken again later; its warm-up has gone on meanwhile.
-        let warm_at = now + row.warming;
-        let warm_at = held.map_or(warm_at, |held| held.warm_at.min(warm_at));
+        let warm_at = match held {
+            // The same record may be taken again later; its warm-up has gone on meanwhile.
+            Some(held) if held.warming_ms == row.warming_ms => held.warm_at,
+            _ => now + Duration::from_millis(row.warming_ms.into()),
+        };
         let agent = SocketAddrV4::new(*row.address.ip(), self.settings.agent_port);
         FlowTarget {
             key,
@@ -341,6 +344,7 @@
             slots: row.slots.max(1),
             standing,
             since,
+            warming_ms: row.warming_ms,
             warm_at,
         }
     }
@@ -393,12 +397,24 @@
         }
     }
 
+    fn set_warmup(&mut self, service: ServiceId, rule: Option<WarmupRule>) {
+        if self.view.warmups.get(&service) == rule.as_ref() {
+            return;
+        }
+        let warmups = Arc::make_mut(&mut self.view.warmups);
+        match rule {
+            Some(rule) => warmups.insert(service, rule),
+            None => warmups.remove(&service),
+        };
+    }
+
     fn shares_of(&mut self, route: &PublishedRoute) -> SmallVec<[(ServiceId, u32); 2]> {
         for share in &route.shares {
             let service = share.service.id();
             if !self.view.names.contains_key(&service) {
                 Arc::make_mut(&mut self.view.names).insert(service, share.service.clone());
             }
+            self.set_warmup(service, share.warmup);
         }
         let weighted = route.shares.iter().filter(|share| share.weight > 0);
         weighted
--- a/crates/flows/src/view/zones.rs
+++ b/crates/flows/src/view/zones.rs
@@ -48,6 +48,8 @@
     pub own: ZoneIndex,
     /// The zones whose targets get no new flows.
     pub evacuated: SmallVec<[ZoneIndex; 4]>,
+    /// The zones that were taken back, with when: their targets may be cold before their entries say so.
+    pub restored: SmallVec<[(ZoneIndex, Moment); 2]>,
 }
 
 impl ZoneOutlook {
@@ -69,6 +71,24 @@
         zone == self.own
     }
 
+    /// When a zone was taken back, if it was evacuated before.
+    #[must_use]
+    pub fn restored_at(&self, zone: ZoneIndex) -> Option<Moment> {
+        let mut restored = self.restored.iter();
+        restored.find(|(back, _)| *back == zone).map(|(_, at)| *at)
+    }
+
+    /// Takes the zones that are evacuated by a later word.
+    pub(super) fn take(&mut self, revision: u64, evacuated: SmallVec<[ZoneIndex; 4]>, now: Moment) {
+        let before = std::mem::replace(&mut self.evacuated, evacuated);
+        let back = before.iter().filter(|zone| !self.evacuated.contains(zone));
+        for &zone in back {
+            self.restored.retain(|(known, _)| *known != zone);
+            self.restored.push((zone, now));
+        }
+        self.revision = revision;
+    }
+
     /// What an agent in a zone is told of it.
     #[must_use]
     pub fn notice_of(&self, zone: ZoneIndex, now: Moment) -> ZoneNotice {
--- a/crates/flows/tests/all/agent.rs
+++ b/crates/flows/tests/all/agent.rs
@@ -5,7 +5,7 @@
 use lovagelatch_domain::Moment;
 use lovagelatch_flows::{
     AgentSettings, AgentStep, Candidate, FlowAgent, FlowEvent, FlowKey, FlowPacket, FramePurpose,
-    PacketFlags, PacketFrame,
+    PacketFlags, PacketFrame, WarmupSettings,
 };
 use smallvec::SmallVec;
 
@@ -14,12 +14,16 @@
 /// The number that the target chooses in these tests.
 const TARGET_NUMBER: u32 = 5_000;
 
-fn settings(sees_all: bool) -> AgentSettings {
+pub(crate) fn settings(sees_all: bool) -> AgentSettings {
     AgentSettings {
         own: agent(1),
         service: claims(),
         sees_all,
         flow_lifetime: Duration::from_secs(60),
+        warmup: WarmupSettings {
+            overshoot: 1.5,
+            slack: 5.0,
+        },
     }
 }
 
@@ -36,11 +40,13 @@
         agent: agent(number),
         service: claims(),
         slots: 3,
+        warmup: None,
     });
     PacketFrame {
         service: claims(),
         balancer: balancer(),
         slots: 3,
+        warmup: None,
         zones_revision: 0,
         purpose,
         asker: None,
@@ -87,7 +93,7 @@
     }
 }
 
-pub(crate) fn passed(step: AgentStep) -> (u8, SmallVec<[Candidate; 8]>) {
+pub(crate) fn passed(step: AgentStep) -> (u8, SmallVec<[Candidate; 6]>) {
     match step {
         AgentStep::Pass { to, frame } => (to.0.ip().octets()[3], frame.rest),
         other => panic!("not passed on: {other:?}"),
--- a/crates/flows/tests/all/errand.rs
+++ b/crates/flows/tests/all/errand.rs
@@ -1,24 +1,16 @@
 //! Searches that an agent makes for a balancer.
 
-use std::time::Duration;
-
 use lovagelatch_domain::AgentAddress;
 use lovagelatch_flows::{
-    AgentSettings, AgentStep, ErrandGroup, ErrandWord, FlowAgent, FlowEvent, FramePurpose,
-    SearchErrand,
+    AgentStep, ErrandGroup, ErrandWord, FlowAgent, FlowEvent, FramePurpose, SearchErrand,
 };
 use smallvec::{SmallVec, smallvec};
 
+use crate::agent::old_agent;
 use crate::support::{agent, at, balancer, claims, data, flow, note, service};
 
 fn new_agent() -> FlowAgent {
-    let settings = AgentSettings {
-        own: agent(1),
-        service: claims(),
-        sees_all: true,
-        flow_lifetime: Duration::from_secs(60),
-    };
-    FlowAgent::new(settings, at(0))
+    old_agent()
 }
 
 fn errand(claims_agents: &[u8], vault_agents: &[u8]) -> SearchErrand {
--- a/crates/flows/tests/all/frame.rs
+++ b/crates/flows/tests/all/frame.rs
@@ -15,12 +15,14 @@
         agent: agent(2),
         service: claims(),
         slots: 3,
+        warmup: None,
     };
     let frames = [
         PeerFrame::Packet(PacketFrame {
             service: claims(),
             balancer: balancer(),
             slots: 3,
+            warmup: None,
             zones_revision: 0,
             purpose: FramePurpose::Offer,
             asker: None,
--- a/crates/flows/tests/all/main.rs
+++ b/crates/flows/tests/all/main.rs
@@ -15,4 +15,5 @@
 mod support;
 mod view;
 mod view_changes;
+mod warmup;
 mod zones;
--- a/crates/flows/tests/all/outlook.rs
+++ b/crates/flows/tests/all/outlook.rs
@@ -1,12 +1,10 @@
 //! What operators are told of one flow.
 
-use lovagelatch_flows::{AgentSettings, FlowAgent, FlowBalancer, FlowEvent, ViewCoverage};
-use std::time::Duration;
+use lovagelatch_flows::{FlowBalancer, FlowEvent, ViewCoverage};
 
+use crate::agent::restarted_agent;
 use crate::balancer::sent;
-use crate::support::{
-    agent, at, balancer, claims, claims_view, data, flow, idle_load, note, opening,
-};
+use crate::support::{agent, at, balancer, claims_view, data, flow, idle_load, note, opening};
 
 #[test]
 fn a_balancer_tells_where_a_flow_is_and_who_may_hold_it() {
@@ -44,13 +42,7 @@
 
 #[test]
 fn an_agent_tells_what_its_target_holds() {
-    let settings = AgentSettings {
-        own: agent(1),
-        service: claims(),
-        sees_all: false,
-        flow_lifetime: Duration::from_secs(60),
-    };
-    let mut decisions = FlowAgent::new(settings, at(0));
+    let mut decisions = restarted_agent();
     assert_eq!(decisions.explain(&flow(1), at(0)), None);
     // The target sends on a flow that opened before the agent was started.
     decisions.take_target_packet(&data(flow(1)), at(5));
--- a/crates/flows/tests/all/support.rs
+++ b/crates/flows/tests/all/support.rs
@@ -58,7 +58,7 @@
         zone: "hall-a".parse().expect("a zone"),
         slots: 3,
         leaving: false,
-        warming: Duration::ZERO,
+        warming_ms: 0,
         start: TargetStart::default(),
     }
 }
@@ -73,6 +73,7 @@
             .map(|&(name, weight)| RouteShare {
                 service: service(name),
                 weight,
+                warmup: None,
             })
             .collect(),
     }
@@ -92,6 +93,7 @@
             shares: smallvec![RouteShare {
                 service: service("claims"),
                 weight: 1,
+                warmup: None,
             }],
             ..route(claims_address(), &[])
         }]
--- a/crates/flows/tests/all/view.rs
+++ b/crates/flows/tests/all/view.rs
@@ -1,7 +1,6 @@
 //! Views: what a catalog alone cannot tell.
 
 use std::net::SocketAddrV4;
-use std::time::Duration;
 
 use lovagelatch_catalog::{Catalog, PublishedTarget, TargetName, TargetRow, TargetStart};
 use lovagelatch_flows::{FlowStanding, FlowView};
@@ -263,7 +262,7 @@
             ..target(1, "claims")
         };
         let mut again = PublishedTarget {
-            warming: Duration::from_secs(2),
+            warming_ms: 2_000,
             ..first.clone()
         };
         (case.again)(&mut again);
@@ -361,7 +360,7 @@
 #[test]
 fn a_warm_up_is_not_begun_again_by_another_targets_change() {
     let mut fresh = target(1, "claims");
-    fresh.warming = Duration::from_secs(5);
+    fresh.warming_ms = 5_000;
     let mut builder = builder();
     builder.take(&catalog(vec![fresh.clone()]), at(0));
     builder.take(&catalog(vec![fresh, target(2, "claims")]), at(4_000));
--- /dev/null
+++ b/crates/flows/tests/all/warmup.rs
@@ -0,0 +1,402 @@
+//! Load pattern: targets are cold, because they were added, started again or came back with their zone, while
+//! many clients open flows at once. Each bears so many new flows a second.
+
+use std::num::NonZeroU32;
+use std::time::Duration;
+
+use lovagelatch_catalog::{Catalog, PublishedTarget, WarmupRule};
+use lovagelatch_domain::Moment;
+use lovagelatch_flows::{
+    AgentStep, FlowAgent, FlowBalancer, FlowEvent, FlowView, FramePurpose, LoadReport, PacketFrame,
+    SilenceReason, WarmupLimit, ZoneNotice,
+};
+
+use crate::agent::{answer, frame, old_agent, passed, restarted_agent, returned, settings};
+use crate::balancer::sent;
+use crate::support::{
+    agent, at, balancer, builder, catalog, claims_address, data, flow, idle_load, opening, route,
+    target,
+};
+
+/// How long a target is cold in these tests, in milliseconds.
+const SPAN_MS: u32 = 2_000;
+
+/// What the users allow over the bound, in flows a second: half as many more, and five.
+fn allowed(rate: f32) -> usize {
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let allowed = (rate * 1.5 + 5.0) as usize;
+    allowed
+}
+
+fn rule(rate: f32) -> WarmupRule {
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let rate = (rate * 1_000.0) as u32;
+    WarmupRule {
+        span_ms: SPAN_MS,
+        rate_milli: NonZeroU32::new(rate).expect("a rate"),
+    }
+}
+
+fn limit(rate: f32, left_ms: u64) -> Option<WarmupLimit> {
+    Some(WarmupLimit::new(
+        &rule(rate),
+        Duration::from_millis(left_ms),
+    ))
+}
+
+fn offer(limit: Option<WarmupLimit>, rest: &[u8]) -> PacketFrame {
+    PacketFrame {
+        warmup: limit,
+        zones_revision: 1,
+        ..frame(FramePurpose::Offer, rest)
+    }
+}
+
+/// An agent that has been beside its target for so long that it knows what it let in.
+fn settled_agent() -> FlowAgent {
+    let mut agent = FlowAgent::new(settings(true), at(0) - Duration::from_secs(60));
+    agent.take_target_packet(&data(flow(60_000)), at(0) - Duration::from_secs(50));
+    agent
+}
+
+/// Offers a flow that nobody else could take; the target answers it if it is given it.
+fn gives(agent: &mut FlowAgent, port: u16, limit: Option<WarmupLimit>, now: Moment) -> AgentStep {
+    let (step, _) = agent.take_frame(offer(limit, &[]), &opening(flow(port)), now);
+    if is_given(&step) {
+        agent.note_sent(now);
+        agent.take_target_packet(&answer(flow(port)), now);
+    }
+    step
+}
+
+fn is_given(step: &AgentStep) -> bool {
+    matches!(step, AgentStep::Deliver { .. })
+}
+
+/// How many of `count` flows that are offered at once the target is given.
+fn given(agent: &mut FlowAgent, count: u16, limit: Option<WarmupLimit>, millis: u64) -> usize {
+    let first = u16::try_from(millis % 10_000).unwrap_or(0) * 5;
+    let given =
+        (first..first + count).filter(|&port| is_given(&gives(agent, port, limit, at(millis))));
+    given.count()
+}
+
+struct RateCase {
+    rate: f32,
+    /// Flows are offered this far apart, in milliseconds.
+    gap: u64,
+}
+
+// Symptom: requests take seconds at targets that were added a moment ago. Sequence: a burst comes while
+// they are cold. Cause: nothing bounded what a cold target was given. In any second, not only in those that
+// a clock begins.
+#[test]
+fn a_cold_target_gets_no_more_than_it_bears_in_any_second() {
+    let cases = [
+        RateCase { rate: 0.5, gap: 40 },
+        RateCase { rate: 12.0, gap: 3 },
+        RateCase { rate: 20.0, gap: 1 },
+        RateCase { rate: 40.0, gap: 7 },
+        RateCase {
+            rate: 300.0,
+            gap: 1,
+        },
+    ];
+    for case in cases {
+        let mut decisions = settled_agent();
+        let mut given = Vec::new();
+        for (port, millis) in (0..6_000).zip((0..).map(|step| step * case.gap)) {
+            let step = gives(&mut decisions, port, limit(case.rate, 60_000), at(millis));
+            if is_given(&step) {
+                given.push(millis);
+            }
+        }
+        for (index, &first) in given.iter().enumerate() {
+            let within = given[index..].iter().take_while(|at| **at < first + 1_000);
+            assert!(within.count() <= allowed(case.rate), "rate {}", case.rate);
+        }
+        // The bound is used, not only kept.
+        let seconds = (6_000 * case.gap).div_ceil(1_100 + case.gap);
+        let least = allowed(case.rate) * usize::try_from(seconds - 1).expect("a few");
+        let offered = usize::try_from(1_100 / case.gap).expect("a few");
+        let least = least.min(offered * usize::try_from(seconds - 1).expect("a few"));
+        assert!(given.len() >= least, "rate {}: {}", case.rate, given.len());
+    }
+}
+
+#[test]
+fn what_exceeds_the_bound_goes_to_others_or_is_refused_at_once() {
+    let mut decisions = settled_agent();
+    let cold = limit(4.0, 60_000);
+    // As many as it bears a second, then others first.
+    for port in 0..4 {
+        let (step, _) = decisions.take_frame(offer(cold, &[2]), &opening(flow(port)), at(0));
+        assert!(matches!(step, AgentStep::Deliver { .. }), "{step:?}");
+    }
+    let (step, _) = decisions.take_frame(offer(cold, &[2]), &opening(flow(9)), at(0));
+    assert_eq!(passed(step).0, 2);
+    // Where there are no others, up to what is allowed.
+    for port in 10..17 {
+        assert!(is_given(&gives(&mut decisions, port, cold, at(0))));
+    }
+    let (step, note) = decisions.take_frame(offer(cold, &[]), &opening(flow(30)), at(0));
+    assert_eq!(step, AgentStep::Reset);
+    assert_eq!(note.expect("a word").1.event, FlowEvent::Refused);
+}
+
+struct BoundCase {
+    name: &'static str,
+    limit: Option<WarmupLimit>,
+    /// What happens before, at 0 ms.
+    before: fn(&mut FlowAgent),
+    /// Of a hundred flows at 1,200 ms the target gets so many.
+    given: usize,
+}
+
+// Symptom: a cold target gets a rush, though its agent knows the bound. Cause: the agent waited for the
+// target's entry to say that it is cold, or took its own ignorance for proof that it is not.
+#[test]
+fn a_target_counts_as_cold_while_it_may_be() {
+    let warm = limit(20.0, 0);
+    let cases = [
+        BoundCase {
+            name: "no bound is named",
+            limit: None,
+            before: |_| {},
+            given: 100,
+        },
+        BoundCase {
+            name: "warm",
+            limit: warm,
+            before: |_| {},
+            given: 100,
+        },
+        BoundCase {
+            name: "cold by its entry",
+            limit: limit(20.0, 300),
+            before: |_| {},
+            given: 35,
+        },
+        BoundCase {
+            name: "another balancer said so a moment ago",
+            limit: warm,
+            before: |agent| {
+                assert!(is_given(&gives(agent, 900, limit(20.0, 2_000), at(0))));
+            },
+            given: 35,
+        },
+        BoundCase {
+            name: "its zone came back, and its entry does not say yet that it is cold",
+            limit: warm,
+            before: |agent| {
+                for (revision, evacuated) in [(2, true), (3, false)] {
+                    let notice = ZoneNotice {
+                        revision,
+                        evacuated,
+                        age: Duration::ZERO,
+                    };
+                    agent.take_zone(&notice, at(0));
+                }
+            },
+            given: 35,
+        },
+        BoundCase {
+            name: "it returned a packet of an open flow: it was reborn under its name",
+            limit: warm,
+            before: |agent| {
+                agent.take_target_packet(&returned(&data(flow(60_000)), 0), at(0));
+            },
+            given: 35,
+        },
+        BoundCase {
+            name: "nobody listened where it should",
+            limit: warm,
+            before: |agent| agent.take_refusal(at(0)),
+            given: 35,
+        },
+    ];
+    for case in cases {
+        let mut decisions = settled_agent();
+        (case.before)(&mut decisions);
+        let given = given(&mut decisions, 100, case.limit, 1_200);
+        assert_eq!(given, case.given, "{}", case.name);
+    }
+}
+
+// Symptom: a cold target gets twice what it bears. Sequence: its agent is killed and starts anew 300 ms
+// later. Cause: the new process knew nothing of what the one before had let in. Until it can know, a flow
+// that nobody else can take is neither given nor refused: its client's next copy comes in time.
+#[test]
+fn an_agent_that_has_just_started_assumes_the_worst() {
+    let cold = limit(20.0, 1_500);
+    let mut decisions = restarted_agent();
+    for millis in [0, 400, 1_000] {
+        let (step, _) = decisions.take_frame(offer(cold, &[2]), &opening(flow(1)), at(millis));
+        assert_eq!(passed(step).0, 2);
+        let step = gives(&mut decisions, 1, cold, at(millis));
+        assert_eq!(step, AgentStep::Silence(SilenceReason::Unwarmed));
+    }
+    assert_eq!(given(&mut decisions, 100, cold, 1_150), 35);
+    // Whether a target that its entry takes for warm has started with the agent is not known either...
+    let warm = limit(20.0, 0);
+    let mut decisions = restarted_agent();
+    let step = gives(&mut decisions, 1, warm, at(0));
+    assert_eq!(step, AgentStep::Silence(SilenceReason::Unwarmed));
+    assert_eq!(given(&mut decisions, 100, warm, 1_150), 35);
+    assert_eq!(given(&mut decisions, 100, warm, 2_100), 100);
+    // ... until it answers on a flow that it held before.
+    let mut decisions = restarted_agent();
+    decisions.take_target_packet(&data(flow(600)), at(10));
+    assert_eq!(given(&mut decisions, 100, warm, 20), 100);
+}
+
+// Symptom and sequence: a process stands still after it has admitted flows and before it has sent them; when it
+// goes on it lets in as many again. Cause: those were counted by when they were admitted.
+#[test]
+fn flows_count_by_when_they_were_sent() {
+    let mut decisions = settled_agent();
+    let cold = limit(20.0, 60_000);
+    for port in 0..100 {
+        decisions.take_frame(offer(cold, &[]), &opening(flow(port)), at(0));
+    }
+    decisions.note_sent(at(5_000));
+    assert_eq!(given(&mut decisions, 100, cold, 5_010), 0);
+    assert_eq!(given(&mut decisions, 100, cold, 6_100), 35);
+}
+
+#[test]
+fn a_first_packet_that_the_target_returned_does_not_count() {
+    let mut decisions = settled_agent();
+    let cold = limit(20.0, 60_000);
+    for port in 0..35 {
+        let offered = offer(cold, &[]);
+        let (step, _) = decisions.take_frame(offered, &opening(flow(port)), at(0));
+        let AgentStep::Deliver { tag } = step else {
+            panic!("not delivered: {step:?}");
+        };
+        if port % 2 == 0 {
+            decisions.take_target_packet(&returned(&opening(flow(port)), tag), at(1));
+        }
+    }
+    assert_eq!(given(&mut decisions, 100, cold, 10), 18);
+}
+
+fn ruled(targets: Vec<PublishedTarget>, rate: Option<f32>) -> Catalog {
+    let mut ruled = catalog(targets);
+    let mut with_rule = route(claims_address(), &[("claims", 1)]);
+    with_rule.shares[0].warmup = rate.map(rule);
+    ruled.routes = vec![with_rule].into();
+    ruled
+}
+
+fn cold_target(number: u8, warming_ms: u32) -> PublishedTarget {
+    PublishedTarget {
+        warming_ms,
+        ..target(number, "claims")
+    }
+}
+
+/// What an offer to the only target says of its warm-up: flows a second, milliseconds left.
+fn told(
+    decisions: &FlowBalancer,
+    view: &FlowView,
+    port: u16,
+    now: Moment,
+) -> Option<(usize, u128)> {
+    let (_, frame) = sent(decisions.take_packet(&opening(flow(port)), b"syn", view, now));
+    let limit = frame.warmup?;
+    Some((limit.a_second(), limit.left().as_millis()))
+}
+
+// The age of a record is counted by this process's own clock from when it was taken: a moment too long is
+// the safe side. A record that says anew that its target is cold is believed.
+#[test]
+fn offers_say_what_a_cold_target_bears_and_for_how_long() {
+    let decisions = FlowBalancer::new(balancer());
+    let mut views = builder();
+    views.take(&ruled(vec![cold_target(1, 2_000)], Some(20.0)), at(0));
+    let view = views.build(at(0));
+    assert_eq!(told(&decisions, &view, 1, at(0)), Some((20, 2_000)));
+    assert_eq!(told(&decisions, &view, 2, at(1_500)), Some((20, 500)));
+    assert_eq!(told(&decisions, &view, 3, at(2_500)), Some((20, 0)));
+    // The same list again, whose record may be old.
+    views.take(&ruled(vec![cold_target(1, 2_000)], Some(20.0)), at(1_600));
+    let view = views.build(at(1_600));
+    assert_eq!(told(&decisions, &view, 4, at(1_600)), Some((20, 400)));
+    // Cold again: its zone came back, or it started again.
+    views.take(&ruled(vec![cold_target(1, 1_900)], Some(20.0)), at(9_000));
+    let view = views.build(at(9_000));
+    assert_eq!(told(&decisions, &view, 5, at(9_000)), Some((20, 1_900)));
+    // The operator names no bound any more.
+    views.take(&ruled(vec![cold_target(1, 1_900)], None), at(9_100));
+    let view = views.build(at(9_100));
+    assert_eq!(told(&decisions, &view, 6, at(9_100)), None);
+}
+
+// Symptom: targets of a zone that was taken back are swamped. Sequence: an evacuation ends and leaves them cold;
+// their entries say so a second later. Cause: balancers went by the entries.
+#[test]
+fn targets_of_a_zone_that_comes_back_are_offered_as_cold() {
+    let decisions = FlowBalancer::new(balancer());
+    let mut views = builder();
+    let mut evacuated = ruled(vec![target(1, "claims")], Some(20.0));
+    views.take(&evacuated, at(0));
+    let view = views.build(at(0));
+    assert_eq!(told(&decisions, &view, 1, at(0)), Some((20, 0)));
+    evacuated.zones_revision = 2;
+    evacuated.evacuated = vec![lovagelatch_catalog::EvacuatedZone(
+        "hall-a".parse().expect("a zone"),
+    )]
+    .into();
+    views.take(&evacuated, at(100));
+    evacuated.zones_revision = 3;
+    evacuated.evacuated = Vec::new().into();
+    views.take(&evacuated, at(8_000));
+    let view = views.build(at(8_000));
+    assert_eq!(told(&decisions, &view, 2, at(8_000)), Some((20, 2_000)));
+    assert_eq!(told(&decisions, &view, 3, at(9_500)), Some((20, 500)));
+}
+
+// Symptom: agents of cold targets pass most offers on. Sequence: a few targets are added in a rush, and look
+// idle. Cause: balancers did not know that they bear no more in this second.
+#[test]
+fn a_target_without_room_is_no_first_choice() {
+    let decisions = FlowBalancer::new(balancer());
+    let mut views = builder();
+    let targets = vec![
+        cold_target(1, 2_000),
+        target(2, "claims"),
+        target(3, "claims"),
+    ];
+    views.take(&ruled(targets, Some(20.0)), at(0));
+    let view = views.build(at(0));
+    let report = |number: u8, room, in_progress| LoadReport {
+        room,
+        in_progress,
+        ..idle_load(agent(number))
+    };
+    decisions.take_load(&report(1, Some(3), 0), at(0));
+    decisions.take_load(&report(2, None, 8), at(0));
+    decisions.take_load(&report(3, None, 8), at(0));
+    let placed = (0..60).map(|port| {
+        let step = decisions.take_packet(&opening(flow(port)), b"syn", &view, at(1));
+        sent(step).0
+    });
+    let to_cold = placed.filter(|to| *to == agent(1)).count();
+    assert_eq!(to_cold, 3);
+    // Its agent's word is old: the agent decides.
+    let step = decisions.take_packet(&opening(flow(100)), b"syn", &view, at(1_100));
+    assert_eq!(sent(step).0, agent(1));
+}
+
+#[test]
+fn an_agent_tells_how_much_room_a_cold_target_has() {
+    let mut decisions = settled_agent();
+    assert_eq!(decisions.answer_probe(balancer(), at(0)).room, None);
+    assert_eq!(given(&mut decisions, 7, limit(20.0, 2_000), 0), 7);
+    assert_eq!(decisions.answer_probe(balancer(), at(10)).room, Some(13));
+    assert_eq!(decisions.answer_probe(balancer(), at(1_200)).room, Some(20));
+    assert_eq!(decisions.answer_probe(balancer(), at(2_100)).room, None);
+    // A bound of another process's past: an agent that was offered nothing knows none.
+    assert_eq!(old_agent().answer_probe(balancer(), at(0)).room, None);
+}
--- a/crates/flows/tests/all/zones.rs
+++ b/crates/flows/tests/all/zones.rs
@@ -218,11 +218,11 @@
     let mut knows = old_agent();
     delivered(knows.take_frame(offer(1, &[]), &opening(flow(1)), at(0)).0);
     knows.take_target_packet(&answer(flow(1)), at(1));
-    knows.take_zone(&notice(2, true));
+    knows.take_zone(&notice(2, true), at(0));
     delivered(knows.take_frame(copy.clone(), &opening(flow(1)), at(200)).0);
 
     let mut restarted = restarted_agent();
-    restarted.take_zone(&notice(2, true));
+    restarted.take_zone(&notice(2, true), at(0));
     let (step, note) = restarted.take_frame(copy, &opening(flow(1)), at(200));
     assert_eq!(step, AgentStep::Silence(SilenceReason::Evacuated));
     assert_eq!(note, None);
@@ -292,7 +292,7 @@
         for (port, heard) in (1..).zip(case.heard) {
             match *heard {
                 Heard::Notice(revision, evacuated) => {
-                    decisions.take_zone(&notice(revision, evacuated));
+                    decisions.take_zone(&notice(revision, evacuated), at(0));
                 }
                 Heard::Offer(revision, taken) => {
                     let offered = offer(revision, &[2]);
@@ -308,7 +308,7 @@
     }
     // Nobody is left: refused at once, and the balancer is told.
     let mut decisions = old_agent();
-    assert!(decisions.take_zone(&notice(6, true)).is_some());
+    assert!(decisions.take_zone(&notice(6, true), at(0)).is_some());
     let (step, note) = decisions.take_frame(offer(5, &[]), &opening(flow(1)), at(0));
     assert_eq!(step, AgentStep::Reset);
     assert_eq!(note.expect("a word").1.event, FlowEvent::Refused);
@@ -317,7 +317,7 @@
 #[test]
 fn an_offer_that_is_passed_on_keeps_what_its_balancer_knew() {
     let mut decisions = old_agent();
-    decisions.take_zone(&notice(6, true));
+    decisions.take_zone(&notice(6, true), at(0));
     let (step, _) = decisions.take_frame(offer(5, &[2]), &opening(flow(1)), at(0));
     let AgentStep::Pass { frame, .. } = step else {
         panic!("not passed on: {step:?}");
@@ -350,7 +350,7 @@
     assert_eq!(told(1, 8), None);
     assert_eq!(told(9, 0), None, "an agent that no list names");
     let mut decisions = old_agent();
-    decisions.take_zone(&notice(7, true));
+    decisions.take_zone(&notice(7, true), at(0));
     let load = decisions.answer_probe(balancer(), at(0));
     assert_eq!((load.zones_revision, load.evacuated), (7, true));
 }
--- a/crates/settings/src/opaque.rs
+++ b/crates/settings/src/opaque.rs
@@ -135,6 +135,23 @@
     }
 }
 
+/// A number that is 0 or more, with a fraction where needed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Allowance(f32);
+
+impl FromStr for Allowance {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        let value: f32 = text.parse().map_err(|_| ())?;
+        if value.is_finite() && value >= 0.0 {
+            Ok(Self(value))
+        } else {
+            Err(())
+        }
+    }
+}
+
 /// What every process that carries opaque packets is told.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OpaqueSettings {
@@ -200,7 +217,7 @@
 }
 
 /// What an agent is told.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct OpaqueAgentSettings {
     /// What every process is told.
     pub common: OpaqueSettings,
@@ -214,6 +231,10 @@
     pub advertised: SocketAddrV4,
     /// Whether the whole fleet starts now, so that no flow can be older than this process.
     pub first_start: bool,
+    /// How many times what a cold target bears in a second it may be given at most.
+    pub cold_overshoot: f32,
+    /// How many new flows more than that it may be given.
+    pub cold_slack: f32,
 }
 
 impl FieldReader {
@@ -244,6 +265,11 @@
         })
     }
 
+    fn allowance(&mut self, field: &'static str, default: &str) -> Option<f32> {
+        let value: Allowance = self.value("limits", field, "a number, 0 or more", Some(default))?;
+        Some(value.0)
+    }
+
     fn seconds(&mut self, field: &'static str, default: &str) -> Option<Duration> {
         let span: SecondSpan = self.value("limits", field, "seconds above 0", Some(default))?;
         Some(span.0)
@@ -316,6 +342,8 @@
         let backend = reader.value("agent", "backend", "an address IP:PORT", None);
         let outbound = reader.value("agent", "outbound", "an address IP:PORT", None);
         let first_start = reader.value("agent", "first_start", "true or false", Some("false"));
+        let overshoot = reader.allowance("cold_overshoot", "1");
+        let slack = reader.allowance("cold_slack", "0");
         let advertised: Option<AddressOrNone> = reader.value(
             "agent",
             "advertised",
@@ -330,6 +358,8 @@
             backend: backend?,
             outbound: outbound?,
             first_start: first_start?,
+            cold_overshoot: overshoot?,
+            cold_slack: slack?,
         })
     }
 
--- a/standins/soak/src/fleet.rs
+++ b/standins/soak/src/fleet.rs
@@ -233,7 +233,7 @@
             zone: "hall-a".parse().expect("a zone"),
             slots: 8,
             leaving,
-            warming: Duration::ZERO,
+            warming_ms: 0,
             start: TargetStart(if reborn { target.start.into() } else { 0 }),
         });
     }
@@ -262,7 +262,7 @@
             zone: "hall-a".parse().expect("a zone"),
             slots: 8,
             leaving: false,
-            warming: Duration::ZERO,
+            warming_ms: 0,
             start: TargetStart::default(),
         });
     }
@@ -316,6 +316,7 @@
                 shares: smallvec![RouteShare {
                     service: service_name(service),
                     weight: 1,
+                    warmup: None,
                 }],
             }
         });
--- a/tests/matrix/src/opaque/process.rs
+++ b/tests/matrix/src/opaque/process.rs
@@ -5,7 +5,7 @@
 use lovagelatch_catalog::Catalog;
 use lovagelatch_domain::{AgentAddress, Moment, ServiceId};
 use lovagelatch_flows::{
-    AgentSettings, FlowAgent, FlowBalancer, FlowView, FlowViewBuilder, ViewSettings,
+    AgentSettings, FlowAgent, FlowBalancer, FlowView, FlowViewBuilder, ViewSettings, WarmupSettings,
 };
 
 use super::network::Datagram;
@@ -116,6 +116,10 @@
         service,
         sees_all,
         flow_lifetime: FLOW_LIFETIME,
+        warmup: WarmupSettings {
+            overshoot: 1.5,
+            slack: 5.0,
+        },
     };
     FlowAgent::new(settings, now)
 }
--- a/tests/matrix/src/opaque/strike.rs
+++ b/tests/matrix/src/opaque/strike.rs
@@ -105,6 +105,7 @@
                 let share = RouteShare {
                     service: vault(),
                     weight: 1,
+                    warmup: None,
                 };
                 self.routes[0].shares = smallvec![share];
                 self.version += 1;
@@ -149,7 +150,7 @@
             zone: "hall-a".parse().expect("a zone"),
             slots: 3,
             leaving: false,
-            warming: Duration::ZERO,
+            warming_ms: 0,
             start: TargetStart::default(),
         };
         self.foreign = vec![
--- a/tests/matrix/src/opaque/world.rs
+++ b/tests/matrix/src/opaque/world.rs
@@ -277,7 +277,7 @@
             zone: "hall-a".parse().expect("a zone"),
             slots: 3,
             leaving: machine.target.leaving && self.mechanisms.leaving,
-            warming: Duration::ZERO,
+            warming_ms: 0,
             start: TargetStart(machine.target.start.into()),
         }
     }
@@ -858,6 +858,10 @@
         address: address(number),
         name: format!("r-{number}"),
         idempotent: number != 2,
-        shares: smallvec![RouteShare { service, weight: 1 }],
+        shares: smallvec![RouteShare {
+            service,
+            weight: 1,
+            warmup: None
+        }],
     }
 }
