Routes that are bound to regions go there and nowhere else, and their packets are shown nowhere else

Cause: allowed_regions was decoded nowhere.

Change: balancers are told each zone's region by their settings; a route's regions are a hard condition for its targets; a search shows a packet only where its flow may be, and proves nothing while it may be elsewhere.

Ruled out: showing packets of unknown flows everywhere (a filing would be seen abroad).

--- a/bins/balancer/src/opaque/catalog.rs
+++ b/bins/balancer/src/opaque/catalog.rs
@@ -129,7 +129,13 @@
                     let now = self.state.packets.clock.now();
                     let mut builder = self.state.builder.lock();
                     builder.take_changes(&catalog, &changes, now);
+                    let without_region = builder.take_without_region();
                     drop(builder);
+                    for zone in without_region {
+                        warn!(self.state.log,
+                            "zone without a region: no flows of routes that are bound to regions";
+                            "zone" => zone.as_str().to_owned());
+                    }
                     self.publish();
                     self.note_zones(&catalog, now);
                 }
--- a/bins/balancer/src/opaque/process.rs
+++ b/bins/balancer/src/opaque/process.rs
@@ -160,6 +160,7 @@
     };
     let view = ViewSettings {
         zone: settings.common.zone.clone(),
+        regions: settings.zones.clone(),
         agent_port: settings.common.frames.port(),
         flow_lifetime: settings.common.flow_lifetime,
     };
--- a/crates/catalog/src/record.rs
+++ b/crates/catalog/src/record.rs
@@ -4,7 +4,7 @@
 use std::num::NonZeroU32;
 use std::time::Duration;
 
-use lovagelatch_domain::{ConfigRevision, ServiceName, ZoneName};
+use lovagelatch_domain::{ConfigRevision, RegionName, ServiceName, ZoneName};
 use lovagelatch_membership::TableRow;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -130,6 +130,8 @@
     pub idempotent: bool,
     /// Where new flows go.
     pub shares: SmallVec<[RouteShare; 2]>,
+    /// The regions that its flows are bound to; empty where they may go anywhere.
+    pub homes: Box<[RegionName]>,
 }
 
 impl TableRow for PublishedRoute {
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -17,7 +17,9 @@
 };
 pub use load::{GateCondition, GateReport, PeerReport};
 pub use moment::Moment;
-pub use name::{AgencyName, MAX_NAME_BYTES, NameError, ServiceId, ServiceName, ZoneName};
+pub use name::{
+    AgencyName, MAX_NAME_BYTES, NameError, RegionName, ServiceId, ServiceName, ZoneName,
+};
 pub use outcome::{AttemptId, RefusalReason, RequestOutcome};
 
 use serde::{Deserialize, Serialize};
--- a/crates/domain/src/name.rs
+++ b/crates/domain/src/name.rs
@@ -120,6 +120,10 @@
     /// An availability zone.
     ZoneName
 }
+checked_name! {
+    /// A region: zones that are near each other, under one law.
+    RegionName
+}
 
 /// A short number for a [`ServiceName`], small enough to travel in every packet.
 ///
--- a/crates/flows/benches/decision.rs
+++ b/crates/flows/benches/decision.rs
@@ -34,6 +34,7 @@
 fn view(targets: u16) -> FlowView {
     let zone = "hall-a".parse().expect("a zone");
     let mut builder = FlowViewBuilder::new(ViewSettings {
+        regions: Vec::new(),
         zone,
         agent_port: 7_720,
         flow_lifetime: Duration::from_secs(60),
@@ -55,6 +56,7 @@
             address: route_address(),
             name: "r".to_owned(),
             idempotent: true,
+            homes: Box::default(),
             shares: smallvec![RouteShare {
                 service: service(),
                 weight: 1,
--- a/crates/flows/benches/memory.rs
+++ b/crates/flows/benches/memory.rs
@@ -77,6 +77,7 @@
         address: SocketAddrV4::new(Ipv4Addr::from(0xc612_0000 + number / 8), 443),
         name: format!("r-{number}"),
         idempotent: true,
+        homes: Box::default(),
         shares: smallvec![RouteShare {
             service: services[number as usize % services.len()].clone(),
             weight: 1,
@@ -111,6 +112,7 @@
     let held = HELD.load(Ordering::Relaxed) - before;
     println!("catalog: {held} bytes, taken in {:?}", start.elapsed());
     let mut builder = FlowViewBuilder::new(ViewSettings {
+        regions: Vec::new(),
         zone: "zone-0".parse().expect("a zone"),
         agent_port: 7_720,
         flow_lifetime: Duration::from_secs(60),
--- a/crates/flows/src/balancer/asking.rs
+++ b/crates/flows/src/balancer/asking.rs
@@ -45,6 +45,23 @@
         asked
     }
 
+    /// Leaves out the targets in regions that the route's packets must not be shown to, and notes where one of
+    /// them may hold the flow all the same, since the route's regions are not known for long enough.
+    pub(super) fn leave_out(
+        &mut self,
+        targets: &mut HolderList<'_>,
+        route: &FlowRoute,
+        view: &FlowView,
+        now: Moment,
+    ) {
+        let Some(homes) = &route.homes else {
+            return;
+        };
+        let before = targets.len();
+        targets.retain(|target| view.may_be_shown(route, target, now));
+        self.withheld |= targets.len() < before && now < homes.settled;
+    }
+
     /// The targets of these beside agents that were not asked yet.
     pub(super) fn unasked<'v>(&self, targets: HolderList<'v>) -> HolderList<'v> {
         let mut asked = self.asked.clone();
@@ -86,13 +103,15 @@
             SearchStep::Candidates
         },
         certain: view.is_complete(),
+        withheld: false,
         unreachable: false,
     };
-    let targets = if few {
+    let mut targets = if few {
         possible_holders(view, now)
     } else {
         candidates(packet, route, view)
     };
+    search.leave_out(&mut targets, route, view, now);
     let others = targets.into_iter();
     let others = others.filter(|target| Some(target.agent) != except);
     let asked = search.ask(others, now);
--- a/crates/flows/src/balancer/entry.rs
+++ b/crates/flows/src/balancer/entry.rs
@@ -149,6 +149,8 @@
     pub(super) step: SearchStep,
     /// Whether the view that it began with held every living target.
     pub(super) certain: bool,
+    /// Whether somebody who may hold it must not be asked, so that nobody's word proves anything.
+    pub(super) withheld: bool,
     /// Whether somebody who may hold it is out of reach, and is not waited for.
     pub(super) unreachable: bool,
 }
--- a/crates/flows/src/balancer/offer.rs
+++ b/crates/flows/src/balancer/offer.rs
@@ -113,7 +113,7 @@
     ) -> Option<BalancerStep> {
         let point = flow.point();
         let service = route.service_for(point)?;
-        let mut ordered = self.order(service, tried, view, point, now);
+        let mut ordered = self.order(route, service, tried, view, point, now);
         ordered.truncate(1 + OFFER_REST);
         ordered.extend(self.spill(route, service, tried, view, point, now));
         let &(score, chosen) = ordered.first()?;
@@ -161,7 +161,7 @@
         let services = route.shares.iter().map(|&(service, _)| service);
         let others = services.filter(|service| *service != drawn);
         let best = others.filter_map(|service| {
-            let ordered = self.order(service, tried, view, point, now);
+            let ordered = self.order(route, service, tried, view, point, now);
             ordered.first().copied()
         });
         best.collect()
@@ -188,6 +188,7 @@
     /// The targets of a service that may take a flow, best first, of the best standing there is.
     fn order<'v>(
         &self,
+        route: &FlowRoute,
         service: ServiceId,
         tried: &[ServiceAgent],
         view: &'v FlowView,
@@ -209,7 +210,7 @@
             if ordered.len() == PLACES {
                 break;
             }
-            if let Some(tier) = tier_of(target, view, &loads, now) {
+            if let Some(tier) = tier_of(target, route, view, &loads, now) {
                 let near = view.zones.is_near(target.zone);
                 let score = loads.score(target, near, random_part(point, target), now);
                 ordered.push((tier, score, target));
@@ -250,7 +251,8 @@
     let rings = shares.filter_map(|(service, _)| view.service(*service));
     let mut targets = rings.flat_map(ServiceTargets::targets);
     let is_evacuated = |target: &FlowTarget| {
-        target.standing == FlowStanding::Serving && view.zones.is_evacuated(target.zone)
+        let serves = target.standing == FlowStanding::Serving && view.is_home(route, target);
+        serves && view.zones.is_evacuated(target.zone)
     };
     if targets.any(is_evacuated) {
         RefusalReason::Evacuated
@@ -260,8 +262,17 @@
 }
 
 /// How good a target's standing is for a new flow, 0 best; `None` when it must not get one.
-fn tier_of(target: &FlowTarget, view: &FlowView, loads: &LoadBoard, now: Moment) -> Option<u8> {
+fn tier_of(
+    target: &FlowTarget,
+    route: &FlowRoute,
+    view: &FlowView,
+    loads: &LoadBoard,
+    now: Moment,
+) -> Option<u8> {
     let zones = &view.zones;
+    if !view.is_home(route, target) {
+        return None;
+    }
     if zones.is_evacuated(target.zone) || loads.knows_evacuated(target.agent, zones.revision) {
         return None;
     }
--- a/crates/flows/src/balancer/search.rs
+++ b/crates/flows/src/balancer/search.rs
@@ -145,7 +145,7 @@
             }
             search.last = now;
             search.acknowledged = packet.acknowledged;
-            let asked = self.ask_further(search, view, now);
+            let asked = self.ask_further(packet.flow, search, view, now);
             return self.search_step(packet.flow, search, asked, now);
         }
         let (mut search, asked) = asking::first_search(packet, bytes, except, route, view, now);
@@ -202,7 +202,7 @@
         }
         self.drop_silent(search, view, now);
         let asked = match search.step {
-            SearchStep::Candidates => match self.widen(search, view, now) {
+            SearchStep::Candidates => match self.widen(flow, search, view, now) {
                 Widening::Asked(asked) => asked,
                 Widening::Later => {
                     self.go_on_at(now + BUDGET_PAUSE, flow, search);
@@ -324,20 +324,35 @@
 
     /// Whom to show another packet of a flow that is being searched for: those who have not
     /// answered, or, when they have had their time, those who were not asked yet as well.
-    fn ask_further(&self, search: &mut FlowSearch, view: &FlowView, now: Moment) -> AskedList {
+    fn ask_further(
+        &self,
+        flow: FlowKey,
+        search: &mut FlowSearch,
+        view: &FlowView,
+        now: Moment,
+    ) -> AskedList {
         let waits = !search.open.is_empty() && now.since(search.started) < ANSWER_SPAN;
         if waits || search.step != SearchStep::Candidates {
             return unanswered(search);
         }
-        match self.widen(search, view, now) {
+        match self.widen(flow, search, view, now) {
             Widening::Asked(asked) => asked,
             Widening::Later | Widening::Never(_) => unanswered(search),
         }
     }
 
     /// Adds everybody who was not asked yet; whom to ask now, those who have not answered among them.
-    fn widen(&self, search: &mut FlowSearch, view: &FlowView, now: Moment) -> Widening {
-        let all = asking::possible_holders(view, now);
+    fn widen(
+        &self,
+        flow: FlowKey,
+        search: &mut FlowSearch,
+        view: &FlowView,
+        now: Moment,
+    ) -> Widening {
+        let mut all = asking::possible_holders(view, now);
+        if let Some(route) = view.route(&flow) {
+            search.leave_out(&mut all, route, view, now);
+        }
         let bytes = errand_bytes(all.len(), search.bytes.len());
         let mut budget = self.budget.lock();
         if !budget.allows(bytes) {
@@ -409,7 +424,7 @@
         if !search.open.is_empty() || !search.has_asked_everybody() {
             return None;
         }
-        if !search.certain {
+        if !search.certain || search.withheld {
             search.step = SearchStep::Exhausted;
             self.go_on_at(now + DOUBT_PAUSE, flow, search);
             return None;
--- a/crates/flows/src/lib.rs
+++ b/crates/flows/src/lib.rs
@@ -42,6 +42,6 @@
 pub use packet::{FlowKey, FlowPacket, PacketFlags};
 pub use ring::{CANDIDATES, FlowStanding, FlowTarget, NameKey, PLACES, ServiceTargets, TargetKey};
 pub use view::{
-    FlowRoute, FlowView, FlowViewBuilder, ViewCoverage, ViewDoubt, ViewSettings, ZoneIndex,
-    ZoneOutlook,
+    FlowRoute, FlowView, FlowViewBuilder, RegionIndex, RouteHomes, ViewCoverage, ViewDoubt,
+    ViewSettings, ZoneIndex, ZoneOutlook,
 };
--- a/crates/flows/src/view.rs
+++ b/crates/flows/src/view.rs
@@ -5,6 +5,7 @@
 
 mod builder;
 mod doubt;
+mod regions;
 mod zones;
 
 use std::collections::{HashMap, HashSet};
@@ -22,6 +23,7 @@
 
 pub use self::builder::{FlowViewBuilder, ViewSettings};
 pub use self::doubt::{ViewCoverage, ViewDoubt};
+pub use self::regions::{RegionIndex, RouteHomes};
 pub use self::zones::{ZoneIndex, ZoneOutlook};
 
 /// Routes by the address that callers send to.
@@ -42,6 +44,8 @@
     /// Services it sent flows to within a flow's lifetime, with the end of that. Mostly none, and
     /// then without an allocation.
     pub former: Vec<(ServiceId, Moment)>,
+    /// The regions that its flows are bound to; `None` where they may go anywhere.
+    pub homes: Option<Box<RouteHomes>>,
 }
 
 impl FlowRoute {
@@ -155,6 +159,24 @@
         agents.filter(|agent| !differs(*agent)).collect()
     }
 
+    /// Whether a new flow of a route may go to a target's region.
+    pub(crate) fn is_home(&self, route: &FlowRoute, target: &FlowTarget) -> bool {
+        route.homes.as_ref().is_none_or(|homes| {
+            let region = self.zones.region_of(target.zone);
+            region.is_some_and(|region| homes.allowed.contains(&region))
+        })
+    }
+
+    /// Whether a packet of a route's open flow may be shown to a target's agent: its region is one of those
+    /// that the flow may be in, or this process's own.
+    pub(crate) fn may_be_shown(&self, route: &FlowRoute, target: &FlowTarget, now: Moment) -> bool {
+        route.homes.as_ref().is_none_or(|homes| {
+            let region = self.zones.region_of(target.zone);
+            let own = self.zones.region_of(self.zones.own);
+            homes.may_hold(region, now) || (region.is_some() && region == own)
+        })
+    }
+
     /// What a target bears while it is cold, and for how long it is; `None` where no bound is named.
     #[must_use]
     pub fn warmup_of(&self, target: &FlowTarget, now: Moment) -> Option<WarmupLimit> {
--- a/crates/flows/src/view/builder.rs
+++ b/crates/flows/src/view/builder.rs
@@ -12,11 +12,12 @@
 use lovagelatch_catalog::{
     Catalog, CatalogChanges, PublishedRoute, PublishedTarget, TargetName, TargetRow, WarmupRule,
 };
-use lovagelatch_domain::{AgentAddress, Moment, ServiceId, ServiceName, ZoneName};
+use lovagelatch_domain::{AgentAddress, Moment, RegionName, ServiceId, ServiceName, ZoneName};
 use smallvec::SmallVec;
 
 use super::doubt::{DoubtRecord, UNREADABLE_SPAN, ViewCoverage};
-use super::zones::ZoneNames;
+use super::regions::{RegionList, RegionMap, RouteHomes};
+use super::zones::{ZoneIndex, ZoneNames};
 use super::{FlowRoute, FlowView, RouteMap, ServiceMap};
 use crate::ring::{FlowStanding, FlowTarget, NameKey, ServiceTargets, TargetKey};
 
@@ -29,6 +30,8 @@
 pub struct ViewSettings {
     /// This process's zone.
     pub zone: ZoneName,
+    /// The region of each zone.
+    pub regions: Vec<(ZoneName, RegionName)>,
     /// The port that agents listen on for frames, the same on all instances.
     pub agent_port: u16,
     /// The longest that a flow lives, and so the longest that anything of it is remembered.
@@ -75,6 +78,9 @@
     /// The services that the configuration names and sends no route's flows to.
     unrouted: Arc<Vec<ServiceName>>,
     zones: ZoneNames,
+    regions: RegionMap,
+    /// Zones that targets name and the settings give no region, since they were last taken.
+    without_region: Vec<ZoneName>,
     doubts: DoubtRecord,
 }
 
@@ -82,18 +88,36 @@
     /// A builder that remembers nothing.
     #[must_use]
     pub fn new(settings: ViewSettings) -> Self {
-        let mut zones = ZoneNames::default();
-        let mut view = FlowView::default();
-        view.zones.own = zones.index_of(&settings.zone);
-        Self {
+        let zone = settings.zone.clone();
+        let mut builder = Self {
+            regions: RegionMap::new(&settings.regions),
             settings,
-            view,
-            zones,
+            view: FlowView::default(),
+            zones: ZoneNames::default(),
+            without_region: Vec::new(),
             vanished: HashMap::new(),
             former: HashMap::new(),
             unrouted: Arc::default(),
             doubts: DoubtRecord::new(),
+        };
+        builder.view.zones.own = builder.zone_index(&zone);
+        builder
+    }
+
+    /// The number of a zone, whose region is noted with it.
+    fn zone_index(&mut self, zone: &ZoneName) -> ZoneIndex {
+        let index = self.zones.index_of(zone);
+        let at = usize::from(index.0);
+        if at >= self.view.zones.regions.len() {
+            let region = self.regions.region_of(zone);
+            if region.is_none() && !self.settings.regions.is_empty() {
+                self.without_region.push(zone.clone());
+            }
+            let regions = Arc::make_mut(&mut self.view.zones.regions);
+            regions.resize(at + 1, None);
+            regions[at] = region;
         }
+        index
     }
 
     /// Notes that the store had trouble at `at`: an entry that vanishes proves nothing.
@@ -116,6 +140,12 @@
         self.view.zones.since = since;
     }
 
+    /// The zones that were first named since the last call and have no region by the settings: their targets
+    /// get no flows of routes that are bound to regions.
+    pub fn take_without_region(&mut self) -> Vec<ZoneName> {
+        std::mem::take(&mut self.without_region)
+    }
+
     /// Takes a catalog, with what changed since the last one that was taken.
     pub fn take_changes(&mut self, catalog: &Catalog, changes: &CatalogChanges, now: Moment) {
         let CatalogChanges::Rows { targets, routes } = changes else {
@@ -174,7 +204,7 @@
     fn take_head(&mut self, catalog: &Catalog, now: Moment) {
         if self.view.zones.revision != catalog.zones_revision {
             let zones = catalog.evacuated.iter();
-            let zones = zones.map(|zone| self.zones.index_of(&zone.0)).collect();
+            let zones = zones.map(|zone| self.zone_index(&zone.0)).collect();
             self.view.zones.take(catalog.zones_revision, zones, now);
         }
         let changed = self.view.version != catalog.version || self.unrouted != catalog.unrouted;
@@ -322,7 +352,7 @@
         } else {
             FlowStanding::Serving
         };
-        let zone = self.zones.index_of(&row.zone);
+        let zone = self.zone_index(&row.zone);
         let held = self.target(service, key);
         let since = match held {
             Some(held) if held.standing == standing => held.since,
@@ -386,17 +416,52 @@
             former.retain(|(held, _)| *held != service);
             former.push((service, until));
         }
+        let homes = route.and_then(|route| self.homes_of(route, before.map(Arc::as_ref), now));
         let next = route.map(|route| FlowRoute {
             name: route.name.clone(),
             idempotent: route.idempotent,
             shares,
             former: self.former.get(&address).cloned().unwrap_or_default(),
+            homes,
         });
         if before.map(Arc::as_ref) != next.as_ref() {
             replace_route(&mut self.view.routes, address, next);
         }
     }
 
+    /// The regions that a route is bound to. Where they are others than before, or this process has just
+    /// begun, flows may be elsewhere for as long as one lives.
+    fn homes_of(
+        &self,
+        route: &PublishedRoute,
+        before: Option<&FlowRoute>,
+        now: Moment,
+    ) -> Option<Box<RouteHomes>> {
+        if route.homes.is_empty() {
+            return None;
+        }
+        let allowed = self.regions.numbers(&route.homes);
+        let settled = now + self.settings.flow_lifetime;
+        let former = match before {
+            // Nothing is known of before: a packet goes to no other region on a mere chance.
+            None => Some(RegionList::new()),
+            Some(before) => match &before.homes {
+                Some(homes) if homes.allowed == allowed => return Some(homes.clone()),
+                Some(homes) => homes.former.as_ref().map(|former| {
+                    let mut all = homes.allowed.clone();
+                    all.extend(former.iter().copied().filter(|_| now < homes.settled));
+                    all
+                }),
+                None => None,
+            },
+        };
+        Some(Box::new(RouteHomes {
+            allowed,
+            former,
+            settled,
+        }))
+    }
+
     fn set_warmup(&mut self, service: ServiceId, rule: Option<WarmupRule>) {
         if self.view.warmups.get(&service) == rule.as_ref() {
             return;
--- a/crates/flows/src/view/zones.rs
+++ b/crates/flows/src/view/zones.rs
@@ -5,10 +5,12 @@
 //! although the zone was evacuated in time.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use lovagelatch_domain::{Moment, ZoneName};
 use smallvec::SmallVec;
 
+use super::regions::{RegionIndex, ZoneRegions, region_at};
 use crate::frame::ZoneNotice;
 
 /// A zone's number in one process. Names are compared for each new flow and target: two bytes in place of
@@ -50,6 +52,8 @@
     pub evacuated: SmallVec<[ZoneIndex; 4]>,
     /// The zones that were taken back, with when: their targets may be cold before their entries say so.
     pub restored: SmallVec<[(ZoneIndex, Moment); 2]>,
+    /// The region of each zone, by its number.
+    pub(super) regions: Arc<ZoneRegions>,
 }
 
 impl ZoneOutlook {
@@ -65,6 +69,12 @@
         self.evacuated.contains(&zone)
     }
 
+    /// The region of a zone; `None` where the settings name none.
+    #[must_use]
+    pub fn region_of(&self, zone: ZoneIndex) -> Option<RegionIndex> {
+        region_at(&self.regions, zone)
+    }
+
     /// Whether a zone is this process's own.
     #[must_use]
     pub fn is_near(&self, zone: ZoneIndex) -> bool {
--- a/crates/flows/tests/all/main.rs
+++ b/crates/flows/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod empty_fleet;
 mod errand;
 mod frame;
+mod homes;
 mod load;
 mod loss;
 mod outlook;
--- a/crates/flows/tests/all/support.rs
+++ b/crates/flows/tests/all/support.rs
@@ -68,6 +68,7 @@
         address,
         name: "r-1".to_owned(),
         idempotent: true,
+        homes: Box::default(),
         shares: shares
             .iter()
             .map(|&(name, weight)| RouteShare {
@@ -105,8 +106,18 @@
 }
 
 pub(crate) fn builder() -> FlowViewBuilder {
+    builder_with_regions(&[])
+}
+
+/// The same with these regions of zones.
+pub(crate) fn builder_with_regions(regions: &[(&str, &str)]) -> FlowViewBuilder {
+    let regions = regions.iter().map(|(zone, region)| {
+        let zone = zone.parse().expect("a zone");
+        (zone, region.parse().expect("a region"))
+    });
     FlowViewBuilder::new(ViewSettings {
         zone: "hall-a".parse().expect("a zone"),
+        regions: regions.collect(),
         agent_port: AGENT_PORT,
         flow_lifetime: Duration::from_secs(60),
     })
--- a/crates/settings/src/opaque.rs
+++ b/crates/settings/src/opaque.rs
@@ -22,13 +22,14 @@
 //! gossip = 10.1.0.10:7735
 //! seeds = 10.2.0.40:8166
 //! store = 10.200.1.7:8169
+//! zones = hall-a:lahore, hall-b:lahore
 //! ```
 
 use std::net::SocketAddrV4;
 use std::str::FromStr;
 use std::time::Duration;
 
-use lovagelatch_domain::{ServiceName, ZoneName};
+use lovagelatch_domain::{RegionName, ServiceName, ZoneName};
 use smallvec::SmallVec;
 
 use crate::fault::{FaultList, SettingFault};
@@ -135,6 +136,30 @@
     }
 }
 
+/// Zones with their regions, written as `zone:region`, one after the other.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct ZoneRegionList(Vec<(ZoneName, RegionName)>);
+
+impl FromStr for ZoneRegionList {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        let separators = |c: char| c == ',' || c.is_whitespace();
+        let words = text.split(separators).filter(|word| !word.is_empty());
+        let mut list: Vec<(ZoneName, RegionName)> = Vec::new();
+        for word in words {
+            let (zone, region) = word.split_once(':').ok_or(())?;
+            let zone: ZoneName = zone.parse().map_err(|_| ())?;
+            let region = region.parse().map_err(|_| ())?;
+            if list.iter().any(|(known, _)| *known == zone) {
+                return Err(());
+            }
+            list.push((zone, region));
+        }
+        Ok(Self(list))
+    }
+}
+
 /// A number that is 0 or more, with a fraction where needed.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Allowance(f32);
@@ -198,6 +223,8 @@
     pub store: SocketAddrV4,
     /// What the instance's link carries, in bytes a second.
     pub link_bytes: u64,
+    /// The region of each zone.
+    pub zones: Vec<(ZoneName, RegionName)>,
 }
 
 /// An address that may be left out.
@@ -299,6 +326,12 @@
             "megabits a second above 0",
             Some("1000"),
         );
+        let zones: Option<ZoneRegionList> = reader.value(
+            "balancer",
+            "zones",
+            "a list of ZONE:REGION, each zone once",
+            Some(","),
+        );
         let gossip: SocketAddrV4 = gossip?;
         let at_gossip = |ip| SocketAddrV4::new(ip, gossip.port());
         let seeds = seeds?
@@ -312,6 +345,7 @@
             seeds,
             store: store?,
             link_bytes: link?.bytes,
+            zones: zones?.0,
         })
     }
 
--- a/standins/soak/src/fleet.rs
+++ b/standins/soak/src/fleet.rs
@@ -313,6 +313,7 @@
                 address,
                 name: format!("r-{number}"),
                 idempotent: number != 1,
+                homes: Box::default(),
                 shares: smallvec![RouteShare {
                     service: service_name(service),
                     weight: 1,
--- a/tests/matrix/src/opaque/process.rs
+++ b/tests/matrix/src/opaque/process.rs
@@ -37,6 +37,7 @@
 impl Balancer {
     pub(crate) fn new(own: AgentAddress) -> Self {
         let settings = ViewSettings {
+            regions: Vec::new(),
             zone: "hall-a".parse().expect("a zone"),
             agent_port: AGENT_PORT,
             flow_lifetime: FLOW_LIFETIME,
--- a/tests/matrix/src/opaque/world.rs
+++ b/tests/matrix/src/opaque/world.rs
@@ -858,6 +858,7 @@
         address: address(number),
         name: format!("r-{number}"),
         idempotent: number != 2,
+        homes: Box::default(),
         shares: smallvec![RouteShare {
             service,
             weight: 1,
