--- a/bins/agent/src/opaque/count.rs
+++ b/bins/agent/src/opaque/count.rs
@@ -11,6 +11,8 @@
     Tried,
     /// Sent on to another agent.
     Passed,
+    /// Handed on for a balancer that does not hear the agent it is for.
+    Relayed,
     /// Sent back to the balancer.
     Returned,
     /// Sent to its client.
@@ -38,6 +40,7 @@
         Self::Delivered,
         Self::Tried,
         Self::Passed,
+        Self::Relayed,
         Self::Returned,
         Self::ToClient,
         Self::Reset,
@@ -59,6 +62,7 @@
             Self::Delivered => "delivered",
             Self::Tried => "tried",
             Self::Passed => "passed",
+            Self::Relayed => "relayed",
             Self::Returned => "returned",
             Self::ToClient => "to_client",
             Self::Reset => "reset",
--- a/bins/agent/src/opaque/packets.rs
+++ b/bins/agent/src/opaque/packets.rs
@@ -11,7 +11,7 @@
 use lovagelatch_fleet::ProcessClock;
 use lovagelatch_flows::{
     AgentStep, ErrandWord, FlowAgent, FlowNote, FlowPacket, PacketFrame, PeerFrame, SearchErrand,
-    SilenceReason, ZoneNotice, open_frame, write_frame,
+    SilenceReason, ZoneNotice, may_be_relayed, open_frame, write_frame,
 };
 use lovagelatch_network::{BUFFER_BYTES, ReceiveBatch, SendBatch, wait_readable};
 use lovagelatch_telemetry::EventOutcome;
@@ -164,6 +164,7 @@
             Ok((PeerFrame::Probe { balancer }, _)) => return self.answer_probe(balancer, now),
             Ok((PeerFrame::Note(word), _)) => return self.take_word(&word),
             Ok((PeerFrame::Zone(notice), _)) => return self.take_zone(&notice, now),
+            Ok((PeerFrame::Relay { to }, inner)) => return self.relay(to, inner),
             Ok((frame, packet)) => (frame, packet),
             Err(_) => return self.counts.add(PacketOutcome::BadFrame),
         };
@@ -189,6 +190,15 @@
         self.tell(balancer, &PeerFrame::Load(report));
     }
 
+    /// Hands a frame on to an agent that its balancer does not hear.
+    fn relay(&mut self, to: AgentAddress, inner: &[u8]) {
+        if !may_be_relayed(inner) {
+            return self.counts.add(PacketOutcome::BadFrame);
+        }
+        self.counts.add(PacketOutcome::Relayed);
+        self.push_outward(to.0, |out| copy_to(inner, out));
+    }
+
     fn take_zone(&mut self, notice: &ZoneNotice, now: Moment) {
         if let Some(age) = self.state.agent.lock().take_zone(notice, now) {
             self.log.zone(notice);
--- a/bins/balancer/src/opaque/count.rs
+++ b/bins/balancer/src/opaque/count.rs
@@ -12,6 +12,8 @@
     OfferedAgain,
     /// A packet went to the agent that holds its flow.
     Forwarded,
+    /// A packet went through another agent as well, because its own is silent.
+    Relayed,
     /// A packet of an unknown flow began its walk.
     Searched,
     /// A search ended because it would have had to ask too many agents.
@@ -41,6 +43,7 @@
         Self::Offered,
         Self::OfferedAgain,
         Self::Forwarded,
+        Self::Relayed,
         Self::Searched,
         Self::SearchAbandoned,
         Self::ResetNoRoute,
@@ -63,6 +66,7 @@
             Self::Offered => "offered",
             Self::OfferedAgain => "offered_again",
             Self::Forwarded => "forwarded",
+            Self::Relayed => "relayed",
             Self::Searched => "searched",
             Self::SearchAbandoned => "search_abandoned",
             Self::ResetNoRoute => "reset_no_route",
--- a/bins/balancer/src/opaque/packets.rs
+++ b/bins/balancer/src/opaque/packets.rs
@@ -13,6 +13,7 @@
 use lovagelatch_flows::{
     BalancerStep, DueSearch, FlowBalancer, FlowKey, FlowPacket, FlowReset, FlowView, FramePurpose,
     LoadReport, PacketFrame, PeerFrame, RefusalReason, SearchFrames, open_frame, write_frame,
+    write_relayed,
 };
 use lovagelatch_network::{BUFFER_BYTES, ReceiveBatch, SendBatch, wait_readable};
 
@@ -195,6 +196,7 @@
                 PeerFrame::Packet(_)
                 | PeerFrame::Errand(_)
                 | PeerFrame::Zone(_)
+                | PeerFrame::Relay { .. }
                 | PeerFrame::Probe { .. },
                 _,
             ))
@@ -221,11 +223,19 @@
         view: &FlowView,
     ) {
         match step {
-            BalancerStep::Send { to, frame, placed } => {
+            BalancerStep::Send {
+                to,
+                frame,
+                placed,
+                through,
+            } => {
                 if let Some(placed) = placed {
                     self.log.placed(&packet.flow, &placed, view);
                 }
                 self.counts.add(outcome_of(frame.purpose));
+                if let Some(relay) = through {
+                    self.relay(relay, to, &frame, bytes);
+                }
                 self.send_frame(to, frame, bytes);
             }
             BalancerStep::Search(frames) => self.search(&packet.flow, frames, bytes, view),
@@ -346,6 +356,13 @@
         self.push(to.0, |out| write_frame(&frame, packet, out));
     }
 
+    /// Sends a packet of an open flow through an agent that can reach the flow's, which is silent.
+    fn relay(&mut self, relay: AgentAddress, to: AgentAddress, frame: &PacketFrame, packet: &[u8]) {
+        self.counts.add(PacketOutcome::Relayed);
+        let frame = PeerFrame::Packet(frame.clone());
+        self.push(relay.0, |out| write_relayed(to, &frame, packet, out));
+    }
+
     fn push(&mut self, to: SocketAddrV4, write: impl Fn(&mut Vec<u8>)) {
         if !self.sending.push(to, &write) {
             self.flush();
--- a/crates/flows/src/agent.rs
+++ b/crates/flows/src/agent.rs
@@ -39,6 +39,11 @@
 /// How long a refused connection marks the target as gone.
 const REFUSED_SPAN: Duration = Duration::from_secs(1);
 
+/// While nobody listens, how often one new flow tries whether somebody does: ten times a calm answer. What went
+/// wrong without it: once a second a whole rush was sent to a target that was down, and each of these flows
+/// lost the time that its balancer waits for an answer.
+const ATTEMPT_PAUSE: Duration = Duration::from_millis(100);
+
 /// A request without an answer for this long is no longer counted as in progress: its caller has
 /// given up, and may have done so without a word.
 const PROGRESS_LIMIT: Duration = Duration::from_secs(4);
@@ -174,6 +179,8 @@
     averaged: Moment,
     /// When the oldest first packet was handed over that the target has said nothing after.
     unanswered_since: Option<Moment>,
+    /// Until when nobody listens where the target should, as far as is known; [`Moment::ZERO`] from the
+    /// target's next packet on.
     refused_until: Moment,
     health: TargetHealth,
     zone: ZoneStanding,
--- a/crates/flows/src/agent/inward.rs
+++ b/crates/flows/src/agent/inward.rs
@@ -4,7 +4,7 @@
 
 use super::entry::{EntryState, FlowEntry, FrameOrigin, Trial};
 use super::warmup::WarmupVerdict;
-use super::{AgentStep, ErrandStep, FlowAgent, SilenceReason, TRIALS};
+use super::{ATTEMPT_PAUSE, AgentStep, ErrandStep, FlowAgent, SilenceReason, TRIALS};
 use crate::frame::{ErrandWord, FlowEvent, FlowNote, FramePurpose, PacketFrame, SearchErrand};
 use crate::packet::{FlowKey, FlowPacket};
 
@@ -106,31 +106,49 @@
         let failing = self.health.is_failing(self.in_progress, now);
         let unable =
             self.leaving || failing || !self.is_responsive(now) || self.is_busy(frame.slots);
+        // A copy of a first packet that the target has not answered is one more to it: what swallowed the
+        // first may have been its end, and this one the first that its next start takes.
+        let unanswered = known == Some(EntryState::Offered);
+        if unanswered
+            && self
+                .warmup
+                .judge(frame.warmup, frame.slots, now)
+                .is_closed()
+        {
+            return (AgentStep::Silence(SilenceReason::Unwarmed), None);
+        }
         if known.is_none() {
             let admitted = self.admits_zone(frame.zones_revision, now);
             if !admitted && frame.zones_revision == 0 {
                 // Its flow may be open, and a reset would end it.
                 return (AgentStep::Silence(SilenceReason::Evacuated), None);
             }
-            let warmup = self.warmup.judge(frame.warmup, now);
+            let warmup = self.warmup.judge(frame.warmup, frame.slots, now);
             let last = frame.rest.is_empty();
             if admitted && last && warmup == WarmupVerdict::Unknown {
                 return (AgentStep::Silence(SilenceReason::Unwarmed), None);
             }
-            let full = matches!(warmup, WarmupVerdict::Full | WarmupVerdict::Unknown);
-            let better_elsewhere = unable || warmup == WarmupVerdict::Sparing;
-            if !admitted || full || (better_elsewhere && !last) {
+            if !admitted || warmup.is_closed() || (unable && !last) {
                 return self.pass_on(packet, frame.into(), now);
             }
             let entry = FlowEntry::new(EntryState::Offered, Some(frame.balancer), now);
             self.begin_flow(packet.flow, entry, now);
         }
-        self.unanswered_since.get_or_insert(now);
+        self.note_attempt(now);
         self.warmup.note_admitted(now);
         let tag = self.try_target(frame);
         (AgentStep::Deliver { tag }, None)
     }
 
+    /// Notes that the target is given a first packet. Where nobody listened at last, this one tries whether
+    /// somebody does now, and the next ones wait for what becomes of it.
+    fn note_attempt(&mut self, now: Moment) {
+        self.unanswered_since.get_or_insert(now);
+        if self.refused_until > Moment::ZERO {
+            self.refused_until = self.refused_until.max(now + ATTEMPT_PAUSE);
+        }
+    }
+
     /// Whether the target's zone takes new flows, by an offer whose sender knew the zones up to `revision`.
     fn admits_zone(&mut self, revision: u64, now: Moment) -> bool {
         let before = self.zone.evacuated;
--- a/crates/flows/src/agent/outward.rs
+++ b/crates/flows/src/agent/outward.rs
@@ -51,13 +51,16 @@
     ) -> (AgentStep, Option<(AgentAddress, FlowNote)>) {
         if let Some(trial) = self.take_trial(packet.tag) {
             if packet.opens() {
-                self.warmup.note_returned();
                 let known = self.flows.get(&packet.flow).map(|entry| entry.state);
                 if known.is_some_and(|state| state != EntryState::Offered) {
                     // A late copy: the flow opened long ago, and nobody else must be offered it.
                     return (AgentStep::Silence(SilenceReason::Ended), None);
                 }
                 self.forget(&packet.flow);
+                if self.in_progress == 0 {
+                    // It has nothing to do, so it is not full: it has just ended or started.
+                    self.warmup.doubt(now);
+                }
             } else {
                 let lifetime = self.settings.flow_lifetime;
                 self.absent.insert(packet.flow, Absence(now), lifetime, now);
--- a/crates/flows/src/agent/warmup.rs
+++ b/crates/flows/src/agent/warmup.rs
@@ -3,7 +3,8 @@
 //! Load pattern: targets are added, or come back with their zone, during a rush. They look idle, so they
 //! draw more new flows than any other, and are swamped while they are slow. Where the operator names how many
 //! flows a second a cold target bears, the agent beside it lets in no more in any second, since it alone sees
-//! everything that reaches the target.
+//! everything that reaches the target; and it lets them in evenly: a second's flows at once fill the queue of a
+//! slow target, and it falls over, and is cold again when it is back.
 //!
 //! One notices by requests that take seconds at targets that have just started. What is not known is taken
 //! at its worst: an agent that has just started does not know what its predecessor let in a moment ago, nor
@@ -22,6 +23,9 @@
 /// than between two others.
 const WINDOW: Duration = Duration::from_millis(1_100);
 
+/// For about how long a report of the room that is left stands.
+const REPORT_SPAN: Duration = Duration::from_millis(250);
+
 /// First packets remembered at most; a target at its limit has long been full by then.
 const MAX_RECENT: usize = 4_096;
 
@@ -30,23 +34,30 @@
 pub(super) enum WarmupVerdict {
     /// It may.
     Open,
-    /// It has as many as it bears in a second: others are asked first.
-    Sparing,
-    /// It must not.
+    /// It must not: it has as many as it bears in a second.
     Full,
     /// It must not, because of what may have been let in before this agent started.
     Unknown,
 }
 
+impl WarmupVerdict {
+    pub(super) fn is_closed(self) -> bool {
+        self != Self::Open
+    }
+}
+
 /// See the module.
 #[derive(Clone, Debug)]
 pub(super) struct WarmupGate {
     settings: WarmupSettings,
     /// When this agent started, while the target may be younger than it.
     started: Option<Moment>,
-    /// When each first packet of the last [`WINDOW`] was handed to the target. Invariant: in order.
+    /// When each first packet of the last [`WINDOW`] was handed to the target; one that it returned was work to it
+    /// as well. Invariant: in order.
     recent: VecDeque<Moment>,
-    /// How many of the newest of these may not have been sent yet.
+    /// When the target has had time for all that it was given, at the pace that it bears.
+    paced_until: Moment,
+    /// How many of the newest of `recent` may not have been sent yet.
     unsent: usize,
     /// The last bound that a balancer named.
     limit: Option<WarmupLimit>,
@@ -62,6 +73,7 @@
             settings,
             started: Some(now),
             recent: VecDeque::new(),
+            paced_until: Moment::ZERO,
             unsent: 0,
             limit: None,
             cold_until: Moment::ZERO,
@@ -69,8 +81,13 @@
         }
     }
 
-    /// Judges an offer whose balancer names this bound.
-    pub(super) fn judge(&mut self, limit: Option<WarmupLimit>, now: Moment) -> WarmupVerdict {
+    /// Judges an offer whose balancer names this bound, to a target that runs `slots` requests at once.
+    pub(super) fn judge(
+        &mut self,
+        limit: Option<WarmupLimit>,
+        slots: u16,
+        now: Moment,
+    ) -> WarmupVerdict {
         if let Some(limit) = limit {
             self.limit = Some(limit);
             self.cold_until = self.cold_until.max(now + limit.left());
@@ -83,21 +100,25 @@
         if fresh {
             return WarmupVerdict::Unknown;
         }
-        if self.recent.len() >= self.most(limit) {
+        let at_once = limit.interval() * u32::from(slots.max(1));
+        let hurried = self.paced_until + limit.interval() > now + at_once;
+        if hurried || self.recent.len() >= self.most(limit) {
             WarmupVerdict::Full
-        } else if self.recent.len() >= limit.a_second() {
-            WarmupVerdict::Sparing
         } else {
             WarmupVerdict::Open
         }
     }
 
-    /// How many more flows the target bears in this second; `None` where no bound holds.
+    /// How many more flows the target bears until the next report; `None` where no bound holds.
     pub(super) fn room(&mut self, now: Moment) -> Option<u16> {
         self.forget(now);
         let limit = self.cold_limit(now)?;
-        let room = limit.a_second().saturating_sub(self.recent.len());
-        Some(u16::try_from(room).unwrap_or(u16::MAX))
+        let late = self.paced_until.since(now + REPORT_SPAN);
+        Some(if late.is_zero() {
+            limit.room(REPORT_SPAN)
+        } else {
+            0
+        })
     }
 
     /// A first packet is handed to the target.
@@ -107,6 +128,9 @@
         }
         self.recent.push_back(now);
         self.unsent += 1;
+        if let Some(limit) = self.limit {
+            self.paced_until = self.paced_until.max(now) + limit.interval();
+        }
     }
 
     /// What was admitted has left this process. What goes wrong without it: a process that stands still
@@ -116,16 +140,12 @@
         for at in self.recent.range_mut(first..) {
             *at = now;
         }
+        if let (Some(limit), Ok(unsent)) = (self.limit, u32::try_from(self.unsent)) {
+            self.paced_until = self.paced_until.max(now + limit.interval() * unsent);
+        }
         self.unsent = 0;
     }
 
-    /// The target returned a first packet: it did not take it. Which one does not matter; the oldest keeps
-    /// the count on the safe side.
-    pub(super) fn note_returned(&mut self) {
-        self.recent.pop_front();
-        self.unsent = self.unsent.min(self.recent.len());
-    }
-
     /// The target may have started again, or its zone has come back.
     pub(super) fn doubt(&mut self, now: Moment) {
         self.doubted = Some(now);
@@ -146,10 +166,10 @@
     }
 
     fn most(&self, limit: WarmupLimit) -> usize {
-        let most = limit.rate() * self.settings.overshoot + self.settings.slack;
+        let allowed = limit.rate() * self.settings.overshoot + self.settings.slack;
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        let most = most as usize;
-        most
+        let allowed = allowed as usize;
+        allowed
     }
 
     fn forget(&mut self, now: Moment) {
--- a/crates/flows/src/balancer.rs
+++ b/crates/flows/src/balancer.rs
@@ -13,6 +13,7 @@
 mod entry;
 mod loss;
 mod offer;
+mod relay;
 mod schedule;
 mod search;
 mod search_frames;
@@ -127,6 +128,8 @@
         frame: PacketFrame,
         /// The decision, when a new flow was placed.
         placed: Option<PlacedFlow>,
+        /// An agent through which the same frame goes as well, because this one is silent.
+        through: Option<AgentAddress>,
     },
     /// Show it to agents, in these frames.
     Search(SearchFrames),
@@ -265,8 +268,10 @@
             if entry.state == EntryState::Lost {
                 return BalancerStep::Lost;
             }
-            self.loads.lock().note_sent(entry.agent, entry.service, now);
-            return self.to_known(entry);
+            let mut loads = self.loads.lock();
+            loads.note_sent(entry.agent, entry.service, now);
+            let through = self.relay_for(entry, packet.flow.point(), &loads, view, now);
+            return self.to_known(entry, through);
         }
         drop(shard);
         self.search(packet, bytes, None, view, now)
@@ -398,7 +403,7 @@
         entry.is_some_and(|entry| entry.state == EntryState::Offered)
     }
 
-    fn to_known(&self, entry: &FlowEntry) -> BalancerStep {
+    fn to_known(&self, entry: &FlowEntry, through: Option<AgentAddress>) -> BalancerStep {
         let others = entry.offered.iter();
         let others = others.filter(|other| other.agent != entry.agent);
         BalancerStep::Send {
@@ -408,6 +413,7 @@
                 ..PacketFrame::new(FramePurpose::Known, entry.service, self.own)
             },
             placed: None,
+            through,
         }
     }
 
--- a/crates/flows/src/balancer/offer.rs
+++ b/crates/flows/src/balancer/offer.rs
@@ -71,6 +71,7 @@
             to,
             frame,
             placed: Some(placed),
+            ..
         } = step
         else {
             return None;
@@ -93,6 +94,7 @@
             // It vouches for nothing: the target's zone may be evacuated by now.
             frame: PacketFrame::new(FramePurpose::Offer, entry.service, self.own),
             placed: None,
+            through: None,
         }
     }
 
@@ -142,6 +144,7 @@
                 load_age,
                 attempt: tried.len(),
             }),
+            through: None,
         })
     }
 
--- a/crates/flows/src/frame.rs
+++ b/crates/flows/src/frame.rs
@@ -56,10 +56,18 @@
         f32::from(self.rate_tenths.get()) / 10.0
     }
 
-    /// Whole new flows in a second, one at least.
+    /// The time between two new flows.
     #[must_use]
-    pub fn a_second(&self) -> usize {
-        usize::from(self.rate_tenths.get() / 10).max(1)
+    pub fn interval(&self) -> Duration {
+        Duration::from_secs(10) / u32::from(self.rate_tenths.get())
+    }
+
+    /// Whole new flows in a span, one at least.
+    #[must_use]
+    pub fn room(&self, span: Duration) -> u16 {
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let flows = (self.rate() * span.as_secs_f32()) as u16;
+        flows.max(1)
     }
 
     /// How long a target is cold from its start on.
@@ -198,8 +206,8 @@
     pub zones_revision: u64,
     /// Whether its zone is, so that its target gets no new flows.
     pub evacuated: bool,
-    /// How many more new flows its target bears in this second, because it is cold; `None` where no bound
-    /// holds.
+    /// How many more new flows its target bears until the next report, because it is cold; `None` where no
+    /// bound holds.
     pub room: Option<u16>,
 }
 
@@ -279,6 +287,12 @@
     Errand(SearchErrand),
     /// What came of an errand, for its balancer.
     ErrandEnd(ErrandWord),
+    /// A packet of an open flow for an agent that its balancer does not hear; a whole frame with the packet
+    /// follows, and is handed on as it is.
+    Relay {
+        /// The agent that it is for.
+        to: AgentAddress,
+    },
     /// A packet of a flow that a balancer took to be at this agent, and that nobody there knows;
     /// the packet follows. The balancer searches.
     Unknown {
@@ -302,6 +316,26 @@
     }
 }
 
+/// Writes a frame that another agent hands on, and the packet behind it, into `out`, which is cleared first.
+pub fn write_relayed(to: AgentAddress, frame: &PeerFrame, packet: &[u8], out: &mut Vec<u8>) {
+    let mut inner = Vec::with_capacity(packet.len() + RELAYED_HEADER_BYTES);
+    write_frame(frame, packet, &mut inner);
+    write_frame(&PeerFrame::Relay { to }, &inner, out);
+}
+
+/// Whether what follows a [`PeerFrame::Relay`] may be handed on: a packet of a known flow and nothing else, so
+/// that no frame is relayed twice and no flow is offered behind its balancer's back.
+#[must_use]
+pub fn may_be_relayed(inner: &[u8]) -> bool {
+    match open_frame(inner) {
+        Ok((PeerFrame::Packet(frame), _)) => frame.purpose == FramePurpose::Known,
+        _ => false,
+    }
+}
+
+/// Room for the frame before a relayed packet.
+const RELAYED_HEADER_BYTES: usize = 64;
+
 /// Why a datagram is no frame.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum FrameError {
--- a/crates/flows/src/lib.rs
+++ b/crates/flows/src/lib.rs
@@ -35,7 +35,8 @@
 };
 pub use frame::{
     Candidate, ErrandGroup, ErrandWord, FlowEvent, FlowNote, FrameError, FramePurpose, LoadReport,
-    PacketFrame, PeerFrame, SearchErrand, WarmupLimit, ZoneNotice, open_frame, write_frame,
+    PacketFrame, PeerFrame, SearchErrand, WarmupLimit, ZoneNotice, may_be_relayed, open_frame,
+    write_frame, write_relayed,
 };
 pub use load::{LoadBoard, TargetLoad};
 pub use outlook::{CandidateOutlook, FlowOutlook, HeldFlow};
--- a/crates/flows/src/load.rs
+++ b/crates/flows/src/load.rs
@@ -41,7 +41,8 @@
 /// How long an agent that said it stops may be silent before that counts against it.
 const RESTART_SPAN: Duration = Duration::from_secs(6);
 
-/// How long an agent's word holds that its target bears no more in this second.
+/// How long an agent's word holds on how many more flows its target bears: agents report every 250 ms, to eight
+/// balancers in turn.
 const ROOM_SPAN: Duration = Duration::from_secs(1);
 
 /// What another zone costs in the score, in requests in progress per slot. Bytes between zones
--- a/crates/flows/tests/all/agent.rs
+++ b/crates/flows/tests/all/agent.rs
@@ -584,3 +584,27 @@
     let (_, note) = agent.take_frame(frame(FramePurpose::Known, &[]), &data(flow(1)), at(300));
     assert_eq!(note, None);
 }
+
+// Symptom: a rush of flows loses 60 ms each, once a second, while a target is down. Sequence: nobody listens where
+// the target should; a second later every flow that comes is given to it at once. Cause: the end of the pause
+// was taken for the target's return. One flow tries at a time until the target is heard.
+#[test]
+fn one_flow_at_a_time_tries_a_target_that_was_down() {
+    let mut agent = old_agent();
+    agent.take_refusal(at(0));
+    let given = |agent: &mut FlowAgent, ports: std::ops::Range<u16>, millis| {
+        let given = ports.filter(|&port| {
+            let offer = frame(FramePurpose::Offer, &[2]);
+            let (step, _) = agent.take_frame(offer, &opening(flow(port)), at(millis));
+            matches!(step, AgentStep::Deliver { .. })
+        });
+        given.count()
+    };
+    assert_eq!(given(&mut agent, 0..20, 500), 0);
+    assert_eq!(given(&mut agent, 20..40, 1_000), 1);
+    assert_eq!(given(&mut agent, 40..60, 1_050), 0);
+    // It answers: it is back for all.
+    agent.take_target_packet(&answer(flow(20)), at(1_060));
+    assert!(takes(&mut agent, 90, 1_061));
+    assert!(takes(&mut agent, 91, 1_061));
+}
--- a/crates/flows/tests/all/main.rs
+++ b/crates/flows/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod load;
 mod loss;
 mod outlook;
+mod relay;
 mod ring;
 mod search;
 mod search_silence;
--- /dev/null
+++ b/crates/flows/tests/all/relay.rs
@@ -0,0 +1,130 @@
+//! Load pattern: two availability zones cannot reach each other while a third reaches both, and flows are open
+//! between the two.
+
+use lovagelatch_catalog::PublishedTarget;
+use lovagelatch_domain::{AgentAddress, Moment};
+use lovagelatch_flows::{
+    BalancerStep, FlowBalancer, FlowEvent, FlowView, FramePurpose, PacketFrame, PeerFrame,
+    may_be_relayed, open_frame, write_relayed,
+};
+
+use crate::balancer::sent;
+use crate::support::{
+    agent, at, balancer, catalog, claims, data, flow, idle_load, note, opening, target, view_of,
+};
+
+/// Targets beside agents 1 to 9: 3, 6, 9 in hall-a, the balancer's own zone; 1, 4, 7 in hall-b; 2, 5, 8 in hall-c.
+fn three_zones() -> FlowView {
+    let placed = |number: u8| PublishedTarget {
+        zone: ["hall-a", "hall-b", "hall-c"][usize::from(number % 3)]
+            .parse()
+            .expect("a zone"),
+        ..target(number, "claims")
+    };
+    view_of(catalog((1..=9).map(placed).collect()))
+}
+
+fn zone_of(agent: AgentAddress) -> u8 {
+    agent.0.ip().octets()[3] % 3
+}
+
+/// A balancer that has a flow open at agent 1 and hears these agents until `heard`.
+fn with_flow(view: &FlowView, hears: &[u8], heard: Moment) -> FlowBalancer {
+    let decisions = FlowBalancer::new(balancer());
+    decisions.take_packet(&opening(flow(1)), b"syn", view, at(0));
+    decisions.take_note(&note(flow(1), agent(1), FlowEvent::Answered), at(1));
+    decisions.take_note(&note(flow(1), agent(1), FlowEvent::Opened), at(2));
+    for &number in hears {
+        decisions.take_load(&idle_load(agent(number)), heard);
+    }
+    decisions
+}
+
+fn through(step: BalancerStep) -> Option<AgentAddress> {
+    match step {
+        BalancerStep::Send { through, .. } => through,
+        other => panic!("not sent: {other:?}"),
+    }
+}
+
+// Symptom: a filing on an open flow waits for as long as its balancer's zone cannot reach its target's, and dies.
+// Sequence: the flow opens; the two zones are cut from each other; the client sends its request. Cause: the
+// balancer knew one way to the agent alone.
+#[test]
+fn a_packet_for_a_silent_agent_goes_through_a_third_zone_as_well() {
+    let view = three_zones();
+    let decisions = with_flow(&view, &[2, 3, 4, 5, 6, 7, 8, 9], at(380));
+    // In calm nothing is sent twice, nor while the silence is short.
+    for millis in [3, 150, 290] {
+        let step = decisions.take_packet(&data(flow(1)), b"data", &view, at(millis));
+        assert_eq!(through(step), None, "{millis} ms");
+    }
+    let step = decisions.take_packet(&data(flow(1)), b"data", &view, at(400));
+    let (to, frame) = sent(step.clone());
+    assert_eq!((to, frame.purpose), (agent(1), FramePurpose::Known));
+    assert_eq!(zone_of(through(step).expect("a relay")), 2);
+    // The cut heals.
+    decisions.take_load(&idle_load(agent(1)), at(500));
+    let step = decisions.take_packet(&data(flow(1)), b"data", &view, at(510));
+    assert_eq!(through(step), None);
+}
+
+struct RelayCase {
+    name: &'static str,
+    hears: &'static [u8],
+}
+
+#[test]
+fn only_an_agent_of_a_third_zone_that_is_heard_relays() {
+    let cases = [
+        RelayCase {
+            name: "nobody is heard",
+            hears: &[],
+        },
+        RelayCase {
+            name: "its own zone and the silent one",
+            hears: &[3, 4, 6, 7, 9],
+        },
+    ];
+    let view = three_zones();
+    for case in cases {
+        let decisions = with_flow(&view, case.hears, at(380));
+        decisions.take_packet(&data(flow(1)), b"data", &view, at(3));
+        let step = decisions.take_packet(&data(flow(1)), b"data", &view, at(400));
+        assert_eq!(through(step), None, "{}", case.name);
+    }
+    // Whoever was heard is silent by now.
+    let decisions = with_flow(&view, &[2, 5, 8], at(100));
+    decisions.take_packet(&data(flow(1)), b"data", &view, at(3));
+    let step = decisions.take_packet(&data(flow(1)), b"data", &view, at(800));
+    assert_eq!(through(step), None);
+}
+
+// Symptom: a packet goes round between agents, or a flow opens that no balancer placed. Cause: what is relayed was
+// not looked at.
+#[test]
+fn only_packets_of_known_flows_are_relayed_and_only_once() {
+    let known = PacketFrame::new(FramePurpose::Known, claims(), balancer());
+    let mut relayed = Vec::new();
+    let frame = PeerFrame::Packet(known.clone());
+    write_relayed(agent(1), &frame, b"data", &mut relayed);
+    let Ok((PeerFrame::Relay { to }, inner)) = open_frame(&relayed) else {
+        panic!("not a relayed frame");
+    };
+    assert_eq!(to, agent(1));
+    assert!(may_be_relayed(inner));
+    assert_eq!(open_frame(inner), Ok((frame, &b"data"[..])));
+    assert!(!may_be_relayed(&relayed), "a relayed frame in another");
+    assert!(!may_be_relayed(b""));
+    for purpose in [FramePurpose::Offer, FramePurpose::Search] {
+        let frame = PeerFrame::Packet(PacketFrame {
+            purpose,
+            ..known.clone()
+        });
+        write_relayed(agent(1), &frame, b"data", &mut relayed);
+        let Ok((_, inner)) = open_frame(&relayed) else {
+            panic!("not a frame");
+        };
+        assert!(!may_be_relayed(inner), "{purpose:?}");
+    }
+}
