--- a/bins/balancer/src/opaque/process.rs
+++ b/bins/balancer/src/opaque/process.rs
@@ -286,6 +286,7 @@
         "reader": catalog.reader,
         "routes": routes,
         "targets": targets,
+        "cold_targets": view.cold_targets(now),
         "flows": packets.balancer.flow_count(),
     })
 }
--- a/bins/lovagelatch/src/main.rs
+++ b/bins/lovagelatch/src/main.rs
@@ -13,6 +13,7 @@
 mod output;
 mod plan;
 mod status;
+mod status_opaque;
 
 use std::process::ExitCode;
 
--- a/bins/lovagelatch/src/status.rs
+++ b/bins/lovagelatch/src/status.rs
@@ -11,6 +11,7 @@
 use crate::client::{block_on, get_json};
 use crate::failure::CommandError;
 use crate::output::{LineTone, TableRow, Verdict, print_json, print_line, print_table};
+use crate::status_opaque::{OpaqueAnswer, is_opaque, print_opaque};
 
 #[derive(Serialize)]
 struct StatusReport {
@@ -37,6 +38,14 @@
         serde_json::from_value(fleet.clone()).ok()
     }
 
+    fn as_opaque(&self) -> OpaqueAnswer<'_> {
+        OpaqueAnswer {
+            address: self.address.to_string(),
+            status: self.status.as_ref(),
+            error: self.error.as_deref(),
+        }
+    }
+
     fn revision(&self) -> ConfigRevision {
         let status = self.status.as_ref();
         let revision = status.and_then(|status| status["config_revision"].as_u64());
@@ -50,6 +59,18 @@
     json: bool,
 ) -> Result<Verdict, CommandError> {
     let report = block_on(gather(platform, instances))?;
+    let mut statuses = report
+        .instances
+        .iter()
+        .filter_map(|line| line.status.as_ref());
+    if !json && statuses.any(is_opaque) {
+        let answers: Vec<_> = report
+            .instances
+            .iter()
+            .map(InstanceLine::as_opaque)
+            .collect();
+        return Ok(print_opaque(&answers));
+    }
     let good = report
         .instances
         .iter()
--- a/bins/lovagelatch/tests/all/instances.rs
+++ b/bins/lovagelatch/tests/all/instances.rs
@@ -185,3 +185,70 @@
         }
     }
 }
+
+struct OpaqueCase {
+    name: &'static str,
+    answers: &'static [&'static str],
+    code: i32,
+    says: &'static [&'static str],
+}
+
+#[test]
+fn status_of_opaque_processes_shows_evacuated_zones_and_who_differs() {
+    const EVACUATED: &str = r#"{"ready":true,"version":9,"zones_revision":85,"flows":12,"cold_targets":3,
+        "evacuated":[{"zone":"hall-a","evacuated_ms":4200}]}"#;
+    let cases = [
+        OpaqueCase {
+            name: "all agree",
+            answers: &[
+                EVACUATED,
+                r#"{"leaving":false,"zones_revision":85,"evacuated":true,"cold_room":5,"flows":4}"#,
+            ],
+            code: 0,
+            says: &[
+                "hall-a for 4 s",
+                "its own zone",
+                "bears 5 more",
+                "3 targets",
+                "85",
+            ],
+        },
+        OpaqueCase {
+            name: "one has not heard",
+            answers: &[
+                EVACUATED,
+                r#"{"ready":true,"version":9,"zones_revision":40,"flows":7,"evacuated":[]}"#,
+            ],
+            code: 1,
+            says: &["balancers differ"],
+        },
+        OpaqueCase {
+            name: "no zone",
+            answers: &[
+                r#"{"ready":true,"version":9,"zones_revision":40,"flows":7,"evacuated":[]}"#,
+            ],
+            code: 0,
+            says: &["evacuated zones: none"],
+        },
+    ];
+    for case in cases {
+        let instances = case
+            .answers
+            .iter()
+            .map(|answer| answer_once(answer).to_string());
+        let instances: Vec<String> = instances.collect();
+        let mut arguments = vec!["status"];
+        arguments.extend(instances.iter().map(String::as_str));
+        let output = run(&arguments);
+        let said = stdout(&output);
+        assert_eq!(
+            output.status.code(),
+            Some(case.code),
+            "{}: {said}",
+            case.name
+        );
+        for part in case.says {
+            assert!(said.contains(part), "{}: {part:?} in {said}", case.name);
+        }
+    }
+}
--- a/crates/flows/src/agent/entry.rs
+++ b/crates/flows/src/agent/entry.rs
@@ -61,7 +61,7 @@
     pub(super) zones_revision: u64,
     pub(super) balancer: AgentAddress,
     pub(super) asker: Option<AgentAddress>,
-    pub(super) rest: SmallVec<[Candidate; 6]>,
+    pub(super) rest: SmallVec<[Candidate; 5]>,
 }
 
 impl From<PacketFrame> for FrameOrigin {
--- a/crates/flows/src/balancer.rs
+++ b/crates/flows/src/balancer.rs
@@ -110,11 +110,11 @@
     /// Its score; lower is better.
     pub score: f32,
     /// How many targets could have been chosen.
-    pub choices: usize,
+    pub choices: u16,
     /// How old the load behind the score is; `None` when nothing is known.
     pub load_age: Option<Duration>,
     /// How often this flow had been offered before.
-    pub attempt: usize,
+    pub attempt: u16,
 }
 
 /// What to do with a client's packet.
--- a/crates/flows/src/balancer/offer.rs
+++ b/crates/flows/src/balancer/offer.rs
@@ -140,9 +140,9 @@
                 agent: chosen.agent,
                 service: chosen.service,
                 score,
-                choices: ordered.len(),
+                choices: small(ordered.len()),
                 load_age,
-                attempt: tried.len(),
+                attempt: small(tried.len()),
             }),
             through: None,
         })
@@ -238,6 +238,11 @@
     }
 }
 
+/// A count of targets, of which there are a few.
+fn small(count: usize) -> u16 {
+    u16::try_from(count).unwrap_or(u16::MAX)
+}
+
 /// A target to which a new flow is offered.
 fn offered(target: &FlowTarget, view: &FlowView, now: Moment) -> Candidate {
     Candidate {
--- a/crates/flows/src/frame.rs
+++ b/crates/flows/src/frame.rs
@@ -120,7 +120,7 @@
     pub asker: Option<AgentAddress>,
     /// Who is tried next, best first; whoever passes the frame on takes itself out, so no agent
     /// sees it twice and the walk ends.
-    pub rest: SmallVec<[Candidate; 6]>,
+    pub rest: SmallVec<[Candidate; 5]>,
 }
 
 impl PacketFrame {
--- a/crates/flows/src/view.rs
+++ b/crates/flows/src/view.rs
@@ -196,6 +196,17 @@
         self.names.get(&service).map_or("", ServiceName::as_str)
     }
 
+    /// How many targets are cold, by their entries and by the zones that came back.
+    #[must_use]
+    pub fn cold_targets(&self, now: Moment) -> usize {
+        let targets = self.rings().flat_map(ServiceTargets::targets);
+        let cold = targets.filter(|target| {
+            let limit = self.warmup_of(target, now);
+            now < target.warm_at || limit.is_some_and(|limit| !limit.left().is_zero())
+        });
+        cold.count()
+    }
+
     /// How many routes and targets there are.
     #[must_use]
     pub fn counts(&self) -> (usize, usize) {
--- a/crates/flows/tests/all/agent.rs
+++ b/crates/flows/tests/all/agent.rs
@@ -93,7 +93,7 @@
     }
 }
 
-pub(crate) fn passed(step: AgentStep) -> (u8, SmallVec<[Candidate; 6]>) {
+pub(crate) fn passed(step: AgentStep) -> (u8, SmallVec<[Candidate; 5]>) {
     match step {
         AgentStep::Pass { to, frame } => (to.0.ip().octets()[3], frame.rest),
         other => panic!("not passed on: {other:?}"),
