--- a/crates/catalog/tests/all/zones.rs
+++ b/crates/catalog/tests/all/zones.rs
@@ -3,9 +3,14 @@
 
 use std::time::Duration;
 
-use lovagelatch_catalog::{CatalogKeeper, StoreAnswer, StoreEvent};
+use lovagelatch_catalog::{
+    CatalogDelta, CatalogHead, CatalogKeeper, CatalogMember, CatalogMessage, MemberSettings,
+    StoreAnswer, StoreEvent,
+};
+use lovagelatch_domain::Moment;
+use smallvec::smallvec;
 
-use crate::support::{Group, READER_TROUBLES, config};
+use crate::support::{Group, READER_TROUBLES, address, config};
 
 /// What the users allow at least from the store's word until it is obeyed.
 const EVACUATION_LIMIT: Duration = Duration::from_secs(5);
@@ -25,6 +30,14 @@
     }
 }
 
+fn new_member(number: u8) -> CatalogMember {
+    let settings = MemberSettings {
+        own: address(number),
+        seeds: smallvec![address(1)],
+    };
+    CatalogMember::new(settings, number.into(), Moment::from_millis(1_000))
+}
+
 fn zones(keeper: &CatalogKeeper) -> Vec<&str> {
     let zones = keeper.catalog().evacuated.iter();
     zones.map(|zone| zone.0.as_str()).collect()
@@ -184,6 +197,31 @@
     );
 }
 
+// Symptom: a balancer that has just started says that it is ready, and holds what it is sent. Sequence: it is told
+// of the configuration and not of the zones. Cause: routes alone made it ready.
+#[test]
+fn a_configuration_without_the_zones_makes_nobody_ready() {
+    let keeper = listed(&["hall-a"], 5);
+    let mut member = new_member(3);
+    let mut told = keeper.delta_since(&CatalogHead::default());
+    let zones = told.zones.take();
+    let answer = |delta| CatalogMessage::Answer {
+        sender: address(1),
+        age: Duration::ZERO,
+        zones_age: Duration::ZERO,
+        delta: Box::new(delta),
+    };
+    let now = Moment::from_millis(1_000);
+    member.accept(answer(told), now);
+    assert!(!member.is_ready());
+    let rest = CatalogDelta {
+        zones,
+        ..CatalogDelta::default()
+    };
+    member.accept(answer(rest), now);
+    assert!(member.is_ready());
+}
+
 // Symptom: all processes are killed while a zone is evacuated, and it gets flows at once. Cause: what a
 // process that is ready knows did not include the zones.
 #[test]
