--- a/crates/flows/src/agent/outward.rs
+++ b/crates/flows/src/agent/outward.rs
@@ -17,7 +17,10 @@
         now: Moment,
     ) -> (AgentStep, Option<(AgentAddress, FlowNote)>) {
         if !self.is_responsive(now) {
-            self.warmup.doubt(now);
+            self.warmup.note_down(now);
+        }
+        if !packet.flags.returned {
+            self.warmup.note_up(now);
         }
         self.unanswered_since = None;
         self.refused_until = Moment::ZERO;
@@ -37,7 +40,7 @@
     /// Takes the operating system's word that nobody listens where the target should: it is gone.
     pub fn take_refusal(&mut self, now: Moment) {
         self.refused_until = now + REFUSED_SPAN;
-        self.warmup.doubt(now);
+        self.warmup.note_down(now);
     }
 
     pub(super) fn take_trial(&mut self, tag: u32) -> Option<Trial> {
@@ -59,7 +62,7 @@
                 self.forget(&packet.flow);
                 if self.in_progress == 0 {
                     // It has nothing to do, so it is not full: it has just ended or started.
-                    self.warmup.doubt(now);
+                    self.warmup.note_down(now);
                 }
             } else {
                 let lifetime = self.settings.flow_lifetime;
@@ -73,7 +76,7 @@
             return (AgentStep::Silence(SilenceReason::Forgotten), None);
         };
         if entry.state == EntryState::Open {
-            self.warmup.doubt(now);
+            self.warmup.note_down(now);
         }
         let balancer = entry.balancer;
         let note = balancer.map(|to| (to, self.note(packet.flow, FlowEvent::Absent, now)));
--- a/crates/flows/src/agent/warmup.rs
+++ b/crates/flows/src/agent/warmup.rs
@@ -26,6 +26,10 @@
 /// For about how long a report of the room that is left stands.
 const REPORT_SPAN: Duration = Duration::from_millis(250);
 
+/// A target that was not heard for so long may have started again meanwhile. One that carries flows is heard all the
+/// time; what a process needs to end and start is longer.
+const QUIET_SPAN: Duration = Duration::from_secs(1);
+
 /// First packets remembered at most; a target at its limit has long been full by then.
 const MAX_RECENT: usize = 4_096;
 
@@ -65,6 +69,10 @@
     cold_until: Moment,
     /// When something last happened after which it may be cold.
     doubted: Option<Moment>,
+    /// Whether it has given a sign that it is down, and none since that it is up.
+    down: bool,
+    /// When the target was last heard; `None` before the first time, when this agent's own start says more.
+    heard: Option<Moment>,
 }
 
 impl WarmupGate {
@@ -78,6 +86,8 @@
             limit: None,
             cold_until: Moment::ZERO,
             doubted: None,
+            down: false,
+            heard: None,
         }
     }
 
@@ -128,7 +138,8 @@
         }
         self.recent.push_back(now);
         self.unsent += 1;
-        if let Some(limit) = self.limit {
+        // What a warm target was given says nothing of what it bears when it is cold.
+        if let Some(limit) = self.cold_limit(now) {
             self.paced_until = self.paced_until.max(now) + limit.interval();
         }
     }
@@ -140,17 +151,37 @@
         for at in self.recent.range_mut(first..) {
             *at = now;
         }
-        if let (Some(limit), Ok(unsent)) = (self.limit, u32::try_from(self.unsent)) {
+        if let (Some(limit), Ok(unsent)) = (self.cold_limit(now), u32::try_from(self.unsent)) {
             self.paced_until = self.paced_until.max(now + limit.interval() * unsent);
         }
         self.unsent = 0;
     }
 
-    /// The target may have started again, or its zone has come back.
+    /// The target may be cold from now on: its zone has come back.
     pub(super) fn doubt(&mut self, now: Moment) {
         self.doubted = Some(now);
     }
 
+    /// The target gave a sign that it has ended. When it is back it is cold, from its start on; that is not before
+    /// its last such sign, and not after it is heard again.
+    pub(super) fn note_down(&mut self, now: Moment) {
+        self.down = true;
+        self.doubted = Some(now);
+    }
+
+    /// The target was heard. If it was not for long, it may have ended and started meanwhile without a sign.
+    pub(super) fn note_up(&mut self, now: Moment) {
+        let quiet = self.is_quiet(now);
+        if std::mem::take(&mut self.down) || quiet {
+            self.doubted = Some(now);
+        }
+        self.heard = Some(now);
+    }
+
+    fn is_quiet(&self, now: Moment) -> bool {
+        self.heard.is_some_and(|at| now.since(at) >= QUIET_SPAN)
+    }
+
     /// The target holds a flow from before this agent's start: it is older than the agent.
     pub(super) fn note_older_target(&mut self) {
         self.started = None;
@@ -162,6 +193,7 @@
         let events = [self.started, self.doubted];
         let mut events = events.into_iter().flatten();
         let doubtful = events.any(|at| now.since(at) < limit.span());
+        let doubtful = doubtful || self.down || self.is_quiet(now);
         (doubtful || now < self.cold_until).then_some(limit)
     }
 
