--- a/standins/experiments/src/main.rs
+++ b/standins/experiments/src/main.rs
@@ -6,6 +6,7 @@
 
 mod chain;
 mod cold_start;
+mod compare;
 mod contest;
 mod event;
 mod fairness;
@@ -40,7 +41,7 @@
     experiment: Experiment,
 }
 
-#[derive(Clone, Copy, Debug, Bpaf)]
+#[derive(Clone, Debug, Bpaf)]
 enum Experiment {
     /// Which gate a request goes to
     #[bpaf(command)]
@@ -57,7 +58,20 @@
     /// Whether setup time counts
     #[bpaf(command("cold-start"))]
     ColdStart,
-    /// All of them
+    /// Two builds by reports of the same days
+    #[bpaf(command)]
+    Compare {
+        /// Where the reports are, each as SITE+DAY+SEED.LABEL.json
+        #[bpaf(positional("REPORTS"))]
+        reports: PathBuf,
+        /// The label of the one build
+        #[bpaf(positional("FIRST"))]
+        first: String,
+        /// The label of the other
+        #[bpaf(positional("SECOND"))]
+        second: String,
+    },
+    /// All that need no reports
     #[bpaf(command)]
     All,
 }
@@ -65,7 +79,7 @@
 type RunExperiment = fn(&Path, u64) -> Result<(), ReportError>;
 
 impl Experiment {
-    fn steps(self) -> Vec<(&'static str, RunExperiment)> {
+    fn steps(&self) -> Vec<(&'static str, RunExperiment)> {
         let all: [(&'static str, RunExperiment); 5] = [
             ("placement", placement::run),
             ("fairness", fairness::run),
@@ -79,6 +93,7 @@
             Self::Overload => vec![all[2]],
             Self::Retries => vec![all[3]],
             Self::ColdStart => vec![all[4]],
+            Self::Compare { .. } => Vec::new(),
             Self::All => all.to_vec(),
         }
     }
@@ -86,6 +101,21 @@
 
 fn main() -> ExitCode {
     let options = experiment_options().run();
+    if let Experiment::Compare {
+        reports,
+        first,
+        second,
+    } = &options.experiment
+    {
+        let labels = [first.as_str(), second.as_str()];
+        return match compare::run(reports, labels, &options.out, options.seed) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                eprintln!("compare: {error}");
+                ExitCode::FAILURE
+            }
+        };
+    }
     for (name, run) in options.experiment.steps() {
         let started = Instant::now();
         if let Err(error) = run(&options.out, options.seed) {
--- /dev/null
+++ b/standins/experiments/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the experiments' command.
+
+mod compare;
