--- a/crates/flows/src/agent/warmup.rs
+++ b/crates/flows/src/agent/warmup.rs
@@ -63,7 +63,7 @@
     paced_until: Moment,
     /// How many of the newest of `recent` may not have been sent yet.
     unsent: usize,
-    /// The last bound that a balancer named.
+    /// The last bound that a balancer named. Kept where another names none: it may lag behind the configuration.
     limit: Option<WarmupLimit>,
     /// Until when the target is cold by the balancers' word.
     cold_until: Moment,
