Balancer: a flow that was only answered is not lost with that target

A balancer stopped for 3.4 s woke with an old first packet, offered it, a second target answered, its machine fell silent, and the entry in state `Answered` became `Lost`: the client's next packet here was answered with a reset, while the flow lived at the target that another balancer had opened it at.

Ruled out: a planned restart longer than 1 s (nobody restarted then); the search (it was never asked).

Before: the new test's three cases give a reset of the answered flow. After: it is forgotten and searched for; a flow known to be open there is still reset at once.

--- a/crates/flows/src/balancer/loss.rs
+++ b/crates/flows/src/balancer/loss.rs
@@ -11,8 +11,9 @@
 
 use lovagelatch_domain::{AgentAddress, Moment};
 
-use super::entry::EntryState;
+use super::entry::{EntryState, FlowEntry};
 use super::{FlowBalancer, FlowReset, LossReason};
+use crate::packet::FlowKey;
 use crate::ring::FlowStanding;
 use crate::view::FlowView;
 
@@ -38,19 +39,16 @@
             return resets;
         }
         for shard in &self.shards {
-            shard.lock().flows.visit(|flow, entry| {
+            let mut shard = shard.lock();
+            let mut unplaced = Vec::new();
+            shard.flows.visit(|flow, entry| {
                 let Some(&reason) = lost.get(&entry.agent) else {
                     return;
                 };
-                if entry.try_other() {
-                    return;
-                }
-                let lives = matches!(entry.state, EntryState::Answered | EntryState::Open);
-                let current = now.since(entry.last) < CURRENT_SPAN;
-                let route = view.route(flow);
-                let allowed =
-                    reason == LossReason::TargetGone || route.is_some_and(|route| route.idempotent);
-                if lives && current && allowed {
+                if entry.state == EntryState::Answered && !entry.try_other() {
+                    unplaced.push(*flow);
+                } else if entry.state == EntryState::Open && may_end(flow, entry, reason, view, now)
+                {
                     entry.state = EntryState::Lost;
                     resets.push(FlowReset {
                         flow: *flow,
@@ -59,6 +57,11 @@
                     });
                 }
             });
+            // An answer to a first packet does not prove that the flow lives there: another balancer
+            // may have had it opened elsewhere. Its next packet is searched for.
+            for flow in unplaced {
+                shard.flows.remove(&flow);
+            }
         }
         resets
     }
@@ -80,3 +83,16 @@
         lost
     }
 }
+
+/// Whether an open flow may be reset once its agent is lost.
+fn may_end(
+    flow: &FlowKey,
+    entry: &FlowEntry,
+    reason: LossReason,
+    view: &FlowView,
+    now: Moment,
+) -> bool {
+    let current = now.since(entry.last) < CURRENT_SPAN;
+    let idempotent = view.route(flow).is_some_and(|route| route.idempotent);
+    current && (reason == LossReason::TargetGone || idempotent)
+}
--- a/crates/flows/tests/all/loss.rs
+++ b/crates/flows/tests/all/loss.rs
@@ -1,7 +1,7 @@
 //! Open flows whose target is lost.
 
 use lovagelatch_catalog::Catalog;
-use lovagelatch_flows::{FlowBalancer, FlowEvent, FlowView, LoadReport, LossReason};
+use lovagelatch_flows::{BalancerStep, FlowBalancer, FlowEvent, FlowView, LoadReport, LossReason};
 
 use crate::balancer::sent;
 use crate::support::{
@@ -196,3 +196,73 @@
     let resets = decisions.lost_flows(&view, at(2_000));
     assert_eq!(resets.len(), 1, "longer than that it is");
 }
+
+// Symptom: an open flow of a living target is reset. Sequence: a balancer is stopped for seconds with a copy of
+// a client's first packet unread; the client's other copy opens the flow through another balancer, at one
+// target; the stopped one wakes, offers its copy to a second target, which answers; the second target's machine
+// falls silent; later the client's packets come to the balancer that had been stopped. Cause: an answer to a
+// first packet was taken for proof that the flow lives there, and the silence of that machine for the flow's end.
+#[test]
+fn an_answered_flow_is_searched_for_when_its_target_is_lost() {
+    struct AnsweredCase {
+        name: &'static str,
+        /// Whether a packet of the open flow came before the silence was known.
+        data_before: bool,
+        /// Whether the store still lists the silent target.
+        listed: bool,
+    }
+    let cases = [
+        AnsweredCase {
+            name: "only the first packet came",
+            data_before: false,
+            listed: true,
+        },
+        AnsweredCase {
+            name: "a packet of the open flow came as well",
+            data_before: true,
+            listed: true,
+        },
+        AnsweredCase {
+            name: "the target's entry is gone",
+            data_before: true,
+            listed: false,
+        },
+    ];
+    for case in cases {
+        let both = catalog(vec![target(1, "claims"), target(2, "claims")]);
+        let mut builder = builder();
+        builder.take(&both, at(0));
+        let view = builder.build(at(0));
+        let decisions = FlowBalancer::new(balancer());
+        let step = decisions.take_packet(&opening(flow(1)), b"syn", &view, at(0));
+        let (silent, _) = sent(step);
+        decisions.take_note(&note(flow(1), silent, FlowEvent::Answered), at(1));
+        let living = [agent(1), agent(2)].into_iter().find(|a| *a != silent);
+        let living = living.expect("two agents");
+        if case.data_before {
+            decisions.take_packet(&data(flow(1)), b"data", &view, at(900));
+        }
+        // A flow that is known to be open there shows the silence, and is lost.
+        decisions.take_note(&note(flow(2), silent, FlowEvent::Opened), at(2));
+        decisions.take_packet(&data(flow(2)), b"data", &view, at(900));
+        for probed in [1_300, 1_500, 1_700, 1_900, 2_100] {
+            decisions.due_probes(at(probed));
+            decisions.take_load(&idle_load(living), at(probed));
+        }
+        if !case.listed {
+            let left = both.targets.iter().filter_map(|row| row.target());
+            let left = left.filter(|target| *target.address.ip() == *living.0.ip());
+            builder.take(&catalog(left.cloned().collect()), at(2_100));
+        }
+        let view = builder.build(at(2_150));
+        let resets = decisions.lost_flows(&view, at(2_200));
+        let lost: Vec<_> = resets.iter().map(|reset| reset.flow).collect();
+        assert_eq!(lost, [flow(2)], "{}", case.name);
+        let step = decisions.take_packet(&data(flow(1)), b"data", &view, at(2_300));
+        assert!(
+            matches!(step, BalancerStep::Search(_)),
+            "{}: {step:?}",
+            case.name
+        );
+    }
+}
