--- a/standins/soak/src/process.rs
+++ b/standins/soak/src/process.rs
@@ -9,12 +9,6 @@
 /// How long a process that was told to stop may take before it is killed.
 const STOP_LIMIT: Duration = Duration::from_secs(7);
 
-/// How long a process may take from its start until it outlives SIGHUP.
-const HANGUP_LIMIT: Duration = Duration::from_millis(200);
-
-/// The signals that a process ignores and handles, in its `/proc/PID/status`.
-const SIGNAL_FIELDS: [&str; 2] = ["SigIgn:", "SigCgt:"];
-
 /// A process that the soak started. Only its own number is ever signalled, and only while it has
 /// not been waited for.
 #[derive(Debug)]
@@ -111,34 +105,11 @@
         self.signal(libc::SIGCONT);
     }
 
-    /// Tells it that its settings have changed. One that was started a moment ago is told once the
-    /// operating system has loaded its program, or when it has taken too long for that: before its first
-    /// instruction no program can outlive the signal, one that does nothing else is ended by it as well.
+    /// Tells it that its settings have changed.
     pub(crate) fn hang_up(&self) {
-        let until = Instant::now() + HANGUP_LIMIT;
-        while !self.takes_hangup() && Instant::now() < until {
-            std::thread::sleep(Duration::from_millis(1));
-        }
         self.signal(libc::SIGHUP);
     }
 
-    /// Whether SIGHUP does not end it.
-    fn takes_hangup(&self) -> bool {
-        let Some(child) = &self.child else {
-            return true;
-        };
-        // One that has just ended has no status, and no signal is sent to it.
-        let Ok(status) = std::fs::read_to_string(format!("/proc/{}/status", child.id())) else {
-            return true;
-        };
-        let masks = status.lines().filter_map(|line| {
-            let mut fields = SIGNAL_FIELDS.iter();
-            fields.find_map(|field| line.strip_prefix(field))
-        });
-        let mut masks = masks.filter_map(|mask| u64::from_str_radix(mask.trim(), 16).ok());
-        masks.any(|mask| mask & (1 << (libc::SIGHUP - 1)) != 0)
-    }
-
     fn signal(&self, signal: libc::c_int) {
         let Some(child) = &self.child else {
             return;
