Balancers tell each other which agents are stopping: a long planned restart resets no open flow

Callers saw a feed on an open flow reset although its backend server held it: the agent beside the server was restarted as planned and was away for longer than a second.

Cause: a stopping agent tells the balancers that sent to it in the last five seconds. The others, and those that start meanwhile, take its silence of a second for a lasting one (`agent silent`), which ends flows whose requests may run again.

Ruled out: telling all balancers that sent to the agent in a flow's lifetime (those that start meanwhile still do not know); a longer silence for all (each second more is a second of everybody's kept flows after a machine is lost).

Fix: stops travel between balancers, three rounds each, and to a fresh one together with since when the sender would know of any. Where all are fresh, an agent that was never heard counts as silent only after a restart's span (6 s).

The new tests of the decisions are red without the stop word.

--- a/bins/balancer/src/opaque/catalog.rs
+++ b/bins/balancer/src/opaque/catalog.rs
@@ -7,8 +7,8 @@
 
 use lovagelatch_adapter::{StoreClient, StoreSettings};
 use lovagelatch_catalog::{
-    Catalog, CatalogAction, CatalogMember, CatalogMessage, CatalogNotice, MEMBER_TICK, StoreAnswer,
-    StoreCall, StoreFailure,
+    AgentStop, Catalog, CatalogAction, CatalogMember, CatalogMessage, CatalogNotice, MEMBER_TICK,
+    StoreAnswer, StoreCall, StoreFailure,
 };
 use lovagelatch_domain::Moment;
 use lovagelatch_flows::FlowViewBuilder;
@@ -90,7 +90,11 @@
     /// Lets time pass for the member.
     fn advance(self: &Arc<Self>) {
         let now = self.state.packets.clock.now();
-        let actions = self.state.member.lock().advance(now);
+        let stops = self.state.packets.balancer.heard_stops(now);
+        let mut member = self.state.member.lock();
+        member.note_stops(&stops, now);
+        let actions = member.advance(now);
+        drop(member);
         self.carry_out(actions);
     }
 
@@ -139,6 +143,7 @@
                     self.publish();
                     self.note_zones(&catalog, now);
                 }
+                CatalogAction::TakeStops(stops) => self.take_stops(&stops),
                 CatalogAction::Notice(notice) => log_notice(&self.state.log, &notice),
             }
         }
@@ -158,7 +163,9 @@
         let informed = member.is_informed(now);
         let returned = member.returned();
         let zones_since = member.zones_since();
+        let stops_since = member.stops_since();
         drop(member);
+        self.state.packets.balancer.set_stops_since(stops_since);
         let mut builder = self.state.builder.lock();
         builder.set_informed(informed);
         builder.set_returned(returned);
@@ -175,6 +182,19 @@
         zones.note(catalog, told, now, &self.state.log);
     }
 
+    fn take_stops(&self, stops: &[AgentStop]) {
+        let now = self.state.packets.clock.now();
+        self.state.packets.balancer.take_stops(stops, now);
+        // One line a message: a fleet that is restarted in turn names many agents.
+        if let Some(first) = stops.first() {
+            info!(self.state.log, "agents stop, by another balancer";
+                "decision" => DecisionKind::LeavingSeen,
+                "agent" => first.agent.to_string(),
+                "age_ms" => first.age.as_secs_f64() * 1_000.0,
+                "agents" => stops.len());
+        }
+    }
+
     /// Says whether routers may send packets here.
     fn tell_routers(&self) {
         let now = self.state.packets.clock.now();
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -19,6 +19,7 @@
 mod peers;
 mod reading;
 mod record;
+mod stops;
 mod table;
 
 pub use answer::{StoreAnswer, StoreCall, StoreEvent, StoreFailure};
@@ -32,3 +33,4 @@
     EvacuatedZone, PublishedConfig, PublishedRoute, PublishedTarget, RouteShare, TargetName,
     TargetRow, TargetStart, WarmupRule,
 };
+pub use stops::{AgentStop, RESTART_SPAN, StopList, StopNews};
--- a/crates/catalog/src/member.rs
+++ b/crates/catalog/src/member.rs
@@ -14,6 +14,7 @@
 use crate::message::{CatalogDelta, CatalogHead, CatalogMessage, HeadMessage, ReaderNews};
 use crate::peers::{LARGE_FANOUT, PeerTable, SMALL_FANOUT};
 use crate::reading::{ReadingInputs, ReadingState};
+use crate::stops::{AgentStop, StopList, StopNews, StopTable};
 
 /// How often [`CatalogMember::advance`] is to be called, besides the moments that
 /// [`CatalogMember::next_due`] names.
@@ -107,6 +108,8 @@
         /// What changed since the last one that was published.
         changes: CatalogChanges,
     },
+    /// Other balancers have heard agents say that they stop.
+    TakeStops(StopList),
     /// Write a log line.
     Notice(CatalogNotice),
 }
@@ -143,6 +146,7 @@
     returned: Option<Moment>,
     /// When the evacuated zones were last read anew, by this process or another.
     zones_since: Moment,
+    stops: StopTable,
     next_head: Moment,
     asked: Option<Moment>,
     /// Ask for the whole of it next: a change did not fit.
@@ -171,6 +175,7 @@
             trouble: None,
             returned: None,
             zones_since: now,
+            stops: StopTable::new(now),
             next_head: now,
             asked: None,
             ask_whole: false,
@@ -223,6 +228,13 @@
             .filter(|at| self.trouble.is_some_and(|trouble| *at >= trouble))
     }
 
+    /// Since when this process would know of an agent that said that it stops: its own start, or that of another
+    /// balancer which told it.
+    #[must_use]
+    pub fn stops_since(&self) -> Moment {
+        self.stops.since()
+    }
+
     /// When the evacuated zones that are held were read from the store, by this process or by the one that
     /// told of them first.
     #[must_use]
@@ -258,11 +270,18 @@
         if now >= self.next_head {
             self.send_heads(now);
         }
+        self.pass_stops_on(now);
         self.note_members(now);
         self.call_store(now);
         self.take_actions()
     }
 
+    /// Takes the agents that have told this balancer that they stop; the next
+    /// [`advance`](Self::advance) passes them on.
+    pub fn note_stops(&mut self, stops: &[AgentStop], now: Moment) {
+        let _new = self.stops.take(stops, now);
+    }
+
     /// Takes a message of another balancer.
     pub fn accept(&mut self, message: CatalogMessage, now: Moment) -> Vec<CatalogAction> {
         match message {
@@ -285,10 +304,27 @@
                 let action = CatalogAction::AskByStream { to: sender, ask };
                 self.actions.push(action);
             }
+            CatalogMessage::Stops(news) => self.accept_stops(&news, now),
         }
         self.take_actions()
     }
 
+    fn accept_stops(&mut self, news: &StopNews, now: Moment) {
+        let new = self.stops.take_news(news, now);
+        if !new.is_empty() {
+            self.actions.push(CatalogAction::TakeStops(new));
+        }
+    }
+
+    fn pass_stops_on(&mut self, now: Moment) {
+        let Some(news) = self.stops.next_round(now) else {
+            return;
+        };
+        for to in self.peers.choose(self.fanout(now), &mut self.random) {
+            self.send(to, CatalogMessage::Stops(news.clone()));
+        }
+    }
+
     /// The answer to a balancer that holds `head`.
     #[must_use]
     pub fn answer_to(&self, head: &CatalogHead, now: Moment) -> CatalogMessage {
@@ -369,6 +405,9 @@
         if message.peers.is_empty() && !message.leaving {
             let reply = CatalogMessage::Head(self.head_message(now));
             self.send(message.sender, reply);
+            if let Some(news) = self.stops.latest(now) {
+                self.send(message.sender, CatalogMessage::Stops(news));
+            }
         }
         for &peer in &message.peers {
             self.peers.name(peer, now);
@@ -547,14 +586,18 @@
             GREETING_INTERVAL
         };
         self.next_head = now + interval;
-        let fanout = if self.peers.is_large(now) {
+        let message = self.head_message(now);
+        for to in self.peers.choose(self.fanout(now), &mut self.random) {
+            self.send(to, CatalogMessage::Head(message.clone()));
+        }
+    }
+
+    /// To how many others a message goes at a time.
+    fn fanout(&self, now: Moment) -> usize {
+        if self.peers.is_large(now) {
             LARGE_FANOUT
         } else {
             SMALL_FANOUT
-        };
-        let message = self.head_message(now);
-        for to in self.peers.choose(fanout, &mut self.random) {
-            self.send(to, CatalogMessage::Head(message.clone()));
         }
     }
 
--- a/crates/catalog/src/message.rs
+++ b/crates/catalog/src/message.rs
@@ -5,6 +5,7 @@
 //! UDP  Ask  ->  what I hold; send me what is newer
 //! UDP  <- Answer | TooLarge
 //! TCP  Ask  ->  <- Answer      the same where an answer does not fit a datagram
+//! UDP  Stops    agents that have said that they stop
 //! ```
 
 use std::net::SocketAddrV4;
@@ -16,6 +17,7 @@
 use smallvec::SmallVec;
 
 use crate::record::{EvacuatedZone, PublishedRoute, TargetName, TargetRow};
+use crate::stops::StopNews;
 
 /// Which state of the catalog a balancer holds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -120,4 +122,6 @@
         /// Who says it.
         sender: SocketAddrV4,
     },
+    /// Agents that have said that they stop.
+    Stops(StopNews),
 }
--- a/crates/catalog/tests/all/main.rs
+++ b/crates/catalog/tests/all/main.rs
@@ -3,5 +3,6 @@
 mod keeper;
 mod member;
 mod readers;
+mod stops;
 mod support;
 mod zones;
--- a/crates/catalog/tests/all/support.rs
+++ b/crates/catalog/tests/all/support.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use lovagelatch_catalog::{
-    Catalog, CatalogAction, CatalogMember, CatalogMessage, CatalogNotice, MEMBER_TICK,
+    AgentStop, Catalog, CatalogAction, CatalogMember, CatalogMessage, CatalogNotice, MEMBER_TICK,
     MemberSettings, PublishedConfig, PublishedRoute, PublishedTarget, RouteShare, StoreAnswer,
     StoreCall, StoreEvent, StoreFailure, TargetName, TargetStart,
 };
@@ -119,6 +119,8 @@
     pub(crate) member: CatalogMember,
     pub(crate) catalog: Catalog,
     pub(crate) notices: Vec<CatalogNotice>,
+    /// The agents that stop, as other balancers told.
+    pub(crate) stops: Vec<AgentStop>,
     outstanding: Option<(StoreCall, Moment)>,
     pub(crate) calls: u64,
     /// Cut off from the store: calls get no answer.
@@ -252,6 +254,7 @@
             member: CatalogMember::new(settings, number.into(), self.now),
             catalog: Catalog::default(),
             notices: Vec::new(),
+            stops: Vec::new(),
             outstanding: None,
             calls: 0,
             store_cut: false,
@@ -330,6 +333,10 @@
                 CatalogAction::Publish { catalog, .. } => {
                     self.nodes.get_mut(&at).expect("a node").catalog = catalog;
                 }
+                CatalogAction::TakeStops(stops) => {
+                    let node = self.nodes.get_mut(&at).expect("a node");
+                    node.stops.extend(stops);
+                }
                 CatalogAction::Notice(notice) => {
                     self.nodes
                         .get_mut(&at)
--- a/crates/flows/src/balancer.rs
+++ b/crates/flows/src/balancer.rs
@@ -21,6 +21,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use lovagelatch_catalog::AgentStop;
 use lovagelatch_domain::{AgentAddress, Moment, ServiceId};
 use parking_lot::{Mutex, MutexGuard};
 use smallvec::SmallVec;
@@ -320,6 +321,25 @@
         self.loads.lock().take(report, now);
     }
 
+    /// Takes what other balancers heard: these agents stop.
+    pub fn take_stops(&self, stops: &[AgentStop], now: Moment) {
+        let mut loads = self.loads.lock();
+        for stop in stops {
+            loads.take_stop(stop, now);
+        }
+    }
+
+    /// Sets since when every agent's stop is known; before any word, since always.
+    pub fn set_stops_since(&self, since: Moment) {
+        self.loads.lock().set_stops_since(since);
+    }
+
+    /// The agents that told this balancer that they stop.
+    #[must_use]
+    pub fn heard_stops(&self, now: Moment) -> Vec<AgentStop> {
+        self.loads.lock().heard_stops(now)
+    }
+
     /// What to tell an agent whose report shows that it knows less of its zone than this balancer; `None`
     /// where it knows as much, or its zone is not known here.
     #[must_use]
--- a/crates/flows/src/load.rs
+++ b/crates/flows/src/load.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use lovagelatch_catalog::{AgentStop, RESTART_SPAN};
 use lovagelatch_domain::{AgentAddress, Moment, ServiceId};
 
 use crate::frame::LoadReport;
@@ -38,9 +39,6 @@
 /// machines share a fate.
 const ISOLATION_AGENTS: usize = 3;
 
-/// How long an agent that said it stops may be silent before that counts against it.
-const RESTART_SPAN: Duration = Duration::from_secs(6);
-
 /// How long an agent's word holds on how many more flows its target bears: agents report every 250 ms, to eight
 /// balancers in turn.
 const ROOM_SPAN: Duration = Duration::from_secs(1);
@@ -101,21 +99,31 @@
         let asked = self.asked_since.is_some_and(|at| now.since(at) >= span);
         asked && self.probes >= PROBES_NEEDED
     }
+}
 
-    /// The same, unless it said that it stops: then its successor is starting.
-    fn is_silent(&self, span: Duration, now: Moment) -> bool {
-        let stops = self.report.leaving && now.since(self.heard) < RESTART_SPAN;
-        self.is_unheard(span, now) && !stops
-    }
+/// An agent's word that it stops. It holds until the agent is heard again, or for [`RESTART_SPAN`].
+#[derive(Clone, Copy, Debug)]
+struct StopWord {
+    at: Moment,
+    /// Whether the agent said so to this balancer.
+    direct: bool,
 }
 
 /// The loads of all targets that this balancer has dealt with.
 #[derive(Clone, Debug, Default)]
 pub struct LoadBoard {
     loads: HashMap<AgentAddress, TargetLoad>,
+    stops: HashMap<AgentAddress, StopWord>,
+    /// Every agent's stop since then is known.
+    stops_since: Moment,
 }
 
 impl LoadBoard {
+    /// Sets since when every agent's stop is known.
+    pub fn set_stops_since(&mut self, since: Moment) {
+        self.stops_since = since;
+    }
+
     /// What is known of the target beside `agent`.
     #[must_use]
     pub fn load(&self, agent: AgentAddress) -> Option<&TargetLoad> {
@@ -126,6 +134,60 @@
     pub fn take(&mut self, report: &LoadReport, now: Moment) {
         self.loads
             .insert(report.agent, TargetLoad::new(*report, now));
+        if report.leaving {
+            let word = StopWord {
+                at: now,
+                direct: true,
+            };
+            self.stops.insert(report.agent, word);
+        } else {
+            self.stops.remove(&report.agent);
+        }
+    }
+
+    /// Takes what another balancer heard: an agent that it names stops. It tells of the agent's silence alone;
+    /// whether the agent takes new flows is for its own reports to say.
+    pub fn take_stop(&mut self, stop: &AgentStop, now: Moment) {
+        let at = now - stop.age;
+        let is_back = self
+            .loads
+            .get(&stop.agent)
+            .is_some_and(|load| load.heard >= at);
+        if !is_back {
+            let word = StopWord { at, direct: false };
+            self.stops.insert(stop.agent, word);
+        }
+    }
+
+    /// The agents that told this balancer that they stop.
+    #[must_use]
+    pub fn heard_stops(&self, now: Moment) -> Vec<AgentStop> {
+        let direct = self.stops.iter().filter(|(_, word)| word.direct);
+        let stops = direct.map(|(&agent, word)| AgentStop {
+            agent,
+            age: now.since(word.at),
+        });
+        stops.filter(|stop| stop.age < RESTART_SPAN).collect()
+    }
+
+    /// Whether an agent may have said that it stops before this balancer could know of it.
+    fn may_have_stopped(&self, load: &TargetLoad, now: Moment) -> bool {
+        load.heard == Moment::ZERO && now.since(self.stops_since) < RESTART_SPAN
+    }
+
+    /// Whether an agent was sent frames for `span` and probes in it and was not heard, while others were,
+    /// and is not known to be restarting.
+    fn is_unheard(&self, agent: AgentAddress, span: Duration, now: Moment) -> bool {
+        let load = self.loads.get(&agent);
+        load.is_some_and(|load| load.is_unheard(span, now))
+            && !self.is_restarting(agent, now)
+            && self.hears_anybody(span, now)
+    }
+
+    /// Whether an agent said that it stops, and its successor may still be starting.
+    fn is_restarting(&self, agent: AgentAddress, now: Moment) -> bool {
+        let word = self.stops.get(&agent);
+        word.is_some_and(|word| now.since(word.at) < RESTART_SPAN)
     }
 
     /// Notes that a frame was sent.
@@ -158,26 +220,30 @@
         if !self.hears_anybody(span, now) {
             return Vec::new();
         }
-        let silent = self
+        let unheard = self
             .loads
             .iter()
-            .filter(|(_, load)| load.is_silent(span, now));
-        silent.map(|(&agent, _)| agent).collect()
+            .filter(|(_, load)| load.is_unheard(span, now));
+        let lasting = unheard.filter(|(agent, load)| {
+            !self.is_restarting(**agent, now) && !self.may_have_stopped(load, now)
+        });
+        lasting.map(|(&agent, _)| agent).collect()
     }
 
     /// Whether an agent has said that it stops, or that its target does not answer, or has been silent
     /// for `span` while others were heard. Where the store has dropped the target as well, it is gone.
     #[must_use]
     pub fn is_gone(&self, agent: AgentAddress, span: Duration, now: Moment) -> bool {
-        self.is_stopped(agent, now) || self.is_silent(agent, span, now)
+        self.is_stopped(agent, now) || self.is_unheard(agent, span, now)
     }
 
     /// Whether an agent was sent frames for `span` and probes in it and was not heard, while others were,
-    /// and did not say that it stops.
+    /// and did not say that it stops. One that was never heard may have said so to a balancer that is gone.
     #[must_use]
     pub fn is_silent(&self, agent: AgentAddress, span: Duration, now: Moment) -> bool {
         let load = self.loads.get(&agent);
-        load.is_some_and(|load| load.is_silent(span, now)) && self.hears_anybody(span, now)
+        let may_have_stopped = load.is_some_and(|load| self.may_have_stopped(load, now));
+        self.is_unheard(agent, span, now) && !may_have_stopped
     }
 
     /// Whether an agent has owed an answer for `span`.
@@ -269,10 +335,12 @@
 
     /// Whether an agent has said that it stops, or that its target does not answer.
     fn is_stopped(&self, agent: AgentAddress, now: Moment) -> bool {
-        self.loads.get(&agent).is_some_and(|load| {
+        let load = self.loads.get(&agent);
+        let unresponsive = load.is_some_and(|load| {
             let recent = now.since(load.heard) < RESTART_SPAN;
-            recent && (load.report.leaving || !load.report.responsive)
-        })
+            recent && !load.report.responsive
+        });
+        unresponsive || self.is_restarting(agent, now)
     }
 
     /// The cost of one more flow at a target: requests in progress per slot, and what else counts.
@@ -296,6 +364,8 @@
         self.loads.retain(|_, load| {
             now.since(load.heard) < idle || now < load.avoid_until || asked(load)
         });
+        self.stops
+            .retain(|_, word| now.since(word.at) < RESTART_SPAN);
     }
 
     fn entry(&mut self, agent: AgentAddress, service: ServiceId) -> &mut TargetLoad {
--- a/crates/flows/tests/all/loss.rs
+++ b/crates/flows/tests/all/loss.rs
@@ -1,7 +1,11 @@
 //! Open flows whose target is lost.
 
-use lovagelatch_catalog::Catalog;
-use lovagelatch_flows::{BalancerStep, FlowBalancer, FlowEvent, FlowView, LoadReport, LossReason};
+use std::time::Duration;
+
+use lovagelatch_catalog::{AgentStop, Catalog, RESTART_SPAN};
+use lovagelatch_flows::{
+    BalancerStep, DueSearch, FlowBalancer, FlowEvent, FlowView, LoadReport, LossReason,
+};
 
 use crate::balancer::sent;
 use crate::support::{
@@ -266,3 +270,163 @@
         );
     }
 }
+
+/// Guards against the reset of an open flow whose agent is restarted as planned, at a balancer that the agent
+/// did not tell.
+#[test]
+fn a_restart_that_another_balancer_heard_of_ends_no_flow() {
+    struct RestartCase {
+        name: &'static str,
+        /// When another balancer passes the word on, and how old it is then, in milliseconds.
+        told: Option<(u64, u64)>,
+        /// When the agent is heard again, if it is.
+        back: Option<u64>,
+        /// Until when it is silent then.
+        end: u64,
+        expected: usize,
+    }
+    let restart = u64::try_from(RESTART_SPAN.as_millis()).expect("some seconds");
+    let cases = [
+        RestartCase {
+            name: "nobody heard of a stop",
+            told: None,
+            back: None,
+            end: 3_000,
+            expected: 1,
+        },
+        RestartCase {
+            name: "another balancer heard of it",
+            told: Some((1_200, 400)),
+            back: None,
+            end: 5_000,
+            expected: 0,
+        },
+        RestartCase {
+            name: "the successor never comes",
+            told: Some((1_200, 400)),
+            back: None,
+            end: 800 + restart,
+            expected: 1,
+        },
+        RestartCase {
+            name: "the successor falls silent without a word",
+            told: Some((1_200, 400)),
+            back: Some(2_000),
+            end: 5_000,
+            expected: 1,
+        },
+        RestartCase {
+            name: "the word comes after the successor",
+            told: Some((2_100, 1_300)),
+            back: Some(2_000),
+            end: 5_000,
+            expected: 1,
+        },
+    ];
+    for case in cases {
+        let view = claims_view(2);
+        let decisions = FlowBalancer::new(balancer());
+        open_flow(&decisions, &view);
+        let mut lost = 0;
+        for now in (1_100..=case.end).step_by(50) {
+            if case.back == Some(now) {
+                decisions.take_load(&idle_load(agent(1)), at(now));
+                decisions.take_packet(&data(flow(1)), b"data", &view, at(now));
+            }
+            if let Some((_, age)) = case.told.filter(|(told, _)| *told == now) {
+                let stop = AgentStop {
+                    agent: agent(1),
+                    age: Duration::from_millis(age),
+                };
+                decisions.take_stops(&[stop], at(now));
+            }
+            decisions.due_probes(at(now));
+            decisions.take_load(&idle_load(agent(2)), at(now));
+            lost += decisions.lost_flows(&view, at(now)).len();
+        }
+        assert_eq!(lost, case.expected, "{}", case.name);
+    }
+}
+
+/// Guards against the reset of open flows by a balancer that started while their agent was being restarted, and
+/// that nobody could tell of it.
+#[test]
+fn a_fresh_balancer_waits_for_agents_that_it_has_never_heard() {
+    struct FreshCase {
+        name: &'static str,
+        /// Since when the balancer knows of every stop, in milliseconds.
+        since: u64,
+        /// Whether it has heard the agent before the silence.
+        heard: bool,
+        /// When the flow is told to be lost.
+        expected: u64,
+    }
+    let restart = u64::try_from(RESTART_SPAN.as_millis()).expect("some seconds");
+    let cases = [
+        FreshCase {
+            name: "started with the silence",
+            since: 10_000,
+            heard: false,
+            expected: 10_000 + restart,
+        },
+        FreshCase {
+            name: "told by one that has run for long",
+            since: 1_000,
+            heard: false,
+            expected: 11_000,
+        },
+        FreshCase {
+            name: "heard the agent itself",
+            since: 9_000,
+            heard: true,
+            expected: 11_000,
+        },
+    ];
+    for case in cases {
+        let view = claims_view(2);
+        let decisions = FlowBalancer::new(balancer());
+        decisions.set_stops_since(at(case.since));
+        if case.heard {
+            decisions.take_load(&idle_load(agent(1)), at(9_500));
+        }
+        let mut told = None;
+        for now in (10_000..=17_000).step_by(50) {
+            decisions.due_probes(at(now));
+            decisions.take_load(&idle_load(agent(2)), at(now));
+            // The client repeats itself, and agent 2 does not hold the flow.
+            let step = decisions.take_packet(&data(flow(1)), b"data", &view, at(now));
+            let absent = note(flow(1), agent(2), FlowEvent::Absent);
+            let outcome = decisions.take_note(&absent, at(now));
+            let due = decisions.due_searches(&view, at(now));
+            let ended = due.iter().any(|due| matches!(due, DueSearch::Lost(_)));
+            if ended || outcome.reset.is_some() || step == BalancerStep::Lost {
+                told.get_or_insert(now);
+            }
+        }
+        let told = told.expect("told in the end");
+        // A search looks again each quarter of a second, and begins anew every two.
+        let late = case.expected..=case.expected + 500;
+        assert!(late.contains(&told), "{}: {told}", case.name);
+    }
+}
+
+/// Guards against a stop that is passed on by balancers which only heard of it from others, and so never ends.
+#[test]
+fn only_what_an_agent_said_itself_is_passed_on() {
+    let decisions = FlowBalancer::new(balancer());
+    let stops = LoadReport {
+        leaving: true,
+        ..idle_load(agent(1))
+    };
+    let second_hand = AgentStop {
+        agent: agent(2),
+        age: Duration::ZERO,
+    };
+    decisions.take_load(&stops, at(0));
+    decisions.take_stops(&[second_hand], at(0));
+    let heard = decisions.heard_stops(at(100));
+    let agents: Vec<_> = heard.iter().map(|stop| stop.agent).collect();
+    assert_eq!(agents, [agent(1)]);
+    decisions.take_load(&idle_load(agent(1)), at(900));
+    assert_eq!(decisions.heard_stops(at(1_000)), [], "it is back");
+}
--- a/standins/soak/src/fault.rs
+++ b/standins/soak/src/fault.rs
@@ -1,10 +1,12 @@
 //! Which faults strike when: drawn from the seed, in series and overlapping.
 
+use std::str::FromStr;
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
+use thiserror::Error;
 
 /// What goes wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,6 +27,8 @@
     KillAgents,
     /// An agent is stopped in order and starts again.
     StopAgent,
+    /// Every second agent is stopped in order.
+    RollAgents,
     /// An agent stands still.
     PauseAgent,
     /// Every process and every target ends, as when power is lost.
@@ -79,6 +83,9 @@
     SoakFault::ForeignEntries,
 ];
 
+/// Faults that strike only where they are named, for the same reason.
+const NAMED_FAULTS: [SoakFault; 1] = [SoakFault::RollAgents];
+
 /// Those that [`SoakPlan::draw`] draws from.
 pub const SOAK_FAULTS: [SoakFault; 27] = [
     SoakFault::KillBalancer,
@@ -110,6 +117,23 @@
     SoakFault::HangUp,
 ];
 
+/// No fault has this name.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("no fault is named {0}")]
+pub struct UnknownFault(String);
+
+impl FromStr for SoakFault {
+    type Err = UnknownFault;
+
+    fn from_str(name: &str) -> Result<Self, UnknownFault> {
+        let faults = SOAK_FAULTS.into_iter().chain(FURTHER_FAULTS);
+        faults
+            .chain(NAMED_FAULTS)
+            .find(|fault| format!("{fault:?}") == name)
+            .ok_or_else(|| UnknownFault(name.to_owned()))
+    }
+}
+
 /// One strike.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SoakStrike {
@@ -134,11 +158,17 @@
     /// A plan for `span` drawn from `seed`.
     #[must_use]
     pub fn draw(seed: u64, span: Duration) -> Self {
+        Self::draw_of(&SOAK_FAULTS, seed, span)
+    }
+
+    /// A plan of these faults alone.
+    #[must_use]
+    pub fn draw_of(faults: &[SoakFault], seed: u64, span: Duration) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let mut strikes = Vec::new();
         let mut at = Duration::ZERO;
         while at < span {
-            let fault = SOAK_FAULTS.choose(&mut rng).copied();
+            let fault = faults.choose(&mut rng).copied();
             strikes.extend(fault.map(|fault| SoakStrike {
                 at,
                 lasts: Duration::from_millis(rng.random_range(300..3_000)),
--- a/standins/soak/src/main.rs
+++ b/standins/soak/src/main.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bpaf::Bpaf;
-use lovagelatch_soak::{SoakSettings, run_soak};
+use lovagelatch_soak::{SoakFault, SoakSettings, run_soak};
 
 /// Breaks a fleet of the real programs at random and checks the promises while it runs.
 #[derive(Clone, Debug, Bpaf)]
@@ -25,6 +25,12 @@
     processes: u8,
     /// Also targets that start again under their names, and entries of other writers
     further: bool,
+    /// Strike with this fault, and those named likewise, alone; as `StopAgent`
+    #[bpaf(argument("FAULT"))]
+    only: Vec<SoakFault>,
+    /// Milliseconds from an agent's end until it starts again
+    #[bpaf(argument("MS"), fallback(300))]
+    agent_restart_ms: u64,
     /// Where to keep settings and logs; those of sound runs are removed
     #[bpaf(argument("DIR"), fallback(std::env::temp_dir().join("lovagelatch-soak")))]
     keep: PathBuf,
@@ -44,6 +50,8 @@
             span: Duration::from_secs_f64(line.minutes.max(0.01) * 60.0),
             processes: line.processes,
             further: line.further,
+            only: line.only.clone(),
+            agent_restart: Duration::from_millis(line.agent_restart_ms),
             programs: programs.clone(),
             directory: directory.clone(),
         };
--- a/standins/soak/src/run.rs
+++ b/standins/soak/src/run.rs
@@ -36,8 +36,11 @@
 /// How long a leaving target stays.
 const DRAIN: Duration = Duration::from_secs(5);
 
-/// How long after its end a killed process starts again.
-const RESTART: Duration = Duration::from_millis(300);
+/// How long after its end a balancer starts again.
+const BALANCER_RESTART: Duration = Duration::from_millis(300);
+
+/// Time from a retired target's end to the start of the next one at its place.
+const REPLACEMENT: Duration = Duration::from_millis(300);
 
 /// Requests that a run must serve at the least, or it did not test anything.
 const MIN_SERVED: u64 = 100;
@@ -53,6 +56,10 @@
     pub processes: u8,
     /// Whether the faults that came later strike as well.
     pub further: bool,
+    /// The faults that strike; all where none is named.
+    pub only: Vec<SoakFault>,
+    /// How long after its end an agent starts again.
+    pub agent_restart: Duration,
     /// Where the programs are.
     pub programs: PathBuf,
     /// Where settings and logs of the processes go.
@@ -115,7 +122,11 @@
     run.fleet.mark_restarted()?;
     run.start_clients()?;
     run.pass(WARM_UP)?;
-    let mut plan = SoakPlan::draw(settings.seed, settings.span);
+    let mut plan = if settings.only.is_empty() {
+        SoakPlan::draw(settings.seed, settings.span)
+    } else {
+        SoakPlan::draw_of(&settings.only, settings.seed, settings.span)
+    };
     if settings.further {
         plan.add_further(settings.seed, settings.span);
     }
@@ -142,6 +153,8 @@
     pending: Vec<(Instant, Pending)>,
     /// When each process that is down starts again: balancers, then machines.
     restarts: Vec<Option<Instant>>,
+    /// How long after its end an agent starts again.
+    agent_restart: Duration,
     struck: usize,
 }
 
@@ -164,6 +177,7 @@
             ended,
             clients: Vec::new(),
             pending: Vec::new(),
+            agent_restart: settings.agent_restart,
             struck: 0,
         })
     }
@@ -256,7 +270,12 @@
                 *restart = None;
                 continue;
             }
-            let due = *restart.get_or_insert(now + RESTART);
+            let pause = if number < balancers {
+                BALANCER_RESTART
+            } else {
+                self.agent_restart
+            };
+            let due = *restart.get_or_insert(now + pause);
             if due <= now {
                 process.start()?;
             }
@@ -301,6 +320,10 @@
                 }
             }
             SoakFault::StopAgent => fleet.machines[machine].process.stop(),
+            SoakFault::RollAgents => {
+                let rolled = fleet.machines.iter_mut().skip(machine % 2).step_by(2);
+                rolled.for_each(|one| one.process.stop());
+            }
             SoakFault::PauseAgent => self.disturb(machine, |unit| unit.process.pause()),
             SoakFault::LosePower => self.lose_power(),
             SoakFault::CrashTarget | SoakFault::ReuseAddress => {
@@ -472,7 +495,7 @@
         if target.is_some_and(|target| target.start == start) {
             self.fleet.retire_target(at);
             self.disturb(at, |unit| unit.process.stop());
-            let next = Instant::now() + RESTART;
+            let next = Instant::now() + REPLACEMENT;
             self.pending.push((next, Pending::StartTarget(at)));
         }
     }
--- a/tests/tests/all/soak.rs
+++ b/tests/tests/all/soak.rs
@@ -13,6 +13,8 @@
     processes: &'static str,
     /// Whether targets are reborn, and entries of other writers come.
     further: bool,
+    /// Further arguments.
+    arguments: &'static [&'static str],
 }
 
 impl SoakCase {
@@ -24,6 +26,7 @@
             .args(["--seed", self.seed, "--minutes", self.minutes])
             .args(["--processes", self.processes])
             .args(self.further.then_some("--further"))
+            .args(self.arguments)
             .arg("--keep")
             .arg(&keep)
             .output()
@@ -51,6 +54,7 @@
         minutes: "0.15",
         processes: "9",
         further: false,
+        arguments: &[],
     };
     case.play();
 }
@@ -66,6 +70,7 @@
         minutes: "0.4",
         processes: "12",
         further: false,
+        arguments: &[],
     };
     case.play();
 }
@@ -80,6 +85,7 @@
         minutes: "0.15",
         processes: "9",
         further: true,
+        arguments: &[],
     };
     case.play();
 }
@@ -94,6 +100,7 @@
         minutes: "0.3",
         processes: "12",
         further: false,
+        arguments: &[],
     };
     case.play();
 }
@@ -109,6 +116,41 @@
         minutes: "0.3",
         processes: "12",
         further: true,
+        arguments: &[],
     };
     case.play();
 }
+
+/// Guards against the reset of open flows whose agents are away for longer than a silence that counts, at
+/// balancers that were not told that they stop.
+#[test]
+fn a_long_planned_restart_resets_no_open_flow() {
+    let cases = [
+        SoakCase {
+            seed: "841",
+            minutes: "0.15",
+            processes: "15",
+            further: false,
+            arguments: &[
+                "--agent-restart-ms=1700",
+                "--only=RollAgents",
+                "--only=KillBalancer",
+                "--only=RollBalancers",
+            ],
+        },
+        SoakCase {
+            seed: "834",
+            minutes: "0.15",
+            processes: "12",
+            further: false,
+            arguments: &[
+                "--agent-restart-ms=1600",
+                "--only=RollAgents",
+                "--only=KillBalancers",
+            ],
+        },
+    ];
+    for case in cases {
+        case.play();
+    }
+}
