Catalog: an overdue watch shows trouble of the time at which it was made, where the store has answered since

Callers with flows to dead targets waited 5 s and more after the store's return, where two are due.

Change: the time of such trouble is that of the call. Where nobody was answered since, or the call failed before it was overdue (refused, reset), it is now, as before. Trouble that came after the last answer shows with the reader's own next call, in 2.2 s.

Evidence: the new test is red without the change (trouble 5.7 s late).

--- a/crates/catalog/src/member.rs
+++ b/crates/catalog/src/member.rs
@@ -147,6 +147,8 @@
     /// When the evacuated zones were last read anew, by this process or another.
     zones_since: Moment,
     stops: StopTable,
+    /// When the call that is under way, or the last one, was made.
+    called: Moment,
     next_head: Moment,
     asked: Option<Moment>,
     /// Ask for the whole of it next: a change did not fit.
@@ -176,6 +178,7 @@
             returned: None,
             zones_since: now,
             stops: StopTable::new(now),
+            called: now,
             next_head: now,
             asked: None,
             ask_whole: false,
@@ -345,7 +348,7 @@
     ) -> Vec<CatalogAction> {
         match outcome {
             Ok(answer) => self.accept_store(call, answer, now),
-            Err(failure) => self.store_failed(failure, now),
+            Err(failure) => self.store_failed(call, failure, now),
         }
         self.call_store(now);
         self.take_actions()
@@ -381,14 +384,14 @@
         }
     }
 
-    fn store_failed(&mut self, failure: StoreFailure, now: Moment) {
+    fn store_failed(&mut self, call: StoreCall, failure: StoreFailure, now: Moment) {
         let read_before = self.reading.reads();
         let inputs = self.reading_inputs(now);
         self.reading.failed(failure, &inputs, now);
         if failure == StoreFailure::HistoryGone {
             return;
         }
-        self.trouble = Some(now);
+        self.trouble = self.trouble.max(Some(self.trouble_time(call, now)));
         if !std::mem::replace(&mut self.store_lost, true) {
             self.notice(CatalogNotice::StoreLost(failure));
         }
@@ -398,6 +401,22 @@
         }
     }
 
+    /// When the store had the trouble that a failed call shows. A watch whose connection went silent shows it only when
+    /// it is overdue; the store may have answered others since, who would see trouble that came later.
+    fn trouble_time(&self, call: StoreCall, now: Moment) -> Moment {
+        let wait = match call {
+            StoreCall::List => Duration::ZERO,
+            StoreCall::Watch { wait, .. } => wait,
+        };
+        let overdue = now.since(self.called) >= wait;
+        let answered_since = self.confirmed.is_some_and(|at| at > self.called);
+        if overdue && answered_since {
+            self.called
+        } else {
+            now
+        }
+    }
+
     fn accept_head(&mut self, message: &HeadMessage, now: Moment) {
         let random = &mut self.random;
         self.peers
@@ -549,6 +568,9 @@
     fn call_store(&mut self, now: Moment) {
         let inputs = self.reading_inputs(now);
         let call = self.reading.next_call(&inputs, &mut self.random, now);
+        if call.is_some() {
+            self.called = now;
+        }
         self.actions.extend(call.map(CatalogAction::Call));
     }
 
--- a/crates/catalog/tests/all/member.rs
+++ b/crates/catalog/tests/all/member.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use lovagelatch_catalog::{
-    CatalogAction, CatalogMember, CatalogMessage, CatalogNotice, MemberSettings, StoreAnswer,
-    StoreCall, StoreEvent, StoreFailure,
+    CatalogAction, CatalogMember, CatalogMessage, CatalogNotice, HeadMessage, MemberSettings,
+    StoreAnswer, StoreCall, StoreEvent, StoreFailure,
 };
 use lovagelatch_domain::Moment;
 use smallvec::smallvec;
@@ -399,3 +399,71 @@
         }
     }
 }
+
+struct OverdueCase {
+    name: &'static str,
+    /// When another balancer tells of an answer of the store, in milliseconds after the watch began.
+    answered: Option<u64>,
+    /// When the watch fails.
+    fails: u64,
+    /// The trouble that is known then.
+    expected: u64,
+}
+
+/// Guards against a store that counts as away until an old watch is overdue, though it has answered others since.
+#[test]
+fn an_overdue_watch_shows_no_trouble_after_the_stores_later_answers() {
+    let cases = [
+        OverdueCase {
+            name: "the store has answered others since",
+            answered: Some(4_000),
+            fails: 5_700,
+            expected: 0,
+        },
+        OverdueCase {
+            name: "nobody was answered since",
+            answered: None,
+            fails: 5_700,
+            expected: 5_700,
+        },
+        OverdueCase {
+            name: "it fails before it is overdue",
+            answered: Some(400),
+            fails: 500,
+            expected: 500,
+        },
+    ];
+    for case in cases {
+        let mut group = Group::settled(1, Duration::from_secs(2));
+        let began = group.now + Duration::from_secs(10);
+        let member = &mut group.node(1).member;
+        let head = member.status(began).head;
+        // The watch that is under way ends, and the next one begins.
+        let wait = Duration::from_millis(1_500);
+        let ended = StoreCall::Watch { after: 0, wait };
+        let answer = StoreAnswer {
+            events: Vec::new(),
+            revision: head.routes.revision,
+        };
+        let actions = member.store_answered(ended, Ok(answer), began);
+        let call = calls(&actions)[0];
+        if let Some(answered) = case.answered {
+            let at = began + Duration::from_millis(answered);
+            let message = HeadMessage {
+                sender: address(2),
+                head,
+                age: Duration::ZERO,
+                reads: true,
+                trouble: None,
+                leaving: false,
+                peers: smallvec![address(1)],
+                readers: smallvec![],
+            };
+            member.accept(CatalogMessage::Head(message), at);
+        }
+        let now = began + Duration::from_millis(case.fails);
+        member.store_answered(call, Err(StoreFailure::Unanswered), now);
+        let expected = began + Duration::from_millis(case.expected);
+        assert_eq!(member.trouble(), Some(expected), "{}", case.name);
+    }
+}
