A balancer that is cut off vouches for no zone, and a fresh agent takes no offer that vouches for nothing

An operator evacuates a zone; a balancer that hears neither the store nor any other balancer goes on offering flows there. Agents that know of the evacuation refuse them; one that has just started knows nothing and took them.

Cause: an offer names the revision up to which its sender knows the zones, and an agent without a word takes it for its first. Nothing said that the sender could not have heard a later one.

Change: a balancer that nobody has confirmed its catalog to for 3 s, and that hears no other, is cut off: its offers carry no revision, and it tells agents of evacuations alone. An agent that was never told anything does not take such an offer. One that knows of no other balancer is not cut off from any.

Evidence: the new test of the decisions is red where a cut-off balancer's offers vouch as before.

Ruled out: refusing by the balancer alone, by the agent's last report (the agent may have started since).

--- a/bins/balancer/src/opaque/catalog.rs
+++ b/bins/balancer/src/opaque/catalog.rs
@@ -164,12 +164,18 @@
         let returned = member.returned();
         let zones_since = member.zones_since();
         let stops_since = member.stops_since();
+        let cut_off = member.is_cut_off(now);
         drop(member);
         self.state.packets.balancer.set_stops_since(stops_since);
         let mut builder = self.state.builder.lock();
         builder.set_informed(informed);
         builder.set_returned(returned);
         builder.set_zones_since(zones_since);
+        if cut_off != builder.is_cut_off() {
+            builder.set_cut_off(cut_off);
+            info!(self.state.log, "touch with the fleet changed";
+                "decision" => DecisionKind::ZoneChanged, "cut_off" => cut_off);
+        }
         if let Some(at) = trouble {
             builder.note_trouble(at);
         }
@@ -214,8 +220,10 @@
         let builder = self.state.builder.lock();
         let ended = builder.next_lapse_end().is_some_and(|end| end <= now);
         let coverage = builder.coverage(now);
+        let cut_off = builder.is_cut_off();
         drop(builder);
-        if ended || coverage != self.state.packets.view.load().coverage {
+        let view = self.state.packets.view.load();
+        if ended || coverage != view.coverage || cut_off != view.zones.cut_off {
             self.publish();
         }
     }
--- a/crates/catalog/src/member.rs
+++ b/crates/catalog/src/member.rs
@@ -45,6 +45,10 @@
 /// only one. Until then it cannot know of trouble that the store had before its start.
 const INFORM_SPAN: Duration = Duration::from_secs(1);
 
+/// How long ago the store last confirmed what a balancer holds that hears no other one, when it takes itself for cut
+/// off. Longer than a watch's wait and the time in which one fails.
+const CUT_OFF_AGE: Duration = Duration::from_secs(3);
+
 /// A catalog this fresh is good enough to begin to serve with.
 const READY_AGE: Duration = Duration::from_secs(5);
 
@@ -216,6 +220,14 @@
         self.peers.alive_count(now) > 0 || now.since(self.started) >= INFORM_SPAN
     }
 
+    /// Whether neither the store nor another balancer has spoken to this process for so long that it may have missed
+    /// a change of the evacuated zones. One that knows of no other balancer is not cut off from any.
+    #[must_use]
+    pub fn is_cut_off(&self, now: Moment) -> bool {
+        let unconfirmed = self.age(now).is_some_and(|age| age >= CUT_OFF_AGE);
+        unconfirmed && self.peers.knows_others() && self.peers.alive_count(now) == 0
+    }
+
     /// When the store last failed this process or another: entries that vanish around that time
     /// prove nothing.
     #[must_use]
--- a/crates/catalog/src/peers.rs
+++ b/crates/catalog/src/peers.rs
@@ -241,6 +241,11 @@
             .map(|(&address, peer)| (address, peer))
     }
 
+    /// Whether any other balancer was named or heard lately, or stands in the settings.
+    pub(crate) fn knows_others(&self) -> bool {
+        !self.peers.is_empty() || !self.seeds.is_empty()
+    }
+
     pub(crate) fn alive_count(&self, now: Moment) -> usize {
         self.alive(now).count()
     }
--- a/crates/catalog/tests/all/member.rs
+++ b/crates/catalog/tests/all/member.rs
@@ -467,3 +467,72 @@
         assert_eq!(member.trouble(), Some(expected), "{}", case.name);
     }
 }
+
+struct TouchCase {
+    name: &'static str,
+    balancers: u8,
+    store_cut: bool,
+    peers_cut: bool,
+    expected: bool,
+}
+
+/// Guards against a balancer that goes on vouching for zones when it can hear of no evacuation any more.
+#[test]
+fn a_balancer_that_hears_neither_the_store_nor_another_knows_that_it_is_cut_off() {
+    let cases = [
+        TouchCase {
+            name: "in touch with both",
+            balancers: 4,
+            store_cut: false,
+            peers_cut: false,
+            expected: false,
+        },
+        TouchCase {
+            name: "the others tell it of the store",
+            balancers: 4,
+            store_cut: true,
+            peers_cut: false,
+            expected: false,
+        },
+        TouchCase {
+            name: "it reads the store itself",
+            balancers: 4,
+            store_cut: false,
+            peers_cut: true,
+            expected: false,
+        },
+        TouchCase {
+            name: "cut off from both",
+            balancers: 4,
+            store_cut: true,
+            peers_cut: true,
+            expected: true,
+        },
+        TouchCase {
+            name: "there is no other",
+            balancers: 1,
+            store_cut: true,
+            peers_cut: false,
+            expected: false,
+        },
+    ];
+    for case in cases {
+        let mut group = Group::settled(case.balancers, Duration::from_secs(5));
+        let own = case.balancers;
+        if own == 1 {
+            group.node(own).member.set_seeds(&[address(own)]);
+        }
+        group.node(own).store_cut = case.store_cut;
+        group.node(own).peers_cut = case.peers_cut;
+        group.run(Duration::from_secs(4));
+        let now = group.now;
+        let cut_off = group.node(own).member.is_cut_off(now);
+        assert_eq!(cut_off, case.expected, "{}", case.name);
+        // It is over as soon as either speaks again.
+        group.node(own).store_cut = false;
+        group.node(own).peers_cut = false;
+        group.run(Duration::from_secs(2));
+        let now = group.now;
+        assert!(!group.node(own).member.is_cut_off(now), "{}", case.name);
+    }
+}
--- a/crates/flows/src/agent/zone.rs
+++ b/crates/flows/src/agent/zone.rs
@@ -28,7 +28,8 @@
     }
 
     /// Whether an offer may be taken whose sender knew the zones up to `revision` and took this one not to
-    /// be evacuated. A later word than the one that is held ends an evacuation.
+    /// be evacuated. A later word than the one that is held ends an evacuation. While no word was ever heard, an
+    /// offer that vouches for nothing is not taken.
     pub(super) fn admits(&mut self, revision: u64) -> bool {
         if revision > self.revision {
             *self = Self {
@@ -36,6 +37,6 @@
                 evacuated: false,
             };
         }
-        !self.evacuated
+        self.revision > 0 && !self.evacuated
     }
 }
--- a/crates/flows/src/balancer/offer.rs
+++ b/crates/flows/src/balancer/offer.rs
@@ -132,7 +132,7 @@
             frame: PacketFrame {
                 slots: chosen.slots,
                 warmup: view.warmup_of(chosen, now),
-                zones_revision: view.zones.revision,
+                zones_revision: view.zones.vouched_revision(),
                 rest,
                 ..PacketFrame::new(FramePurpose::Offer, chosen.service, self.own)
             },
--- a/crates/flows/src/view/builder.rs
+++ b/crates/flows/src/view/builder.rs
@@ -136,6 +136,17 @@
         self.view.zones.since = since;
     }
 
+    /// Sets whether this process would hear of an evacuation.
+    pub fn set_cut_off(&mut self, cut_off: bool) {
+        self.view.zones.cut_off = cut_off;
+    }
+
+    /// Whether it would not.
+    #[must_use]
+    pub fn is_cut_off(&self) -> bool {
+        self.view.zones.cut_off
+    }
+
     /// The zones that were first named since the last call and have no region by the settings: their targets
     /// get no flows of routes that are bound to regions.
     pub fn take_without_region(&mut self) -> Vec<ZoneName> {
--- a/crates/flows/src/view/zones.rs
+++ b/crates/flows/src/view/zones.rs
@@ -46,6 +46,9 @@
     pub revision: u64,
     /// When the store was asked, by this process or by whoever told it.
     pub since: Moment,
+    /// Whether this process is out of touch with the store and with all other balancers, so that it would not hear
+    /// of an evacuation.
+    pub cut_off: bool,
     /// This process's zone.
     pub own: ZoneIndex,
     /// The zones whose targets get no new flows.
@@ -75,6 +78,12 @@
         region_at(&self.regions, zone)
     }
 
+    /// The revision up to which this process vouches for zones; 0 where it may lack a later word.
+    #[must_use]
+    pub fn vouched_revision(&self) -> u64 {
+        if self.cut_off { 0 } else { self.revision }
+    }
+
     /// Whether a zone is this process's own.
     #[must_use]
     pub fn is_near(&self, zone: ZoneIndex) -> bool {
@@ -99,13 +108,16 @@
         self.revision = revision;
     }
 
-    /// What an agent in a zone is told of it.
+    /// What an agent in a zone is told of it; `None` where the zone may be evacuated by a word that this process
+    /// did not hear.
     #[must_use]
-    pub fn notice_of(&self, zone: ZoneIndex, now: Moment) -> ZoneNotice {
-        ZoneNotice {
+    pub fn notice_of(&self, zone: ZoneIndex, now: Moment) -> Option<ZoneNotice> {
+        let evacuated = self.is_evacuated(zone);
+        let known = evacuated || !self.cut_off;
+        known.then(|| ZoneNotice {
             revision: self.revision,
-            evacuated: self.is_evacuated(zone),
+            evacuated,
             age: now.since(self.since),
-        }
+        })
     }
 }
--- a/crates/flows/tests/all/zones.rs
+++ b/crates/flows/tests/all/zones.rs
@@ -378,3 +378,82 @@
         Some(2)
     );
 }
+
+/// Guards against new flows in an evacuated zone, where a balancer that cannot have heard of the evacuation meets an
+/// agent that has just started and has heard nothing at all.
+#[test]
+fn a_fresh_agent_takes_no_offer_of_a_balancer_that_is_cut_off() {
+    struct CutOffCase {
+        name: &'static str,
+        cut_off: bool,
+        /// The agent's last word about its zone.
+        told: Option<ZoneNotice>,
+        /// Whether the target is given the flow.
+        taken: bool,
+    }
+    let cases = [
+        CutOffCase {
+            name: "in touch",
+            cut_off: false,
+            told: None,
+            taken: true,
+        },
+        CutOffCase {
+            name: "cut off, and the agent has heard nothing",
+            cut_off: true,
+            told: None,
+            taken: false,
+        },
+        CutOffCase {
+            name: "cut off, and the agent knows that its zone takes flows",
+            cut_off: true,
+            told: Some(notice(4, false)),
+            taken: true,
+        },
+        CutOffCase {
+            name: "cut off, and the agent knows of the evacuation",
+            cut_off: true,
+            told: Some(notice(6, true)),
+            taken: false,
+        },
+    ];
+    for case in cases {
+        let mut builder = builder();
+        builder.set_cut_off(case.cut_off);
+        builder.take(&evacuated(1, &[], 5), at(0));
+        let view = builder.build(at(0));
+        let decisions = FlowBalancer::new(balancer());
+        let mut agent = restarted_agent();
+        if let Some(notice) = &case.told {
+            agent.take_zone(notice, at(0));
+        }
+        // What the balancer answers to the agent's first report.
+        let report = agent.answer_probe(balancer(), at(1));
+        if let Some(notice) = decisions.zone_notice(&report, &view, at(1)) {
+            agent.take_zone(&notice, at(1));
+        }
+        let step = decisions.take_packet(&opening(flow(1)), b"syn", &view, at(2));
+        let (_, offer) = sent(step);
+        let (step, _) = agent.take_frame(offer, &opening(flow(1)), at(2));
+        let taken = matches!(step, AgentStep::Deliver { .. });
+        assert_eq!(taken, case.taken, "{}: {step:?}", case.name);
+    }
+}
+
+/// Guards against an agent that learns of its zone's evacuation from nobody, because the one balancer that knows of it
+/// is cut off.
+#[test]
+fn a_balancer_that_is_cut_off_tells_of_evacuations_alone() {
+    let mut builder = builder();
+    builder.set_cut_off(true);
+    builder.take(&evacuated(4, &["hall-a"], 7), at(0));
+    let view = builder.build(at(0));
+    let decisions = FlowBalancer::new(balancer());
+    let told = |number| {
+        let report = report(number, 0, false);
+        let notice = decisions.zone_notice(&report, &view, at(50));
+        notice.map(|notice| (notice.revision, notice.evacuated))
+    };
+    assert_eq!(told(1), Some((7, true)));
+    assert_eq!(told(2), None);
+}
