--- a/standins/soak/src/fleet.rs
+++ b/standins/soak/src/fleet.rs
@@ -61,6 +61,8 @@
     pub(crate) log: Arc<SoakLog>,
     allowed: AllowedRoutes,
     directory: PathBuf,
+    /// Whether processes are started with SIGHUP ignored.
+    ignores_hangup: bool,
     starts: u32,
     version: u64,
     /// The service of each route.
@@ -73,6 +75,7 @@
         directory: &Path,
         balancers: u8,
         machines: u8,
+        ignores_hangup: bool,
         log: Arc<SoakLog>,
     ) -> io::Result<Self> {
         let (network, store) = RunNetwork::claim(StoreStandin::start)?;
@@ -84,6 +87,7 @@
             log,
             allowed: Arc::new(Mutex::default()),
             directory: directory.to_owned(),
+            ignores_hangup,
             starts: 0,
             version: 0,
             routes: [0, 0, 1],
@@ -173,7 +177,8 @@
         let settings = self.directory.join(format!("{name}.ini"));
         fs::write(&settings, text)?;
         let log = self.directory.join(format!("{name}.log"));
-        Ok(SoakProcess::new(programs.join(program), settings, log))
+        let process = SoakProcess::new(programs.join(program), settings, log);
+        Ok(process.with_hangup_ignored(self.ignores_hangup))
     }
 
     /// An agent that starts again is not at the fleet's first start any more.
--- a/standins/soak/src/main.rs
+++ b/standins/soak/src/main.rs
@@ -25,6 +25,8 @@
     processes: u8,
     /// Also targets that start again under their names, and entries of other writers
     further: bool,
+    /// Start processes with SIGHUP ignored, as a supervisor must that may signal them at any time
+    hangup_ignored: bool,
     /// Strike with this fault, and those named likewise, alone; as `StopAgent`
     #[bpaf(argument("FAULT"))]
     only: Vec<SoakFault>,
@@ -50,6 +52,7 @@
             span: Duration::from_secs_f64(line.minutes.max(0.01) * 60.0),
             processes: line.processes,
             further: line.further,
+            ignores_hangup: line.hangup_ignored,
             only: line.only.clone(),
             agent_restart: Duration::from_millis(line.agent_restart_ms),
             programs: programs.clone(),
--- a/standins/soak/src/process.rs
+++ b/standins/soak/src/process.rs
@@ -2,6 +2,7 @@
 
 use std::fs::{File, OpenOptions};
 use std::io;
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -16,6 +17,8 @@
     program: PathBuf,
     settings: PathBuf,
     log: PathBuf,
+    /// Whether it is started with SIGHUP ignored.
+    ignores_hangup: bool,
     child: Option<Child>,
     /// Whether it was told to stop, and until when it may take.
     stopping: Option<Instant>,
@@ -31,6 +34,7 @@
             program,
             settings,
             log,
+            ignores_hangup: false,
             child: None,
             stopping: None,
             paused: false,
@@ -38,16 +42,28 @@
         }
     }
 
+    /// The same, started with SIGHUP ignored if `ignores` says so.
+    pub(crate) fn with_hangup_ignored(mut self, ignores: bool) -> Self {
+        self.ignores_hangup = ignores;
+        self
+    }
+
     pub(crate) fn start(&mut self) -> io::Result<()> {
         let log = open_log(&self.log)?;
-        let child = Command::new(&self.program)
-            .arg("--settings")
-            .arg(&self.settings)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
-        self.child = Some(child);
+        let mut command = Command::new(&self.program);
+        command.arg("--settings").arg(&self.settings);
+        command.stdin(Stdio::null());
+        command.stdout(log.try_clone()?).stderr(log);
+        if self.ignores_hangup {
+            // SAFETY: only a signal's disposition is set between fork and exec.
+            unsafe {
+                command.pre_exec(|| {
+                    libc::signal(libc::SIGHUP, libc::SIG_IGN);
+                    Ok(())
+                });
+            }
+        }
+        self.child = Some(command.spawn()?);
         self.stopping = None;
         self.paused = false;
         Ok(())
--- a/standins/soak/src/run.rs
+++ b/standins/soak/src/run.rs
@@ -56,6 +56,8 @@
     pub processes: u8,
     /// Whether the faults that came later strike as well.
     pub further: bool,
+    /// Whether processes are started with SIGHUP ignored, as by a supervisor that may signal them at any time.
+    pub ignores_hangup: bool,
     /// The faults that strike; all where none is named.
     pub only: Vec<SoakFault>,
     /// How long after its end an agent starts again.
@@ -164,7 +166,14 @@
         let machines = (settings.processes - balancers.min(settings.processes)).max(6);
         let log = Arc::new(SoakLog::new());
         let (programs, directory) = (settings.programs.as_path(), settings.directory.as_path());
-        let fleet = Fleet::begin(programs, directory, balancers, machines, Arc::clone(&log))?;
+        let fleet = Fleet::begin(
+            programs,
+            directory,
+            balancers,
+            machines,
+            settings.ignores_hangup,
+            Arc::clone(&log),
+        )?;
         let ended = Arc::new(AtomicBool::new(false));
         let addresses = fleet.balancers.iter().map(|unit| unit.ip).collect();
         let modulo = settings.seed.is_multiple_of(2);
--- a/tests/tests/all/soak.rs
+++ b/tests/tests/all/soak.rs
@@ -121,6 +121,20 @@
     case.play();
 }
 
+/// Guards against the end of a starting process by a change of settings, where its supervisor starts it with SIGHUP
+/// ignored.
+#[test]
+fn a_process_that_starts_with_the_hangup_ignored_outlives_a_change_of_settings() {
+    let case = SoakCase {
+        seed: "404",
+        minutes: "0.3",
+        processes: "12",
+        further: true,
+        arguments: &["--hangup-ignored"],
+    };
+    case.play();
+}
+
 /// Guards against the reset of open flows whose agents are away for longer than a silence that counts, at
 /// balancers that were not told that they stop.
 #[test]
--- a/tests/tests/all/starting.rs
+++ b/tests/tests/all/starting.rs
@@ -4,6 +4,7 @@
 use std::fs::OpenOptions;
 use std::io::Write;
 use std::os::unix::ffi::OsStrExt;
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -65,14 +66,6 @@
         Self { child, directory }
     }
 
-    fn hang_up(&self) {
-        let number = libc::pid_t::try_from(self.child.id()).expect("a process number");
-        // SAFETY: the child has not been waited for, so the number is its own.
-        unsafe {
-            libc::kill(number, libc::SIGHUP);
-        }
-    }
-
     /// Waits until the process has written this; fails when it has ended.
     fn wait_for(&mut self, line: &str) {
         let start = Instant::now();
@@ -98,6 +91,14 @@
     }
 }
 
+fn hang_up(child: &Child) {
+    let number = libc::pid_t::try_from(child.id()).expect("a process number");
+    // SAFETY: the child has not been waited for, so the number is its own.
+    unsafe {
+        libc::kill(number, libc::SIGHUP);
+    }
+}
+
 fn make_pipe(path: &Path) {
     let name = CString::new(path.as_os_str().as_bytes()).expect("a path");
     // SAFETY: the name is a string that ends in 0 and lives during the call.
@@ -122,10 +123,49 @@
         let changed = process.directory.join("changed.ini");
         std::fs::write(&changed, format!("{text}; changed\n")).expect("a file");
         std::fs::rename(&changed, process.directory.join("settings.ini")).expect("renamed");
-        process.hang_up();
+        hang_up(&process.child);
         pipe.write_all(text.as_bytes()).expect("settings written");
         drop(pipe);
         process.wait_for(case.runs);
         process.wait_for("settings read again");
     }
 }
+
+/// Starts of each program that are signalled before it can have run.
+const BIRTHS: u32 = 20;
+
+/// Guards against the end of a process that is told of a change while the operating system loads it, where whoever
+/// starts it does so with the signal ignored.
+#[test]
+fn a_process_that_inherits_an_ignored_hangup_outlives_it_from_its_birth() {
+    for case in CASES {
+        let directory = std::env::temp_dir().join(format!(
+            "lovagelatch-birth-{}-{}",
+            std::process::id(),
+            case.program
+        ));
+        std::fs::create_dir_all(&directory).expect("a directory");
+        let settings = directory.join("settings.ini");
+        std::fs::write(&settings, format!("{COMMON}{}", case.own)).expect("a file");
+        for birth in 0..BIRTHS {
+            let mut command = Command::new(program_path(case.program));
+            command.arg("--settings").arg(&settings);
+            command.stdin(Stdio::null()).stdout(Stdio::null());
+            // SAFETY: only a signal's disposition is set between fork and exec.
+            unsafe {
+                command.pre_exec(|| {
+                    libc::signal(libc::SIGHUP, libc::SIG_IGN);
+                    Ok(())
+                });
+            }
+            let mut child = command.spawn().expect("the process starts");
+            hang_up(&child);
+            std::thread::sleep(Duration::from_millis(30));
+            let ended = child.try_wait().expect("a child");
+            assert!(ended.is_none(), "{} {birth}: {ended:?}", case.program);
+            child.kill().expect("it runs");
+            child.wait().expect("a child");
+        }
+        std::fs::remove_dir_all(&directory).expect("removed");
+    }
+}
