Soak: the entry of each dead target expires, also where two die at one place within 3.6 s

Cause, from the plan and the logs: power is lost at 8.3 s, machine 1 gets a new target and that crashes at 9.6 s. The stand-in remembered one expiring entry a machine, so the first one's entry stayed, ready, beside the same agent. When machine 1's third target announced at 15.3 s that it leaves, balancers took the announcement (revision 44 on all within 2 ms) and went on placing flows at the stale entry's target, which is the same process. The users' store removes each entry after three heartbeats of silence.

Change: a machine's expiring entries are a list.

--- a/standins/soak/src/fleet.rs
+++ b/standins/soak/src/fleet.rs
@@ -48,8 +48,8 @@
     name: u32,
     /// Whether its next target starts under the name that the last one had.
     pub(crate) reborn: bool,
-    /// The entry of a dead target, and when it expires.
-    pub(crate) expiring: Option<(TargetName, Instant)>,
+    /// The entries of its dead targets, and when each expires.
+    expiring: Vec<(TargetName, Instant)>,
 }
 
 /// Everything that a run starts.
@@ -134,7 +134,7 @@
             way,
             name: 0,
             reborn: false,
-            expiring: None,
+            expiring: Vec::new(),
         });
         let at = self.machines.len() - 1;
         self.start_target(at)?;
@@ -212,7 +212,8 @@
         let start = self.starts;
         let machine = &mut self.machines[at];
         if std::mem::take(&mut machine.reborn) {
-            machine.expiring = None;
+            let name = target_name(machine.name);
+            machine.expiring.retain(|(expiring, _)| *expiring != name);
         } else {
             machine.name = start;
         }
@@ -282,7 +283,8 @@
         if let Some(mut target) = self.machines[at].target.take() {
             target.end();
             let name = self.entry_name(at);
-            self.machines[at].expiring = Some((name, Instant::now() + EXPIRY));
+            let expiry = Instant::now() + EXPIRY;
+            self.machines[at].expiring.push((name, expiry));
         }
     }
 
@@ -298,7 +300,7 @@
     pub(crate) fn expire(&mut self) {
         let now = Instant::now();
         for machine in &mut self.machines {
-            if let Some((name, _)) = machine.expiring.take_if(|(_, at)| *at <= now) {
+            for (name, _) in machine.expiring.extract_if(.., |(_, at)| *at <= now) {
                 self.store.remove_target(&name);
             }
         }
--- a/tests/tests/all/soak.rs
+++ b/tests/tests/all/soak.rs
@@ -121,6 +121,20 @@
     case.play();
 }
 
+/// Guards against entries of dead targets that never expire, which lets balancers place flows at a target that
+/// leaves under another name.
+#[test]
+fn the_entry_of_each_dead_target_expires() {
+    let case = SoakCase {
+        seed: "930",
+        minutes: "0.3",
+        processes: "12",
+        further: true,
+        arguments: &[],
+    };
+    case.play();
+}
+
 /// Guards against the end of a starting process by a change of settings, where its supervisor starts it with SIGHUP
 /// ignored.
 #[test]
