Stops: what is passed on covers no stop that it does not name

Change: a round covers nothing; the answer to a fresh balancer covers back to the oldest stop that it left out. The new test is red without it. Also: one name less that stood for two things (`is_unheard`), and a flat `lapse_end`.

--- a/crates/catalog/src/stops.rs
+++ b/crates/catalog/src/stops.rs
@@ -43,7 +43,7 @@
 pub struct StopNews {
     /// The agents that said that they stop.
     pub stops: StopList,
-    /// For how long the sender has heard of every stop.
+    /// For how long back they are all that the sender knows of, and it would know of any other.
     pub covers: Duration,
 }
 
@@ -121,7 +121,9 @@
             AgentStop { agent, age }
         });
         let stops: StopList = told.collect();
-        (!stops.is_empty()).then(|| self.news(stops, now))
+        // Others may be known that were passed on before.
+        let covers = Duration::ZERO;
+        (!stops.is_empty()).then_some(StopNews { stops, covers })
     }
 
     /// The latest stops, for a process that has just started; `None` from one that has itself, and knows of none.
@@ -132,13 +134,10 @@
         });
         let mut stops: StopList = stops.filter(|stop| stop.age < RESTART_SPAN).collect();
         stops.sort_unstable_by_key(|stop| stop.age);
+        let left_out = stops.get(MESSAGE_STOPS).map(|stop| stop.age);
         stops.truncate(MESSAGE_STOPS);
-        let news = self.news(stops, now);
-        (!news.stops.is_empty() || news.covers >= RESTART_SPAN).then_some(news)
-    }
-
-    fn news(&self, stops: StopList, now: Moment) -> StopNews {
-        let covers = now.since(self.since);
-        StopNews { stops, covers }
+        let known = now.since(self.since);
+        let covers = left_out.map_or(known, |age| age.min(known));
+        (!stops.is_empty() || covers >= RESTART_SPAN).then_some(StopNews { stops, covers })
     }
 }
--- a/crates/catalog/tests/all/stops.rs
+++ b/crates/catalog/tests/all/stops.rs
@@ -3,10 +3,13 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
-use lovagelatch_catalog::{AgentStop, RESTART_SPAN};
-use lovagelatch_domain::AgentAddress;
+use lovagelatch_catalog::{
+    AgentStop, CatalogAction, CatalogMember, CatalogMessage, MemberSettings, RESTART_SPAN,
+};
+use lovagelatch_domain::{AgentAddress, Moment};
+use smallvec::smallvec;
 
-use crate::support::Group;
+use crate::support::{Group, address};
 
 /// After this much silence of an agent that said nothing open flows are reset.
 const SILENCE_SPAN: Duration = Duration::from_secs(1);
@@ -27,6 +30,22 @@
     group.node(balancer).member.note_stops(stops, now);
 }
 
+fn fresh_member(number: u8, now: Moment) -> CatalogMember {
+    let settings = MemberSettings {
+        own: address(number),
+        seeds: smallvec![address(1)],
+    };
+    CatalogMember::new(settings, number.into(), now)
+}
+
+fn sent_to(actions: &[CatalogAction], number: u8) -> Vec<CatalogMessage> {
+    let messages = actions.iter().filter_map(|action| match action {
+        CatalogAction::Send { to, message } if *to == address(number) => Some(message.clone()),
+        _ => None,
+    });
+    messages.collect()
+}
+
 /// How many balancers other balancers have told of an agent's stop.
 fn told_count(group: &Group, number: u8) -> usize {
     let told = group.nodes.values();
@@ -125,6 +144,63 @@
     }
 }
 
+/// Guards against a fresh balancer that takes a part of what another one knows for all of it.
+#[test]
+fn what_is_passed_on_covers_no_stop_that_it_does_not_name() {
+    struct PartCase {
+        name: &'static str,
+        /// How many agents stop, one each 10 ms.
+        agents: u8,
+        /// Whether the word is the answer to a balancer that has just started.
+        greeted: bool,
+        /// Whether it covers the stops before those that it names.
+        expected: bool,
+    }
+    let cases = [
+        PartCase {
+            name: "passed on",
+            agents: 1,
+            greeted: false,
+            expected: false,
+        },
+        PartCase {
+            name: "all of them",
+            agents: 40,
+            greeted: true,
+            expected: true,
+        },
+        PartCase {
+            name: "more than a message takes",
+            agents: 200,
+            greeted: true,
+            expected: false,
+        },
+    ];
+    for case in cases {
+        let mut group = Group::settled(2, RESTART_SPAN * 2);
+        for number in 1..=case.agents {
+            tell(&mut group, 1, &[stop(number, Duration::ZERO)]);
+            group.now = group.now + Duration::from_millis(10);
+        }
+        let now = group.now;
+        let one = &mut group.node(1).member;
+        let actions = if case.greeted {
+            let mut fresh = fresh_member(3, now);
+            let hello = sent_to(&fresh.advance(now), 1).remove(0);
+            one.accept(hello, now)
+        } else {
+            one.advance(now)
+        };
+        let told = sent_to(&actions, if case.greeted { 3 } else { 2 });
+        let news = told.iter().find_map(|message| match message {
+            CatalogMessage::Stops(news) => Some(news),
+            _ => None,
+        });
+        let covers = news.expect("a word").covers;
+        assert_eq!(covers >= RESTART_SPAN, case.expected, "{}", case.name);
+    }
+}
+
 /// Guards against a word that is passed on for ever, and against a late one that hides a lasting silence.
 #[test]
 fn a_stop_is_passed_on_once_and_not_after_its_time() {
--- a/crates/flows/src/load.rs
+++ b/crates/flows/src/load.rs
@@ -177,7 +177,7 @@
 
     /// Whether an agent was sent frames for `span` and probes in it and was not heard, while others were,
     /// and is not known to be restarting.
-    fn is_unheard(&self, agent: AgentAddress, span: Duration, now: Moment) -> bool {
+    fn is_unreachable(&self, agent: AgentAddress, span: Duration, now: Moment) -> bool {
         let load = self.loads.get(&agent);
         load.is_some_and(|load| load.is_unheard(span, now))
             && !self.is_restarting(agent, now)
@@ -234,7 +234,7 @@
     /// for `span` while others were heard. Where the store has dropped the target as well, it is gone.
     #[must_use]
     pub fn is_gone(&self, agent: AgentAddress, span: Duration, now: Moment) -> bool {
-        self.is_stopped(agent, now) || self.is_unheard(agent, span, now)
+        self.is_stopped(agent, now) || self.is_unreachable(agent, span, now)
     }
 
     /// Whether an agent was sent frames for `span` and probes in it and was not heard, while others were,
@@ -243,7 +243,7 @@
     pub fn is_silent(&self, agent: AgentAddress, span: Duration, now: Moment) -> bool {
         let load = self.loads.get(&agent);
         let may_have_stopped = load.is_some_and(|load| self.may_have_stopped(load, now));
-        self.is_unheard(agent, span, now) && !may_have_stopped
+        self.is_unreachable(agent, span, now) && !may_have_stopped
     }
 
     /// Whether an agent has owed an answer for `span`.
--- a/crates/flows/src/view/doubt.rs
+++ b/crates/flows/src/view/doubt.rs
@@ -128,11 +128,11 @@
     /// Until when a living target whose entry vanished at `since` may be off the list.
     pub(super) fn lapse_end(&self, since: Moment) -> Moment {
         let end = since + LAPSE_SPAN;
-        let returned = self.returned.map(|at| at + RETURN_SPAN);
-        returned.map_or(
-            end,
-            |listed| if since < listed { end.min(listed) } else { end },
-        )
+        let listed = self.returned.map(|at| at + RETURN_SPAN);
+        match listed.filter(|listed| since < *listed) {
+            Some(listed) => end.min(listed),
+            None => end,
+        }
     }
 
     /// When the coverage next changes by the passing of time.
