--- a/crates/flows/tests/all/loss.rs
+++ b/crates/flows/tests/all/loss.rs
@@ -25,11 +25,17 @@
     expected: Option<LossReason>,
 }
 
-fn view(case: &LossCase, listed: bool) -> FlowView {
+/// Targets beside agents 1 and 2, behind a route whose requests may run again or not.
+fn two_targets(idempotent: bool) -> Catalog {
     let mut all = catalog(vec![target(1, "claims"), target(2, "claims")]);
     let mut routes = all.routes.to_vec();
-    routes[0].idempotent = case.idempotent;
+    routes[0].idempotent = idempotent;
     all.routes = routes.into();
+    all
+}
+
+fn view(case: &LossCase, listed: bool) -> FlowView {
+    let all = two_targets(case.idempotent);
     let mut builder = builder();
     builder.take(&all.clone(), at(0));
     if case.store_trouble {
@@ -458,10 +464,7 @@
         },
     ];
     for case in cases {
-        let mut all = catalog(vec![target(1, "claims"), target(2, "claims")]);
-        let mut routes = all.routes.to_vec();
-        routes[0].idempotent = case.idempotent;
-        all.routes = routes.into();
+        let all = two_targets(case.idempotent);
         let mut builder = builder();
         builder.take(&all.clone(), at(0));
         let decisions = FlowBalancer::new(balancer());
