soak: record what was done to the fleet, and check that a service with an available target is served

New check service_unserved: a balancer that is undisturbed must not fail three openings in a row over 2 s (flow_stray_ms) of a service that has a target which is listed and known (4 s without a disturbance of the store since its start, contact_ms), not leaving, readable, and undisturbed for 4 s more than that time. Its cases are tested on events: check::a_service_with_an_available_target_must_open_flows.

No other check is changed.

--- a/standins/soak/src/check.rs
+++ b/standins/soak/src/check.rs
@@ -1,19 +1,21 @@
 //! Checks the guarantees on what callers and backend servers observe.
 
 use std::collections::{BTreeMap, HashMap};
-use std::net::Ipv4Addr;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use lovagelatch_flows::FlowKey;
 
+use crate::availability::ServiceAvailability;
+
 /// Time after its announcement to leave in which a target may still receive new flows. Includes an
 /// allowance for scheduling delays of the soak's own threads.
 const LEAVING_GRACE: Duration = Duration::from_millis(3_500);
 
 /// Time after a disturbance in which its effects are tolerated: the users count machines as
 /// undisturbed after four seconds.
-const DISTURBANCE_WINDOW: Duration = Duration::from_secs(4);
+pub(crate) const DISTURBANCE_WINDOW: Duration = Duration::from_secs(4);
 
 /// Time within which one of the packets that a client sends on an open flow must reach the target.
 /// A balancer that is killed leaves the rotation within a second.
@@ -42,10 +44,39 @@
         /// Target that holds it.
         target: StartNumber,
     },
+    /// A target of a service started, and was written to the store.
+    TargetStarted {
+        /// Target that started.
+        target: StartNumber,
+        /// Index of its service.
+        service: u8,
+    },
     /// A target ended, and its flows with it.
     TargetEnded(StartNumber),
     /// A target announced that it is leaving.
     TargetLeaving(StartNumber),
+    /// The store's entry of a target cannot be read any more.
+    EntryUnreadable(StartNumber),
+    /// The store's entry of a target that is not leaving can be read again.
+    EntryRestored(StartNumber),
+    /// A configuration that sends the new flows of a service address to a service was published.
+    RoutePublished {
+        /// Service address.
+        address: SocketAddrV4,
+        /// Index of the service.
+        service: u8,
+    },
+    /// A client's attempt to open a flow ended.
+    OpeningEnded {
+        /// Service address of the flow.
+        address: SocketAddrV4,
+        /// Balancer that the last copy of the first packet was sent to.
+        balancer: Ipv4Addr,
+        /// Time of the first copy.
+        since: Instant,
+        /// Whether the flow opened.
+        opened: bool,
+    },
     /// A target, its agent or the network path to them is disturbed.
     TargetDisturbed(StartNumber),
     /// All targets are disturbed.
@@ -116,6 +147,7 @@
     reached: HashMap<FlowKey, Instant>,
     /// Flows that were reset before they opened.
     refused: HashMap<FlowKey, Instant>,
+    availability: ServiceAvailability,
     runs: HashMap<u64, u32>,
     calm: bool,
     served: u64,
@@ -147,13 +179,18 @@
         }
     }
 
-    /// Records an event and checks the guarantees on it.
+    /// Records an event that happens now and checks the guarantees on it.
     pub fn record(&self, event: SoakEvent) {
-        let now = Instant::now();
+        self.record_at(event, Instant::now());
+    }
+
+    /// Records an event that happens at `now` and checks the guarantees on it.
+    pub fn record_at(&self, event: SoakEvent, now: Instant) {
         let mut state = self.lock();
         let violated = state.check(event, now);
         if let Some(guarantee) = violated {
-            let at_ms = u64::try_from((now - self.start).as_millis()).unwrap_or(u64::MAX);
+            let at_ms = u64::try_from(now.saturating_duration_since(self.start).as_millis())
+                .unwrap_or(u64::MAX);
             *state.counts.entry(guarantee).or_default() += 1;
             state.findings.push(SoakFinding {
                 guarantee,
@@ -199,20 +236,50 @@
             SoakEvent::Opened { flow, target } => {
                 self.flow_targets.insert(flow, target);
             }
+            SoakEvent::TargetStarted { target, service } => {
+                self.availability.record_started(target, service, now);
+            }
             SoakEvent::TargetEnded(target) => {
                 self.ended.insert(target, now);
+                self.availability.record_ended(target);
             }
             SoakEvent::TargetLeaving(target) => {
                 self.leaving.entry(target).or_insert(now);
+                self.availability.record_withdrawn(target);
+            }
+            SoakEvent::EntryUnreadable(target) => self.availability.record_withdrawn(target),
+            SoakEvent::EntryRestored(target) => self.availability.record_restored(target, now),
+            SoakEvent::RoutePublished { address, service } => {
+                self.availability.record_route(address, service);
             }
+            SoakEvent::OpeningEnded {
+                address,
+                balancer,
+                opened: true,
+                ..
+            } => self.availability.record_opened(address, balancer),
+            SoakEvent::OpeningEnded {
+                address,
+                balancer,
+                since,
+                opened: false,
+            } => return self.check_failed_opening(address, balancer, since, now),
             SoakEvent::TargetDisturbed(target) => {
                 self.disturbed_targets.insert(target, now);
+                self.availability.record_disturbed(target, now);
+            }
+            SoakEvent::AllTargetsDisturbed => {
+                self.all_targets_disturbed = Some(now);
+                self.availability.record_all_disturbed(now);
             }
-            SoakEvent::AllTargetsDisturbed => self.all_targets_disturbed = Some(now),
             SoakEvent::BalancerDisturbed(balancer) => {
                 self.disturbed_balancers.insert(balancer, now);
+                self.availability.record_balancer_disturbed(balancer);
+            }
+            SoakEvent::StoreDisturbed => {
+                self.store_disturbed = Some(now);
+                self.availability.record_store_disturbed(now);
             }
-            SoakEvent::StoreDisturbed => self.store_disturbed = Some(now),
             SoakEvent::PacketReached(flow) => {
                 self.reached.insert(flow, now);
             }
@@ -240,6 +307,26 @@
         None
     }
 
+    /// Checks that a balancer that has not been disturbed within [`DISTURBANCE_WINDOW`] opens flows
+    /// of a service that has an available target.
+    fn check_failed_opening(
+        &mut self,
+        address: SocketAddrV4,
+        balancer: Ipv4Addr,
+        since: Instant,
+        now: Instant,
+    ) -> Option<&'static str> {
+        let disturbed = self.disturbed_balancers.get(&balancer);
+        let recent = |at: &Instant| now.saturating_duration_since(*at) < DISTURBANCE_WINDOW;
+        if disturbed.is_some_and(recent) {
+            return None;
+        }
+        let unserved = self
+            .availability
+            .record_failed(address, balancer, since, now);
+        unserved.then_some("service_unserved")
+    }
+
     fn check_reset(&self, flow: &FlowKey, now: Instant) -> Option<&'static str> {
         let target = self.flow_targets.get(flow)?;
         let alive = !self.ended.contains_key(target);
--- a/standins/soak/src/client.rs
+++ b/standins/soak/src/client.rs
@@ -206,6 +206,23 @@
     fn open_flow(&mut self, until: Instant) -> bool {
         self.port = self.port.checked_add(1).unwrap_or(1_024);
         self.sent_bytes = 0;
+        let since = Instant::now();
+        let mut balancer = None;
+        let opened = self.send_openings(until, &mut balancer);
+        if let Some(balancer) = balancer {
+            self.log.record(SoakEvent::OpeningEnded {
+                address: self.plan.service_address,
+                balancer,
+                since,
+                opened,
+            });
+        }
+        opened
+    }
+
+    /// Sends the copies of a flow's first packet until the flow opens or is refused. Sets
+    /// `balancer` to the one that the last copy was sent to.
+    fn send_openings(&mut self, until: Instant, balancer: &mut Option<Ipv4Addr>) -> bool {
         let start = Instant::now();
         for (copy, after) in (0..).zip([
             Duration::ZERO,
@@ -213,7 +230,7 @@
             OPENING_RETRANSMITS[1],
         ]) {
             debug_assert!(start.elapsed() + Duration::from_millis(50) >= after);
-            self.send_opening(copy);
+            *balancer = self.send_opening(copy).map(|to| *to.ip()).or(*balancer);
             let next = OPENING_RETRANSMITS
                 .get(copy as usize)
                 .copied()
@@ -257,12 +274,12 @@
         }
     }
 
-    fn send_opening(&self, copy: u32) {
+    fn send_opening(&self, copy: u32) -> Option<SocketAddrV4> {
         let flags = PacketFlags {
             syn: true,
             ..PacketFlags::default()
         };
-        self.send(flags, copy, &[]);
+        self.send(flags, copy, &[])
     }
 
     /// Sends a request and returns the balancer that it was sent to.
--- a/standins/soak/src/fleet.rs
+++ b/standins/soak/src/fleet.rs
@@ -13,6 +13,7 @@
     PublishedConfig, PublishedRoute, PublishedTarget, RouteShare, TargetName, TargetStart,
 };
 use lovagelatch_domain::{ConfigRevision, ServiceName};
+use serde_json::json;
 use smallvec::smallvec;
 
 use crate::addresses::{
@@ -23,6 +24,7 @@
 use crate::process::SoakProcess;
 use crate::proxy::{ProxyControl, spawn_datagram_proxy, spawn_stream_proxy};
 use crate::target::{AllowedRoutes, Target};
+use crate::timeline::RunTimeline;
 
 /// Names of the services. Initially, the first has two routes and the second has one.
 const SERVICES: [&str; 2] = ["claims", "vault"];
@@ -62,6 +64,7 @@
     pub(crate) balancers: Vec<TestBalancer>,
     pub(crate) machines: Vec<TestMachine>,
     pub(crate) log: Arc<SoakLog>,
+    pub(crate) timeline: RunTimeline,
     allowed: AllowedRoutes,
     directory: PathBuf,
     /// Whether processes are started with SIGHUP ignored.
@@ -90,6 +93,7 @@
             balancers: Vec::new(),
             machines: Vec::new(),
             log,
+            timeline: RunTimeline::create(directory)?,
             allowed: Arc::new(Mutex::default()),
             directory: directory.to_owned(),
             ignore_hangup,
@@ -233,6 +237,13 @@
         let allowed = Arc::clone(&self.allowed);
         let target = Target::spawn(ip, start, service, allowed, Arc::clone(&self.log))?;
         machine.target = Some(target);
+        let service_name = SERVICES[usize::from(service)];
+        let fields = json!({ "machine": at, "target": start, "service": service_name });
+        self.timeline.record("target started", &fields);
+        self.log.record(SoakEvent::TargetStarted {
+            target: start,
+            service,
+        });
         self.write_entry(at, false);
         Ok(())
     }
@@ -294,6 +305,8 @@
     pub(crate) fn crash_target(&mut self, at: usize) {
         if let Some(mut target) = self.machines[at].target.take() {
             target.shut_down();
+            let fields = json!({ "machine": at, "target": target.start });
+            self.timeline.record("target crashed", &fields);
             let name = self.entry_name(at);
             let expires_at = Instant::now() + ENTRY_TTL;
             self.machines[at].expiring.push((name, expires_at));
@@ -304,6 +317,8 @@
     pub(crate) fn retire_target(&mut self, at: usize) {
         if let Some(mut target) = self.machines[at].target.take() {
             target.shut_down();
+            let fields = json!({ "machine": at, "target": target.start });
+            self.timeline.record("target retired", &fields);
             self.store.remove_target(&self.entry_name(at));
         }
     }
@@ -314,6 +329,8 @@
         for machine in &mut self.machines {
             for (name, _) in machine.expiring.extract_if(.., |(_, at)| *at <= now) {
                 self.store.remove_target(&name);
+                let fields = json!({ "machine": machine.number, "name": name.0 });
+                self.timeline.record("entry expired", &fields);
             }
         }
     }
@@ -348,6 +365,31 @@
         };
         drop(allowed);
         self.store.put_config(&config);
+        for (number, service) in (0..).zip(self.routes) {
+            let address = RunNetwork::route(number);
+            self.log
+                .record(SoakEvent::RoutePublished { address, service });
+        }
+        let fields = json!({ "version": self.version, "services": self.routes });
+        self.timeline.record("configuration published", &fields);
+    }
+
+    /// Makes the store's entry of a machine's target unreadable, if it has a target.
+    pub(crate) fn spoil_entry(&self, at: usize) {
+        if let Some(target) = &self.machines[at].target {
+            self.store.put_malformed(&self.entry_name(at));
+            self.log.record(SoakEvent::EntryUnreadable(target.start));
+        }
+    }
+
+    /// Writes the entry of a machine's target again after [`Self::spoil_entry`].
+    pub(crate) fn restore_entry(&self, at: usize) {
+        self.rewrite_entry(at);
+        let target = self.machines[at].target.as_ref();
+        let target = target.filter(|target| !target.control.leaving.load(Ordering::Relaxed));
+        if let Some(target) = target {
+            self.log.record(SoakEvent::EntryRestored(target.start));
+        }
     }
 
     /// Records that a machine is disturbed, if it has a target.
--- a/standins/soak/src/lib.rs
+++ b/standins/soak/src/lib.rs
@@ -15,6 +15,7 @@
 //! The soak signals only processes that it started, by their process ids.
 
 mod addresses;
+mod availability;
 mod check;
 mod client;
 mod fault;
@@ -24,6 +25,7 @@
 mod router;
 mod run;
 mod target;
+mod timeline;
 
 pub use addresses::RunNetwork;
 pub use check::{SoakEvent, SoakFinding, SoakLog, StartNumber};
--- a/standins/soak/src/main.rs
+++ b/standins/soak/src/main.rs
@@ -33,7 +33,9 @@
     /// Milliseconds from an agent's exit until it is started again
     #[bpaf(argument("MS"), fallback(300))]
     agent_restart_ms: u64,
-    /// Directory for settings and logs; those of sound runs are removed
+    /// Keep the settings and logs of sound runs too
+    keep_logs: bool,
+    /// Directory for settings and logs; those of sound runs are removed unless `--keep-logs` is given
     #[bpaf(argument("DIR"), fallback(std::env::temp_dir().join("lovagelatch-soak")))]
     keep: PathBuf,
 }
@@ -78,7 +80,7 @@
                         finding.guarantee, finding.at_ms, finding.event
                     );
                 }
-                if report.is_sound() {
+                if report.is_sound() && !line.keep_logs {
                     // A failure to remove it leaves only a directory of logs behind.
                     let _removed = std::fs::remove_dir_all(&directory);
                 }
--- a/standins/soak/src/run.rs
+++ b/standins/soak/src/run.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use lovagelatch_adapter_standin::StoreMode;
+use serde_json::json;
 use thiserror::Error;
 
 use crate::addresses::RunNetwork;
@@ -304,6 +305,7 @@
     }
 
     fn inject(&mut self, scheduled: ScheduledFault) -> io::Result<()> {
+        self.record_fault("fault injected", scheduled);
         let balancer = scheduled.selector as usize % self.fleet.balancers.len();
         let machine = scheduled.selector as usize % self.fleet.machines.len();
         let fleet = &mut self.fleet;
@@ -377,11 +379,7 @@
             SoakFault::StoreRefuses => fleet.store.set_mode(StoreMode::Refusing),
             SoakFault::StoreLapse => self.expire_entries(machine),
             SoakFault::StoreForgets => fleet.store.compact_history(),
-            SoakFault::BadEntry => {
-                if fleet.machines[machine].target.is_some() {
-                    fleet.store.put_malformed(&fleet.entry_name(machine));
-                }
-            }
+            SoakFault::BadEntry => fleet.spoil_entry(machine),
             SoakFault::RebornTarget => self.crash_keeping_name(machine),
             SoakFault::RebornWithAgent => {
                 self.disturb(machine, |machine| machine.process.kill());
@@ -405,6 +403,7 @@
     }
 
     fn heal(&mut self, scheduled: ScheduledFault) -> io::Result<()> {
+        self.record_fault("fault healed", scheduled);
         let balancer = scheduled.selector as usize % self.fleet.balancers.len();
         let machine = scheduled.selector as usize % self.fleet.machines.len();
         let fleet = &mut self.fleet;
@@ -433,7 +432,7 @@
                     fleet.rewrite_entry(at);
                 }
             }
-            SoakFault::BadEntry => fleet.rewrite_entry(machine),
+            SoakFault::BadEntry => fleet.restore_entry(machine),
             SoakFault::MoveRoute => {
                 fleet.routes[0] = 0;
                 fleet.publish_routes();
@@ -456,6 +455,15 @@
         Ok(())
     }
 
+    fn record_fault(&mut self, event: &str, scheduled: ScheduledFault) {
+        let fields = json!({
+            "fault": format!("{:?}", scheduled.fault),
+            "balancer": scheduled.selector as usize % self.fleet.balancers.len(),
+            "machine": scheduled.selector as usize % self.fleet.machines.len(),
+        });
+        self.fleet.timeline.record(event, &fields);
+    }
+
     /// Records a disturbance of a machine, then causes it by `change`.
     fn disturb(&mut self, at: usize, change: impl FnOnce(&mut TestMachine)) {
         self.fleet.record_disturbed(at);
@@ -521,6 +529,8 @@
         let start = target.start;
         self.fleet.write_entry(at, true);
         self.log.record(SoakEvent::TargetLeaving(start));
+        let fields = json!({ "machine": at, "target": start });
+        self.fleet.timeline.record("target leaving", &fields);
         let end = Instant::now() + DRAIN_TIME;
         self.pending
             .push((end, PendingAction::RetireTarget(at, start)));
--- a/standins/soak/tests/all/check.rs
+++ b/standins/soak/tests/all/check.rs
@@ -102,3 +102,163 @@
         assert_eq!(silent, case.found, "{}: {found:?}", case.name);
     }
 }
+
+/// Service address and index of the service under test.
+const ADDRESS: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 8_000);
+const SERVICE: u8 = 0;
+
+struct AvailabilityCase {
+    name: &'static str,
+    /// Events before the openings fail, each with the milliseconds until the next one.
+    events: Vec<(SoakEvent, u64)>,
+    /// Number of openings that fail one after the other, the first one this many milliseconds
+    /// before the last.
+    failures: (u32, u64),
+    /// An event between the failures and the last one.
+    between: Option<SoakEvent>,
+    found: bool,
+}
+
+/// Guards against passing a balancer that refuses all flows of a service with an available target.
+#[test]
+fn a_service_with_an_available_target_must_open_flows() {
+    let started = |target, service| SoakEvent::TargetStarted { target, service };
+    let opened = |opened, balancer| SoakEvent::OpeningEnded {
+        address: ADDRESS,
+        balancer,
+        since: Instant::now(),
+        opened,
+    };
+    let moved = SoakEvent::RoutePublished {
+        address: ADDRESS,
+        service: SERVICE + 1,
+    };
+    let other = Ipv4Addr::new(127, 1, 0, 2);
+    let settled = 6_000;
+    let case = |name, events: &[(SoakEvent, u64)], found| AvailabilityCase {
+        name,
+        events: events.to_vec(),
+        failures: (3, 2_500),
+        between: None,
+        found,
+    };
+    let available = [(started(1, SERVICE), settled)];
+    let after_start = |event, wait| [(started(1, SERVICE), settled), (event, wait)];
+    let cases = [
+        case("an available target", &available, true),
+        case("no target", &[], false),
+        case(
+            "another service",
+            &[(started(1, SERVICE + 1), settled)],
+            false,
+        ),
+        case(
+            "a target just started",
+            &[(started(1, SERVICE), 3_000)],
+            false,
+        ),
+        case(
+            "the target is leaving",
+            &after_start(SoakEvent::TargetLeaving(1), 0),
+            false,
+        ),
+        case(
+            "the target ended",
+            &after_start(SoakEvent::TargetEnded(1), 0),
+            false,
+        ),
+        case(
+            "its entry cannot be read",
+            &after_start(SoakEvent::EntryUnreadable(1), 0),
+            false,
+        ),
+        case(
+            "the target is disturbed",
+            &after_start(SoakEvent::TargetDisturbed(1), 3_000),
+            false,
+        ),
+        case(
+            "the target was disturbed long ago",
+            &after_start(SoakEvent::TargetDisturbed(1), settled),
+            true,
+        ),
+        case(
+            "the store is disturbed after the target became known",
+            &after_start(SoakEvent::StoreDisturbed, 0),
+            true,
+        ),
+        case(
+            "the store has been disturbed since the target's start",
+            &[
+                (SoakEvent::StoreDisturbed, 0),
+                (started(1, SERVICE), 3_000),
+                (SoakEvent::StoreDisturbed, 1_000),
+            ],
+            false,
+        ),
+        case(
+            "the balancer is disturbed",
+            &after_start(SoakEvent::BalancerDisturbed(BALANCER), 0),
+            false,
+        ),
+        case(
+            "another balancer is disturbed",
+            &after_start(SoakEvent::BalancerDisturbed(other), 0),
+            true,
+        ),
+        AvailabilityCase {
+            failures: (3, 1_500),
+            ..case("failures for less than the timeout", &available, false)
+        },
+        AvailabilityCase {
+            failures: (2, 2_500),
+            ..case("too few failures", &available, false)
+        },
+        AvailabilityCase {
+            between: Some(opened(true, BALANCER)),
+            ..case("the balancer opens a flow", &available, false)
+        },
+        AvailabilityCase {
+            between: Some(opened(true, other)),
+            ..case("another balancer opens a flow", &available, true)
+        },
+        AvailabilityCase {
+            between: Some(moved),
+            ..case("the route moves to another service", &available, false)
+        },
+    ];
+    for case in cases {
+        let log = SoakLog::new();
+        let mut now = Instant::now();
+        let route = SoakEvent::RoutePublished {
+            address: ADDRESS,
+            service: SERVICE,
+        };
+        log.record_at(route, now);
+        for (event, wait_ms) in case.events {
+            log.record_at(event, now);
+            now += Duration::from_millis(wait_ms);
+        }
+        let (count, span_ms) = case.failures;
+        let end = now + Duration::from_millis(span_ms);
+        for number in 0..count {
+            let last = number + 1 == count;
+            let at = if last { end } else { now };
+            if let Some(event) = case.between.filter(|_| last) {
+                log.record_at(event, at);
+            }
+            let failed = SoakEvent::OpeningEnded {
+                address: ADDRESS,
+                balancer: BALANCER,
+                since: at,
+                opened: false,
+            };
+            log.record_at(failed, at);
+        }
+        let found = log.findings();
+        let unserved = found
+            .iter()
+            .any(|finding| finding.guarantee == "service_unserved");
+        assert_eq!(unserved, case.found, "{}: {found:?}", case.name);
+    }
+}
