flows: offer no flows to a target whose agent reports another service

Cause: the address of a killed target passed to a target of another service, and the store lists the former one for three heartbeats more. Balancers took it for one that serves; its agent refuses each flow. A leaving target is used, for 0.8 s, only if no other is left, so it was passed over.

From 12.5 to 16.1 s every flow of vault has one choice, the reused address, and is reset there; the other target announced at 12.5 s that it leaves and ends at 17.5 s. That a refusing target draws flows from one that serves is ruled out: offers name the targets that serve, and the agent hands the flow on.

Change: an agent's load report names its service. A report that is newer than the target's entry and less than 2 s old outweighs the entry. 2 s is the platform's time until an address is reused, so the report of a former agent never excludes its successor.

--- a/crates/flows/src/balancer/offer.rs
+++ b/crates/flows/src/balancer/offer.rs
@@ -302,6 +302,9 @@
     if zones.is_evacuated(target.zone) || loads.knows_evacuated(target.agent, zones.revision) {
         return None;
     }
+    if loads.is_reassigned(target, now) {
+        return None;
+    }
     match target.standing {
         FlowStanding::Serving if loads.is_eligible(target.agent, now) => Some(0),
         FlowStanding::Serving | FlowStanding::Lapsed => Some(1),
--- a/crates/flows/src/load.rs
+++ b/crates/flows/src/load.rs
@@ -44,6 +44,11 @@
 /// to eight balancers in turn.
 const ROOM_TTL: Duration = Duration::from_secs(1);
 
+/// How long an agent's report that its target belongs to another service outweighs the store's
+/// entry. The platform reuses an address no sooner than 2 s after its target's end, so the report
+/// of a former agent never excludes the target that follows.
+const SERVICE_REPORT_TTL: Duration = Duration::from_secs(2);
+
 /// Cost of another zone in the score, in requests in progress per slot. Traffic between zones is
 /// paid for; avoiding a wait of half a request's time is worth more.
 const CROSS_ZONE_COST: f32 = 0.35;
@@ -312,6 +317,18 @@
         })
     }
 
+    /// Returns whether the agent at a target's address recently reported that its target belongs to
+    /// another service, after this target was listed: the address was reused, and the store's entry
+    /// is that of the former target. The agent refuses all flows of the former service.
+    #[must_use]
+    pub fn is_reassigned(&self, target: &FlowTarget, now: Moment) -> bool {
+        self.loads.get(&target.agent).is_some_and(|load| {
+            load.report.service != target.service
+                && load.last_heard > target.standing_since
+                && now.since(load.last_heard) < SERVICE_REPORT_TTL
+        })
+    }
+
     /// Returns whether an agent reports its zone as evacuated, at a store revision later than
     /// `revision`.
     #[must_use]
--- a/crates/flows/tests/all/balancer.rs
+++ b/crates/flows/tests/all/balancer.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use lovagelatch_catalog::PublishedTarget;
 use lovagelatch_domain::AgentAddress;
 use lovagelatch_flows::{
     BalancerStep, FlowBalancer, FlowEvent, FlowView, FramePurpose, LoadReport, PacketFrame,
@@ -9,8 +10,8 @@
 };
 
 use crate::support::{
-    agent, at, balancer, catalog, claims_address, claims_view, data, flow, flow_update, idle_load,
-    opening, route, service, target, view_of,
+    agent, at, balancer, builder, catalog, claims_address, claims_view, data, flow, flow_update,
+    idle_load, opening, route, service, target, view_of,
 };
 
 pub(crate) fn sent(step: BalancerStep) -> (AgentAddress, PacketFrame) {
@@ -235,6 +236,68 @@
     assert_eq!(step, BalancerStep::Reset(RefusalReason::NoTarget));
 }
 
+struct ReassignedCase {
+    name: &'static str,
+    /// Targets besides the one whose agent reports another service.
+    others: Vec<PublishedTarget>,
+    /// When that target is first listed, in milliseconds; its agent reports at 100 ms.
+    listed_ms: u64,
+    /// When the flows arrive, in milliseconds.
+    arrives_ms: u64,
+    /// The agent that gets all flows; `None` if they are refused.
+    expected: Option<u8>,
+}
+
+// Guards against an outdated store entry whose agent refuses all flows that a leaving target accepts.
+#[test]
+fn a_target_whose_agent_reports_another_service_gets_no_new_flows() {
+    let leaving = PublishedTarget {
+        leaving: true,
+        ..target(2, "claims")
+    };
+    let case = |name, others: &[PublishedTarget], expected| ReassignedCase {
+        name,
+        others: others.to_vec(),
+        listed_ms: 0,
+        arrives_ms: 200,
+        expected,
+    };
+    let cases = [
+        case("another target serves", &[target(2, "claims")], Some(2)),
+        case("another target is leaving", &[leaving], Some(2)),
+        case("no other target", &[], None),
+        ReassignedCase {
+            listed_ms: 150,
+            ..case("the entry is newer than the report", &[], Some(1))
+        },
+        ReassignedCase {
+            arrives_ms: 2_200,
+            ..case("the report is old", &[], Some(1))
+        },
+    ];
+    for case in cases {
+        let balancer = FlowBalancer::new(balancer());
+        let report = LoadReport::idle(agent(1), service("vault").id());
+        balancer.record_load(&report, at(100));
+        let mut builder = builder();
+        let targets = case.others.into_iter().chain([target(1, "claims")]);
+        builder.apply(&catalog(targets.collect()), at(case.listed_ms));
+        let view = builder.build(at(case.arrives_ms));
+        for port in 0..100 {
+            let now = at(case.arrives_ms);
+            let step = balancer.handle_packet(&opening(flow(port)), b"syn", &view, now);
+            let Some(expected) = case.expected else {
+                let refused = BalancerStep::Reset(RefusalReason::NoTarget);
+                assert_eq!(step, refused, "{}", case.name);
+                continue;
+            };
+            let (to, frame) = sent(step);
+            assert_eq!(to, agent(expected), "{}", case.name);
+            assert!(frame.rest.is_empty(), "{}", case.name);
+        }
+    }
+}
+
 #[test]
 fn new_flows_spread_over_equal_targets() {
     let view = claims_view(7);
