flows: of several entries at an address, let only the latest decide about new flows

Callers' new flows were opened at a target seconds after it announced that it leaves (the users' rule DRAIN), and cut when it ended.

Cause: a target crashes and another one starts at its address; the store lists both until the former entry expires, longer if the store is away. Both lead to the same agent and so to the target that runs. The new one announced at 3.6 s that it leaves, which all balancers knew 1 ms later; the former entry still served, and all balancers placed flows by it until 8.6 s.

Change: an address has one target and a dead one's entry does not change, so the entry whose standing changed last is in force; the others are marked as superseded and get no flows, and do not lapse when they vanish in a store failure. A process that has read the whole list at once takes the leaving one for the later one, then the colder one.

Ruled out: the soak's own expiry of entries (the former ones expire 3.6 s after the crash, as on the platform), a late announcement (catalog of 18 taken by all at 3.604 s).

--- a/crates/flows/src/ring.rs
+++ b/crates/flows/src/ring.rs
@@ -88,6 +88,9 @@
     pub service: ServiceId,
     /// Whether the store lists the target.
     pub listed: bool,
+    /// Whether another target has replaced it at its address. It gets no new flows, whatever its
+    /// entry says.
+    pub superseded: bool,
     /// The target's availability zone.
     pub zone: ZoneIndex,
     /// How many requests the target runs concurrently. Invariant: at least 1.
@@ -147,6 +150,13 @@
         at.ok().map(|at| &self.targets[at])
     }
 
+    /// Sets whether another target has replaced the target with this key.
+    pub(crate) fn set_superseded(&mut self, key: TargetKey, superseded: bool) {
+        if let Ok(at) = self.targets.binary_search_by_key(&key, |target| target.key) {
+            self.targets[at].superseded = superseded;
+        }
+    }
+
     /// Returns the targets that are queried for a flow, nearest on the ring first. A new flow may
     /// be placed at the first [`PLACEMENT_CANDIDATES`] of them.
     #[must_use]
--- a/crates/flows/src/view.rs
+++ b/crates/flows/src/view.rs
@@ -6,6 +6,7 @@
 mod builder;
 mod coverage;
 mod regions;
+mod superseded;
 mod zones;
 
 use std::collections::{HashMap, HashSet};
--- a/crates/flows/src/view/builder.rs
+++ b/crates/flows/src/view/builder.rs
@@ -17,6 +17,7 @@
 
 use super::coverage::{CoverageTracker, UNREADABLE_TIMEOUT, ViewCoverage};
 use super::regions::{RegionList, RegionMap, RouteRegions};
+use super::superseded::{EditedAgents, mark_superseded};
 use super::zones::{ZoneIndex, ZoneNames};
 use super::{FlowRoute, FlowView, RouteMap, ServiceMap};
 use crate::ring::{FlowStanding, FlowTarget, NameKey, ServiceTargets, TargetKey};
@@ -35,6 +36,10 @@
     pub flow_lifetime: Duration,
 }
 
+/// Above this number of edits, the agents beside the edited targets are not listed: the list would
+/// take a megabyte when a process loads its first catalog of a large fleet.
+const MAX_LISTED_EDITS: usize = 1_024;
+
 /// Former services of a route, with the time when each expires.
 type FormerServices = Vec<(ServiceId, Moment)>;
 
@@ -398,6 +403,7 @@
             agent: AgentAddress(agent),
             service,
             listed: true,
+            superseded: known.is_some_and(|known| known.superseded),
             zone,
             slots: row.slots.max(1),
             standing,
@@ -412,6 +418,7 @@
             return;
         }
         let store_failed = self.coverage.has_recent_failure(now);
+        let agents = self.agents_of(&edits);
         let services = Arc::make_mut(&mut self.view.services);
         for (service, edits) in edits {
             edit_service(
@@ -423,6 +430,32 @@
                 now,
             );
         }
+        mark_superseded(&mut self.view.services, &agents);
+    }
+
+    /// Returns the agents beside edited targets, before and after the edits.
+    fn agents_of(&self, edits: &ServiceEdits) -> EditedAgents {
+        if edits.values().map(Vec::len).sum::<usize>() > MAX_LISTED_EDITS {
+            return EditedAgents::Any;
+        }
+        let mut agents = Vec::new();
+        for (service, edits) in edits {
+            for edit in edits {
+                let key = match edit {
+                    TargetEdit::Listed(target) => {
+                        agents.push(target.agent);
+                        target.key
+                    }
+                    TargetEdit::Unlisted(key)
+                    | TargetEdit::Unreadable(key)
+                    | TargetEdit::Removed(key)
+                    | TargetEdit::PresumedGone(key) => *key,
+                };
+                agents.extend(self.target(*service, key).map(|target| target.agent));
+            }
+        }
+        agents.sort_unstable();
+        EditedAgents::Sorted(agents)
     }
 
     fn apply_routes(&mut self, routes: &[PublishedRoute], now: Moment) {
@@ -614,7 +647,8 @@
             TargetEdit::Unlisted(key) | TargetEdit::Unreadable(key) => {
                 let readable = matches!(edit, TargetEdit::Unlisted(_));
                 if let Some(target) = targets.get_mut(&key) {
-                    let lapses = store_failed && target.standing == FlowStanding::Serving;
+                    let served = target.standing == FlowStanding::Serving && !target.superseded;
+                    let lapses = store_failed && served;
                     target.listed = false;
                     target.standing = match (readable, lapses) {
                         (false, _) => FlowStanding::Unreadable,
--- a/crates/flows/tests/all/main.rs
+++ b/crates/flows/tests/all/main.rs
@@ -14,6 +14,7 @@
 mod search;
 mod search_silence;
 mod search_size;
+mod superseded;
 mod support;
 mod view;
 mod view_changes;
--- a/tests/tests/all/soak.rs
+++ b/tests/tests/all/soak.rs
@@ -181,3 +181,16 @@
         case.run();
     }
 }
+
+/// Guards against new flows at a leaving target because of the entry of a crashed one at its address.
+#[test]
+fn a_former_entry_sends_no_flows_to_a_leaving_successor() {
+    let case = SoakCase {
+        seed: "3008",
+        minutes: "0.3",
+        processes: "12",
+        further: true,
+        arguments: &[],
+    };
+    case.run();
+}
