flows: do not deny a held flow to a balancer that names another service

Callers may lose an open flow to a reset although its target lives: after a crash the address passes to a target of another service, the store lists both entries, and a balancer that does not know the flow searches for it.

Cause: possible_holders keeps one target for each agent, and which of two listed ones depended on the order of a hash map; an agent answers a frame of another service with absent, and an offer with a reset, without a look at its flows.

Change: the latest entry at an address is asked for. The agent compares the service only for flows that its target neither holds nor was offered; a first packet after the end of a flow is a new flow.

Evidence: search::a_search_names_the_service_of_the_latest_entry and agent::a_held_flow_is_delivered_whatever_service_the_frame_names failed before (query for the former service; Drop(NoHolder) and Absent for an open flow).

--- a/crates/flows/src/agent/inbound.rs
+++ b/crates/flows/src/agent/inbound.rs
@@ -27,7 +27,7 @@
         now: Moment,
     ) -> (AgentStep, Option<(AgentAddress, FlowUpdate)>) {
         self.renew_subscriber(frame.balancer, now);
-        if frame.service != self.settings.service {
+        if frame.service != self.settings.service && !self.is_held(packet) {
             return self.forward(packet, frame.into(), now);
         }
         if packet.opens() {
@@ -68,6 +68,14 @@
         (AgentStep::Deliver { tag: 0 }, update)
     }
 
+    /// Returns whether the packet belongs to a flow that the target accepted or was offered. Such a
+    /// packet may name another service: the balancer has the entry of a former target, and no
+    /// other agent holds the flow.
+    fn is_held(&self, packet: &FlowPacket) -> bool {
+        let entry = self.flows.get(&packet.flow);
+        entry.is_some_and(|entry| !packet.opens() || entry.state != EntryState::Closed)
+    }
+
     /// Searches for a flow on behalf of a balancer: at this agent and at the others that it names.
     pub fn handle_delegated_search(
         &mut self,
--- a/crates/flows/src/balancer/holders.rs
+++ b/crates/flows/src/balancer/holders.rs
@@ -161,10 +161,15 @@
 /// that has just started, or does not know of the move yet, cannot know which services to query.
 ///
 /// One target per agent, because after a power loss each agent is listed twice until the entries of
-/// the former starts expire. Counting both would make the fleet look twice as large.
+/// the former starts expire. Counting both would make the fleet look twice as large. The latest entry
+/// counts: the former target may have belonged to another service, whose flows the agent does not
+/// hold.
 pub(crate) fn possible_holders(view: &FlowView, now: Moment) -> HolderList<'_> {
     let mut holders: HolderList<'_> = likely_alive_targets(view, now).collect();
-    holders.sort_unstable_by_key(|target| (target.agent, !target.listed));
+    holders.sort_unstable_by_key(|target| {
+        let order = (target.superseded, !target.listed, target.key);
+        (target.agent, order)
+    });
     holders.dedup_by_key(|target| target.agent);
     holders
 }
--- a/crates/flows/tests/all/agent.rs
+++ b/crates/flows/tests/all/agent.rs
@@ -223,6 +223,41 @@
     assert_eq!(step, AgentStep::Return { to: balancer() });
 }
 
+// Guards against open flows that are reset because their agent is asked for them by another service.
+#[test]
+fn a_held_flow_is_delivered_whatever_service_the_frame_names() {
+    let of_vault = |purpose| PacketFrame {
+        service: service("vault").id(),
+        ..frame(purpose, &[])
+    };
+    let flow = flow(1);
+    let mut agent = informed_agent();
+    open(&mut agent, flow, at(0));
+    let search = of_vault(FramePurpose::Search);
+    let (step, update) = agent.handle_frame(search, &data(flow), at(3));
+    assert_eq!(step, AgentStep::Deliver { tag: 0 });
+    let (_, update) = update.expect("the balancer is told where the flow is");
+    assert_eq!(
+        (update.event, update.load.service),
+        (FlowEvent::Opened, claims())
+    );
+    let copy = of_vault(FramePurpose::Offer);
+    let (step, _) = agent.handle_frame(copy, &opening(flow), at(4));
+    assert!(matches!(step, AgentStep::Deliver { .. }), "{step:?}");
+    // After the end of the flow, its first packet opens another one, which its service must allow.
+    let end = FlowPacket {
+        flags: PacketFlags {
+            fin: true,
+            ..PacketFlags::default()
+        },
+        ..response(flow)
+    };
+    agent.handle_target_packet(&end, at(5));
+    let next = of_vault(FramePurpose::Offer);
+    let (step, _) = agent.handle_frame(next, &opening(flow), at(6));
+    assert_eq!(step, AgentStep::Reset);
+}
+
 // Guards against a packet for the claims service that reaches the certificate store. A target ends,
 // its address is reused by a target of another service, and a balancer with a stale view sends
 // there. The agent must compare the service of the frame with its own.
--- a/crates/flows/tests/all/search.rs
+++ b/crates/flows/tests/all/search.rs
@@ -12,8 +12,8 @@
 use crate::balancer::sent;
 use crate::empty_fleet::delegated_agents;
 use crate::support::{
-    agent, at, balancer, builder, catalog, claims_view, data, flow, flow_update, idle_load, target,
-    view_of,
+    agent, at, balancer, builder, catalog, claims, claims_view, data, flow, flow_update, idle_load,
+    target, view_of,
 };
 
 fn queried(step: BalancerStep) -> BTreeSet<AgentAddress> {
@@ -716,3 +716,25 @@
     let step = balancer.handle_packet(&data(flow(1)), b"data", &view, at(200));
     assert_eq!(queried(step), agents(3));
 }
+
+// Guards against open flows that are reset because an agent is asked for them by the entry of a
+// target of another service that crashed at its address.
+#[test]
+fn a_search_names_the_service_of_the_latest_entry() {
+    for _ in 0..20 {
+        let mut builder = builder();
+        builder.apply(&catalog(vec![target(1, "vault")]), at(0));
+        let both = vec![target(1, "vault"), target(1, "claims")];
+        builder.apply(&catalog(both), at(1_000));
+        let view = builder.build(at(1_000));
+        let balancer = FlowBalancer::new(balancer());
+        let step = balancer.handle_packet(&data(flow(1)), b"data", &view, at(1_000));
+        let BalancerStep::Search(frames) = step else {
+            panic!("not searched: {step:?}");
+        };
+        let [(to, PeerFrame::Packet(frame))] = &frames[..] else {
+            panic!("not one query: {frames:?}");
+        };
+        assert_eq!((*to, frame.service), (agent(1), claims()));
+    }
+}
