membership: read the instance list once while starting

Callers saw nothing so far; a fleet that waits for its first configuration may get it late, because its processes use up the platform's reads.

Cause: ReadingState::platform_list was never set, so a process that starts or reads everything again read the list at each poll until it was ready: 30 reads in 30 s without a configuration, which are 15,000 a second in a fleet of that size, of 2,000 that the platform grants.

The other question about the flag, whether a process can be ready on a list that it never read whole, is answered by joining::a_process_is_ready_only_with_a_whole_list: an answer without its end, without the list or without one row makes nobody ready. It passed before as well.

Change: the flag is set by a list that names instances; an empty one is read again. Readiness rests on the revision, as it did. Measured: 1 read in 30 s. joining::a_starting_process_reads_a_list_once failed before with 30.

--- a/crates/membership/src/member/reading.rs
+++ b/crates/membership/src/member/reading.rs
@@ -73,6 +73,8 @@
     resyncing: bool,
     /// Whether the platform itself has answered with a configuration since the join started.
     platform_config: bool,
+    /// Whether the platform itself has answered with a list that names instances since the join
+    /// started. An empty list names nobody who could report a later one, so it is read again.
     platform_list: bool,
 }
 
@@ -140,6 +142,7 @@
         self.reading
             .list_call
             .succeed(now + self.settings.list_poll);
+        self.reading.platform_list |= !list.targets.is_empty() || !list.balancers.is_empty();
         match self.list.offer_list(list) {
             Ok(changes) => {
                 if !changes.is_empty() || self.view.list_revision() != self.list.revision() {
@@ -280,8 +283,7 @@
         if self.ready && !self.reading.resyncing {
             return;
         }
-        let list_known = self.reading.platform_list || self.list.head().revision > 0;
-        if self.config.head().revision == 0 || !list_known {
+        if self.config.head().revision == 0 || self.list.head().revision == 0 {
             return;
         }
         let answers = self
--- a/crates/membership/tests/all/main.rs
+++ b/crates/membership/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod decoders;
 mod election;
 mod faults;
+mod joining;
 mod liveness;
 mod spread;
 mod table;
