membership: send no eager heads while events wait for the budget

Callers may be offered to an agent that is leaving, because nobody relays its departure.

Cause: while the send budget is exhausted, events wait. The rounds stayed eager because events waited, and sent heads without events to three peers every 40 to 100 ms at the highest priority, which used up what the budget was refilled with: it never recovered.

Change: a round is eager for the sake of events only if they may be sent.

--- a/crates/membership/src/member/spread.rs
+++ b/crates/membership/src/member/spread.rs
@@ -117,9 +117,18 @@
         if now < self.spread.next_round {
             return;
         }
-        let eager = self.spread.eager_rounds_left > 0 || !self.rumors.is_empty();
+        // Events wait while the budget is exhausted: a burst of accusations must neither exceed the
+        // send rate of a node nor delay the next configuration. Eager rounds without events would
+        // keep it exhausted.
+        let relays = !self.rumors.is_empty() && !self.budget.is_exhausted(now);
+        let eager = self.spread.eager_rounds_left > 0 || relays;
         self.spread.eager_rounds_left = self.spread.eager_rounds_left.saturating_sub(1);
-        self.send_round(eager, now);
+        let events = if relays {
+            self.rumors.next_round()
+        } else {
+            SmallVec::new()
+        };
+        self.send_round(events, eager, now);
         let pending = self.spread.eager_rounds_left > 0 || !self.rumors.is_empty();
         // Jitter desynchronizes processes that started together.
         let jitter = self.rng.random_range(0.8..1.2);
@@ -142,14 +151,7 @@
         self.spread.next_round = self.spread.next_round.min(now + EAGER_INTERVAL / 10);
     }
 
-    fn send_round(&mut self, eager: bool, now: Moment) {
-        // Events wait while the budget is exhausted: a burst of accusations must neither exceed the
-        // send rate of a node nor delay the next configuration.
-        let events = if self.budget.is_exhausted(now) {
-            SmallVec::new()
-        } else {
-            self.rumors.next_round()
-        };
+    fn send_round(&mut self, events: SmallVec<[MemberEvent; 2]>, eager: bool, now: Moment) {
         let fanout = if eager { EAGER_FANOUT } else { REGULAR_FANOUT };
         let priority = if eager {
             SendPriority::Change
--- a/crates/membership/tests/all/main.rs
+++ b/crates/membership/tests/all/main.rs
@@ -6,5 +6,6 @@
 mod faults;
 mod joining;
 mod liveness;
+mod rumors;
 mod spread;
 mod table;
--- a/crates/membership/tests/all/spread.rs
+++ b/crates/membership/tests/all/spread.rs
@@ -324,3 +324,35 @@
         }
     }
 }
+
+// Guards against a departure that is known late because many agents announce themselves at once.
+#[test]
+fn departure_is_known_within_three_seconds_while_agents_start() {
+    for started in [40, 160, 400] {
+        let mut rig = settled_fleet(40, 16, 10);
+        let target = rig.platform.list.targets[17].clone();
+        for number in 0..started {
+            let service = rig.platform.list.targets[number as usize % 160]
+                .service
+                .id();
+            let zone = "zone-1".parse().expect("a zone");
+            rig.add_member(rig_address(10_000 + number), zone, Some(service));
+        }
+        let listed = rig.nodes.len() - started as usize;
+        rig.run(2 * SECOND);
+        let number = rig.index_of(target.agent).expect("a member");
+        let now = rig.now;
+        rig.nodes[number].member.set_leaving(now);
+        let known = rig.run_until(30 * SECOND, |rig| {
+            let concerned = rig.nodes[..listed].iter().filter(|node| {
+                let service = node.member.settings().service;
+                service.is_none() || service == Some(target.service.id())
+            });
+            let mut held =
+                concerned.flat_map(|node| node.member.view().targets(target.service.id()).iter());
+            held.all(|held| held.id != target.id || held.standing == TargetStanding::Leaving)
+        });
+        println!("departure known after {known:?} while {started} agents start");
+        assert!(known.is_some_and(|known| known < 3 * SECOND), "{known:?}");
+    }
+}
