--- a/crates/membership/tests/all/rumors.rs
+++ b/crates/membership/tests/all/rumors.rs
@@ -13,6 +13,9 @@
 /// Number of agents that announce themselves at once, as when a fleet is restarted.
 const ARRIVALS: u32 = 2_000;
 
+/// Rounds in which a departure must be relayed: with a fan-out of three, 12 sends.
+const DEPARTURE_ROUNDS: usize = 4;
+
 /// Time within which a departure must be known everywhere.
 const DEPARTURE_KNOWN_WITHIN: Duration = Duration::from_secs(3);
 
@@ -106,3 +109,62 @@
     });
     assert!(rounds.contains_key(&format!("{:?}", departure(30))));
 }
+
+struct FullQueueCase {
+    name: &'static str,
+    /// Numbers of the agents whose departures the member relays.
+    departures: std::ops::Range<u32>,
+    /// Whether they arrive after the announcements rather than before.
+    after: bool,
+}
+
+// Guards against departures that few processes learn of because announcements displace them.
+#[test]
+fn announcements_of_a_restarted_fleet_displace_no_departure() {
+    let cases = [
+        FullQueueCase {
+            name: "one before",
+            departures: 30..31,
+            after: false,
+        },
+        FullQueueCase {
+            name: "sixty before",
+            departures: 30..90,
+            after: false,
+        },
+        FullQueueCase {
+            name: "sixty after",
+            departures: 30..90,
+            after: true,
+        },
+    ];
+    for case in cases {
+        let start = Moment::from_millis(10_000);
+        let mut member = settled_member(start);
+        let departures: Vec<_> = case.departures.clone().map(departure).collect();
+        let mut arrivals = (0..ARRIVALS).map(|number| arrival(10_000 + number));
+        if !case.after {
+            receive(&mut member, &departures, start);
+        }
+        let mut pending = case.after.then_some(departures.clone());
+        let rounds = relayed_rounds(
+            &mut member,
+            start,
+            Duration::from_secs(20),
+            |member, now| {
+                let next: Vec<_> = arrivals.by_ref().take(30).collect();
+                receive(member, &next, now);
+                if now.since(start) >= Duration::from_millis(500)
+                    && let Some(departures) = pending.take()
+                {
+                    receive(member, &departures, now);
+                }
+            },
+        );
+        for departure in departures {
+            let name = format!("{departure:?}");
+            let count = rounds.get(&name).copied().unwrap_or(0);
+            assert_eq!(count, DEPARTURE_ROUNDS, "{}: {name}", case.name);
+        }
+    }
+}
