matrix: repeat a ledger handover in the way that the fault names

Callers saw nothing; a check played another fault than it says. Under each of the three planned stops of a home the second handover was lost to every second peer, so a stop whose handovers all arrive was never played, nor one whose handovers all arrive late and twice.

Cause: the repeated handover passed a constant instead of the fault's own way of delivery, which was a number from 0 to 2.

Change: the way of delivery is a type and goes with the repetition. What was played before stays, under names of its own: LedgerRepeatLost and LedgerLateAndRepeatLost. No case is lost.

--- a/tests/matrix/src/requests/fault.rs
+++ b/tests/matrix/src/requests/fault.rs
@@ -26,6 +26,17 @@
 /// The time from the end of an agent to its next start.
 const RESTART_DELAY_MS: u64 = 150;
 
+/// How a handover of a ledger arrives at the peers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum HandoverDelivery {
+    /// In time, at each peer.
+    Prompt,
+    /// In time, but not at every second peer.
+    HalfLost,
+    /// Late and twice, at each peer.
+    LateAndTwice,
+}
+
 /// The time from the first handover of a ledger to the second.
 const SECOND_HANDOVER_DELAY_MS: u64 = 400;
 
@@ -118,9 +129,22 @@
                 self.queue
                     .push(RESTART_DELAY_MS, RequestEvent::Restart(gate, "maps"));
             }
-            RequestFault::HomeShutdown => self.stop_home(0),
-            RequestFault::LedgerHandoverLost => self.stop_home(1),
-            RequestFault::LedgerHandoverDuplicated => self.stop_home(2),
+            RequestFault::HomeShutdown => {
+                self.stop_home(HandoverDelivery::Prompt, HandoverDelivery::Prompt);
+            }
+            RequestFault::LedgerHandoverLost => {
+                self.stop_home(HandoverDelivery::HalfLost, HandoverDelivery::HalfLost);
+            }
+            RequestFault::LedgerHandoverDuplicated => {
+                let late = HandoverDelivery::LateAndTwice;
+                self.stop_home(late, late);
+            }
+            RequestFault::LedgerRepeatLost => {
+                self.stop_home(HandoverDelivery::Prompt, HandoverDelivery::HalfLost);
+            }
+            RequestFault::LedgerLateAndRepeatLost => {
+                self.stop_home(HandoverDelivery::LateAndTwice, HandoverDelivery::HalfLost);
+            }
             // The home and its tickets keep the old key generation; all other agents have dropped
             // it.
             RequestFault::KeyGenerationDropped => {
@@ -252,17 +276,16 @@
     }
 
     /// Shuts the home down gracefully: closes its ledger and hands it over to the peers, hands it
-    /// over again with the responses received since, and stops the process. For `loss`, see
-    /// [`Self::hand_over`].
-    fn stop_home(&mut self, loss: u8) {
+    /// over again with the responses received since, and stops the process.
+    fn stop_home(&mut self, first: HandoverDelivery, second: HandoverDelivery) {
         let home = self.home;
         if !self.agents[home].running {
             return;
         }
         self.set_leaving(home);
-        self.hand_over(home, loss);
+        self.hand_over(home, first);
         let start = self.agents[home].start;
-        let repeat = RequestEvent::RepeatHandover(home, start);
+        let repeat = RequestEvent::RepeatHandover(home, start, second);
         self.queue.push(SECOND_HANDOVER_DELAY_MS, repeat);
         self.queue
             .push(DRAIN_DURATION_MS, RequestEvent::StopAgent(home, start));
@@ -272,9 +295,8 @@
         );
     }
 
-    /// Sends the ledger to all peers. With `loss` 0 each handover arrives in time; with 1 every
-    /// second one is lost; with 2 each arrives late and twice.
-    pub(crate) fn hand_over(&mut self, home: usize, loss: u8) {
+    /// Sends the ledger to all peers.
+    pub(crate) fn hand_over(&mut self, home: usize, delivery: HandoverDelivery) {
         let handover = match self.mechanisms.close_before_handover {
             true => self.agents[home].ledger.hand_over(),
             // The ledger stays open after a copy of it was handed over.
@@ -282,14 +304,16 @@
         };
         let peers = (0..AGENTS).filter(|number| *number != home);
         for (count, peer) in peers.enumerate() {
-            if loss == 1 && count % 2 == 0 {
+            if delivery == HandoverDelivery::HalfLost && count % 2 == 0 {
                 continue;
             }
-            let copies = if loss == 2 { 2 } else { 1 };
+            let late = delivery == HandoverDelivery::LateAndTwice;
+            let copies = if late { 2 } else { 1 };
             for _ in 0..copies {
-                let delay = match loss {
-                    2 => self.rng.random_range(1..1_500),
-                    _ => self.rng.random_range(1..5),
+                let delay = if late {
+                    self.rng.random_range(1..1_500)
+                } else {
+                    self.rng.random_range(1..5)
                 };
                 let event = RequestEvent::DeliverHandover(peer, Box::new(handover.clone()));
                 self.queue.push(delay, event);
--- a/tests/matrix/src/requests/mod.rs
+++ b/tests/matrix/src/requests/mod.rs
@@ -70,12 +70,16 @@
     /// The gate's agent and backend server are replaced by an instance of another service at the
     /// same address.
     GateAddressReused,
-    /// The home shuts down gracefully and hands its ledger over.
+    /// The home shuts down gracefully, hands its ledger over, and later does so again.
     HomeShutdown,
-    /// As `HomeShutdown`, and the handover to every second peer is lost.
+    /// As `HomeShutdown`, and both handovers to every second peer are lost.
     LedgerHandoverLost,
-    /// As `HomeShutdown`, and the handover arrives late and twice.
+    /// As `HomeShutdown`, and both handovers arrive late and twice.
     LedgerHandoverDuplicated,
+    /// As `HomeShutdown`, and the second handover to every second peer is lost.
+    LedgerRepeatLost,
+    /// As `LedgerRepeatLost`, and the first handover arrives late and twice.
+    LedgerLateAndRepeatLost,
     /// The home is killed and restarts at its address.
     HomeKilled,
     /// The home pauses for longer than the lifetime of a ticket.
@@ -112,7 +116,7 @@
 ];
 
 /// The faults that are injected into filings.
-pub const FILING_FAULTS: [RequestFault; 22] = [
+pub const FILING_FAULTS: [RequestFault; 24] = [
     RequestFault::StreamBroken,
     RequestFault::StreamSilent,
     RequestFault::FramesDelayed,
@@ -135,6 +139,8 @@
     RequestFault::HomeKilled,
     RequestFault::HomePausedLong,
     RequestFault::KeyGenerationDropped,
+    RequestFault::LedgerRepeatLost,
+    RequestFault::LedgerLateAndRepeatLost,
 ];
 
 /// A step of a request before which faults can be injected.
--- a/tests/matrix/src/requests/world.rs
+++ b/tests/matrix/src/requests/world.rs
@@ -7,7 +7,7 @@
 use super::agent::{FakeAgent, SLOTS};
 use super::backend::{BackendVerdict, FakeBackend, millis};
 use super::caller::{Call, Filing};
-use super::fault::Healing;
+use super::fault::{HandoverDelivery, Healing};
 use super::job::{Job, JobOutcome, JobPhase, ReplyTo, RunResponse};
 use super::relay::{RelayLink, StreamSide};
 use super::ticket::ledger_seconds;
@@ -60,7 +60,7 @@
     Heal(Healing),
     Restart(usize, &'static str),
     DeliverHandover(usize, Box<LedgerHandover>),
-    RepeatHandover(usize, u64),
+    RepeatHandover(usize, u64, HandoverDelivery),
     StopAgent(usize, u64),
 }
 
@@ -209,7 +209,7 @@
             | RequestEvent::CancelRun(agent, start, _)
             | RequestEvent::DeliverResponse(agent, start, ..)
             | RequestEvent::CancelOutcome(agent, start, ..)
-            | RequestEvent::RepeatHandover(agent, start)
+            | RequestEvent::RepeatHandover(agent, start, _)
             | RequestEvent::StopAgent(agent, start) => Some((*agent, Some(*start))),
             _ => None,
         }
@@ -308,7 +308,7 @@
                 let now = ledger_seconds(self.queue.now());
                 self.agents[agent].ledger.take_over(*handover, now);
             }
-            RequestEvent::RepeatHandover(agent, _) => self.hand_over(agent, 1),
+            RequestEvent::RepeatHandover(agent, _, delivery) => self.hand_over(agent, delivery),
             RequestEvent::StopAgent(agent, _) => self.stop_agent(agent),
         }
     }
