flows: compare the targets of an address only if it is used again

Callers see no difference.

Change: the view's builder knows which addresses have several targets, and a filter of the addresses in use tells whether a new target may be at one of them. Only then are all targets looked at. A mark is not carried over to another address, which a random test found.

--- a/crates/flows/src/view/builder.rs
+++ b/crates/flows/src/view/builder.rs
@@ -4,7 +4,7 @@
 //! A catalog change rebuilds only the ring of the affected service and the affected route. All
 //! other parts are shared with earlier views.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,7 +17,7 @@
 
 use super::coverage::{CoverageTracker, UNREADABLE_TIMEOUT, ViewCoverage};
 use super::regions::{RegionList, RegionMap, RouteRegions};
-use super::superseded::{EditedAgents, mark_superseded};
+use super::superseded::{ComparedAgents, SharedAddresses};
 use super::zones::{ZoneIndex, ZoneNames};
 use super::{FlowRoute, FlowView, RouteMap, ServiceMap};
 use crate::ring::{FlowStanding, FlowTarget, NameKey, ServiceTargets, TargetKey};
@@ -36,9 +36,8 @@
     pub flow_lifetime: Duration,
 }
 
-/// Above this number of edits, the agents beside the edited targets are not listed: the list would
-/// take a megabyte when a process loads its first catalog of a large fleet.
-const MAX_LISTED_EDITS: usize = 1_024;
+/// Above this number of edits, the targets of all agents are compared.
+const MAX_COMPARED_EDITS: usize = 1_024;
 
 /// Former services of a route, with the time when each expires.
 type FormerServices = Vec<(ServiceId, Moment)>;
@@ -77,6 +76,7 @@
     /// Invariant: contains exactly the targets of the view that are not listed.
     unlisted: HashMap<NameKey, UnlistedTarget>,
     former: HashMap<SocketAddrV4, FormerServices>,
+    shared: SharedAddresses,
     /// The services in the configuration that no route sends flows to.
     unrouted: Arc<Vec<ServiceName>>,
     zones: ZoneNames,
@@ -100,6 +100,7 @@
             without_region: Vec::new(),
             unlisted: HashMap::new(),
             former: HashMap::new(),
+            shared: SharedAddresses::default(),
             unrouted: Arc::default(),
             coverage: CoverageTracker::new(),
         };
@@ -397,13 +398,14 @@
             _ => now + Duration::from_millis(row.warming_ms.into()),
         };
         let agent = SocketAddrV4::new(*row.address.ip(), self.settings.agent_port);
+        let agent = AgentAddress(agent);
         FlowTarget {
             key,
             name: NameKey::of(&row.name.0),
-            agent: AgentAddress(agent),
+            agent,
             service,
             listed: true,
-            superseded: known.is_some_and(|known| known.superseded),
+            superseded: known.is_some_and(|known| known.agent == agent && known.superseded),
             zone,
             slots: row.slots.max(1),
             standing,
@@ -418,7 +420,7 @@
             return;
         }
         let store_failed = self.coverage.has_recent_failure(now);
-        let agents = self.agents_of(&edits);
+        let agents = self.agents_to_compare(&edits);
         let services = Arc::make_mut(&mut self.view.services);
         for (service, edits) in edits {
             edit_service(
@@ -430,32 +432,36 @@
                 now,
             );
         }
-        mark_superseded(&mut self.view.services, &agents);
+        self.shared
+            .mark_superseded(&mut self.view.services, &agents);
     }
 
-    /// Returns the agents beside edited targets, before and after the edits.
-    fn agents_of(&self, edits: &ServiceEdits) -> EditedAgents {
-        if edits.values().map(Vec::len).sum::<usize>() > MAX_LISTED_EDITS {
-            return EditedAgents::Any;
+    /// Returns the agents whose targets have to be compared after these edits.
+    fn agents_to_compare(&mut self, edits: &ServiceEdits) -> ComparedAgents {
+        if edits.values().map(Vec::len).sum::<usize>() > MAX_COMPARED_EDITS {
+            return ComparedAgents::All;
         }
-        let mut agents = Vec::new();
+        let mut agents = BTreeSet::new();
         for (service, edits) in edits {
             for edit in edits {
                 let key = match edit {
-                    TargetEdit::Listed(target) => {
-                        agents.push(target.agent);
-                        target.key
-                    }
+                    TargetEdit::Listed(target) => target.key,
                     TargetEdit::Unlisted(key)
                     | TargetEdit::Unreadable(key)
                     | TargetEdit::Removed(key)
                     | TargetEdit::PresumedGone(key) => *key,
                 };
-                agents.extend(self.target(*service, key).map(|target| target.agent));
+                let before = self.target(*service, key).map(|target| target.agent);
+                agents.extend(before.filter(|agent| self.shared.is_shared(*agent)));
+                if let TargetEdit::Listed(target) = edit
+                    && before != Some(target.agent)
+                    && self.shared.record_new(target.agent)
+                {
+                    agents.insert(target.agent);
+                }
             }
         }
-        agents.sort_unstable();
-        EditedAgents::Sorted(agents)
+        ComparedAgents::Some(agents)
     }
 
     fn apply_routes(&mut self, routes: &[PublishedRoute], now: Moment) {
--- a/crates/flows/src/view/superseded.rs
+++ b/crates/flows/src/view/superseded.rs
@@ -21,37 +21,135 @@
 /// later one, which must get no new flows, and then the one with more warm-up time left.
 type EntryOrder = (Moment, bool, Moment);
 
-/// The agents beside targets that were edited.
-pub(super) enum EditedAgents {
-    /// These agents. Invariant: sorted.
-    Sorted(Vec<AgentAddress>),
-    /// Any agent.
-    Any,
+/// Bits of an [`AddressFilter`] for each target: at most one new address in four is searched for in
+/// vain.
+const FILTER_BITS_PER_TARGET: usize = 4;
+
+/// A set of addresses that may report an address that it does not contain. An exact one would take
+/// a megabyte at 160,000 targets.
+#[derive(Clone, Debug, Default)]
+struct AddressFilter {
+    /// Invariant: the length is zero or a power of two.
+    words: Box<[u64]>,
 }
 
-impl EditedAgents {
-    fn contains(&self, agent: AgentAddress) -> bool {
-        match self {
-            Self::Sorted(agents) => agents.binary_search(&agent).is_ok(),
-            Self::Any => true,
+impl AddressFilter {
+    fn with_capacity(count: usize) -> Self {
+        let bits = (count * FILTER_BITS_PER_TARGET).next_power_of_two();
+        Self {
+            words: vec![0; bits.div_ceil(64)].into(),
+        }
+    }
+
+    /// Adds an address. Returns whether it may have been added before.
+    fn insert(&mut self, agent: AgentAddress) -> bool {
+        if self.words.is_empty() {
+            return true;
         }
+        let mixed = u64::from(u32::from(*agent.0.ip())).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let bit = usize::try_from(mixed >> 32).unwrap_or(0) % (self.words.len() * 64);
+        let mask = 1 << (bit % 64);
+        let word = &mut self.words[bit / 64];
+        let known = *word & mask != 0;
+        *word |= mask;
+        known
     }
 }
 
-/// Marks the targets beside edited agents that another target has replaced, and clears the mark of
-/// the others.
-pub(super) fn mark_superseded(services: &mut Arc<ServiceMap>, agents: &EditedAgents) {
-    let latest = latest_entries(services, agents);
-    let mut changed: BTreeMap<ServiceId, Vec<(TargetKey, bool)>> = BTreeMap::new();
-    for target in targets_beside(services, agents) {
-        let superseded = latest
-            .get(&target.agent)
-            .is_some_and(|latest| !has_entry(target) || order_of(target) < *latest);
-        if superseded != target.superseded {
-            let marks = changed.entry(target.service).or_default();
-            marks.push((target.key, superseded));
+/// The agents whose targets have to be compared.
+pub(super) enum ComparedAgents {
+    /// These agents.
+    Some(BTreeSet<AgentAddress>),
+    /// All agents.
+    All,
+}
+
+/// Which addresses have several targets.
+#[derive(Clone, Debug, Default)]
+pub(super) struct SharedAddresses {
+    /// Invariant: contains each agent that has several targets in the view.
+    shared: BTreeSet<AgentAddress>,
+    /// Invariant: contains the agent of each target in the view, or is empty.
+    filter: AddressFilter,
+}
+
+impl SharedAddresses {
+    /// Returns whether a target's agent has several targets.
+    pub(super) fn is_shared(&self, agent: AgentAddress) -> bool {
+        self.shared.contains(&agent)
+    }
+
+    /// Records a new target. Returns whether its agent may have another one.
+    pub(super) fn record_new(&mut self, agent: AgentAddress) -> bool {
+        self.filter.insert(agent)
+    }
+
+    /// Marks the targets beside these agents that another target has replaced, and clears the mark
+    /// of the others.
+    pub(super) fn mark_superseded(
+        &mut self,
+        services: &mut Arc<ServiceMap>,
+        agents: &ComparedAgents,
+    ) {
+        let found = self.targets_to_compare(services, agents);
+        let mut latest: BTreeMap<AgentAddress, EntryOrder> = BTreeMap::new();
+        for target in found.iter().filter(|target| has_entry(target)) {
+            let order = order_of(target);
+            let known = latest.entry(target.agent).or_insert(order);
+            *known = order.max(*known);
+        }
+        let mut changed: BTreeMap<ServiceId, Vec<(TargetKey, bool)>> = BTreeMap::new();
+        for target in &found {
+            let superseded = latest
+                .get(&target.agent)
+                .is_some_and(|latest| !has_entry(target) || order_of(target) < *latest);
+            if superseded != target.superseded {
+                let marks = changed.entry(target.service).or_default();
+                marks.push((target.key, superseded));
+            }
+        }
+        apply_marks(services, changed);
+    }
+
+    /// Returns the targets beside these agents. Only looks at all targets if the agents may have
+    /// several, which happens where an address is used again.
+    fn targets_to_compare(
+        &mut self,
+        services: &ServiceMap,
+        agents: &ComparedAgents,
+    ) -> Vec<FlowTarget> {
+        let agents = match agents {
+            ComparedAgents::Some(agents) if agents.is_empty() => return Vec::new(),
+            ComparedAgents::Some(agents) => agents,
+            ComparedAgents::All => {
+                self.shared = shared_agents(services);
+                &self.shared.clone()
+            }
+        };
+        let mut found = Vec::new();
+        let mut filter = AddressFilter::with_capacity(targets(services).count());
+        for target in targets(services) {
+            filter.insert(target.agent);
+            if agents.contains(&target.agent) {
+                found.push(*target);
+            }
+        }
+        self.filter = filter;
+        for &agent in agents {
+            if found.iter().filter(|target| target.agent == agent).count() > 1 {
+                self.shared.insert(agent);
+            } else {
+                self.shared.remove(&agent);
+            }
         }
+        found
     }
+}
+
+fn apply_marks(
+    services: &mut Arc<ServiceMap>,
+    changed: BTreeMap<ServiceId, Vec<(TargetKey, bool)>>,
+) {
     if changed.is_empty() {
         return;
     }
@@ -66,40 +164,17 @@
     }
 }
 
-/// Returns the order of the latest entry at each address that has several targets.
-fn latest_entries(
-    services: &ServiceMap,
-    agents: &EditedAgents,
-) -> BTreeMap<AgentAddress, EntryOrder> {
-    let mut beside: Vec<AgentAddress> = targets_beside(services, agents)
-        .map(|target| target.agent)
-        .collect();
-    beside.sort_unstable();
-    let shared = beside.windows(2).filter(|pair| pair[0] == pair[1]);
-    let shared: BTreeSet<AgentAddress> = shared.map(|pair| pair[0]).collect();
-    drop(beside);
-    let mut latest = BTreeMap::new();
-    if shared.is_empty() {
-        return latest;
-    }
-    for target in targets_beside(services, agents) {
-        if has_entry(target) && shared.contains(&target.agent) {
-            let order = order_of(target);
-            let known = latest.entry(target.agent).or_insert(order);
-            *known = order.max(*known);
-        }
-    }
-    latest
+/// Returns the agents that have several targets.
+fn shared_agents(services: &ServiceMap) -> BTreeSet<AgentAddress> {
+    let mut agents: Vec<AgentAddress> = targets(services).map(|target| target.agent).collect();
+    agents.sort_unstable();
+    let shared = agents.windows(2).filter(|pair| pair[0] == pair[1]);
+    shared.map(|pair| pair[0]).collect()
 }
 
-fn targets_beside<'s>(
-    services: &'s ServiceMap,
-    agents: &'s EditedAgents,
-) -> impl Iterator<Item = &'s FlowTarget> {
+fn targets(services: &ServiceMap) -> impl Iterator<Item = &FlowTarget> {
     let rings = services.values().map(Arc::as_ref);
-    rings
-        .flat_map(ServiceTargets::targets)
-        .filter(|target| agents.contains(target.agent))
+    rings.flat_map(ServiceTargets::targets)
 }
 
 /// Returns whether the store has an entry of the target, readable or not.
--- a/crates/flows/tests/all/superseded.rs
+++ b/crates/flows/tests/all/superseded.rs
@@ -3,10 +3,13 @@
 use std::time::Duration;
 
 use lovagelatch_catalog::{PublishedTarget, TargetName};
-use lovagelatch_flows::{BalancerStep, FlowBalancer, RefusalReason};
+use lovagelatch_flows::{
+    BalancerStep, FlowBalancer, FlowStanding, FlowTarget, FlowView, RefusalReason, TargetKey,
+};
+use quickcheck::quickcheck;
 
 use crate::balancer::sent;
-use crate::support::{agent, at, balancer, builder, catalog, flow, opening, target};
+use crate::support::{agent, at, balancer, builder, catalog, flow, opening, service, target};
 
 /// The first target at address 1.
 fn former() -> PublishedTarget {
@@ -122,3 +125,78 @@
         assert_eq!(sent(step).0, agent(expected), "{}", case.name);
     }
 }
+
+/// Returns which targets of a view must be marked, by comparing each with all others.
+fn expected_marks(view: &FlowView) -> Vec<(TargetKey, bool)> {
+    let services = ["claims", "vault"].map(|name| service(name).id());
+    let rings = services
+        .into_iter()
+        .filter_map(|service| view.service(service));
+    let targets: Vec<FlowTarget> = rings.flat_map(|ring| ring.targets()).copied().collect();
+    let has_entry =
+        |target: &FlowTarget| target.listed || target.standing == FlowStanding::Unreadable;
+    let order = |target: &FlowTarget| {
+        let leaving = target.standing == FlowStanding::Leaving;
+        (target.standing_since, leaving, target.warm_at)
+    };
+    let is_superseded = |target: &FlowTarget| {
+        let mut others = targets.iter();
+        others.any(|other| {
+            other.agent == target.agent
+                && has_entry(other)
+                && (!has_entry(target) || order(other) > order(target))
+        })
+    };
+    let marks = targets.iter();
+    marks
+        .map(|target| (target.key, is_superseded(target)))
+        .collect()
+}
+
+fn marks(view: &FlowView) -> Vec<(TargetKey, bool)> {
+    let services = ["claims", "vault"].map(|name| service(name).id());
+    let rings = services
+        .into_iter()
+        .filter_map(|service| view.service(service));
+    let targets = rings.flat_map(|ring| ring.targets());
+    targets
+        .map(|target| (target.key, target.superseded))
+        .collect()
+}
+
+/// Draws the entry of a target with one of six names at one of four addresses.
+fn draw_entry(bits: u32) -> Option<PublishedTarget> {
+    let name = if bits & 1 == 0 { "claims" } else { "vault" };
+    let number = u8::try_from(bits >> 1 & 3).expect("two bits");
+    (bits >> 3 & 3 > 0).then(|| PublishedTarget {
+        leaving: bits >> 5 & 3 == 0,
+        warming_ms: (bits >> 7 & 1) * 1_000,
+        ..target(number + 1, name)
+    })
+}
+
+quickcheck! {
+    // Guards against a mark that a sequence of small changes leaves wrong.
+    fn marks_depend_on_the_view_alone(changes: Vec<u32>) -> bool {
+        let mut builder = builder();
+        let mut entries: Vec<Option<PublishedTarget>> = vec![None; 6];
+        for (number, bits) in changes.into_iter().enumerate() {
+            let name = bits as usize % entries.len();
+            entries[name] = draw_entry(bits >> 4).map(|target| PublishedTarget {
+                name: TargetName(format!("i-{name}").into()),
+                ..target
+            });
+            let now = at(number as u64 * 700);
+            if bits >> 28 == 0 {
+                builder.record_store_failure(now);
+            }
+            let listed = entries.iter().flatten().cloned();
+            builder.apply(&catalog(listed.collect()), now);
+            let view = builder.build(now);
+            if marks(&view) != expected_marks(&view) {
+                return false;
+            }
+        }
+        true
+    }
+}
