balancer: log which entries another target at their address has superseded

An operator who follows a refused flow to its cause saw targets that are listed as serving and got nothing, without a line that says why. Each change that supersedes entries writes one line (entry_superseded: the first one's agent and service, and how many), since after a power loss every address has two.

--- a/bins/balancer/src/opaque/catalog.rs
+++ b/bins/balancer/src/opaque/catalog.rs
@@ -11,7 +11,7 @@
     StoreAnswer, StoreCall, StoreFailure,
 };
 use lovagelatch_domain::Moment;
-use lovagelatch_flows::FlowViewBuilder;
+use lovagelatch_flows::{FlowViewBuilder, SupersededTargets};
 use lovagelatch_network::{read_frame, write_frame};
 use lovagelatch_operations::ReadyFlag;
 use lovagelatch_telemetry::{DecisionKind, Logger, info, warn};
@@ -135,7 +135,11 @@
                     let mut builder = self.state.builder.lock();
                     builder.apply_changes(&catalog, &changes, now);
                     let without_region = builder.take_zones_without_region();
+                    let superseded = builder.take_superseded();
                     drop(builder);
+                    if let Some(superseded) = superseded {
+                        self.log_superseded(&superseded);
+                    }
                     for zone in without_region {
                         warn!(self.state.log,
                             "zone has no region: it gets no flows of routes restricted to regions";
@@ -207,6 +211,17 @@
         }
     }
 
+    /// Logs that entries of former targets no longer count. One line for all: after a power loss,
+    /// each address has two entries.
+    fn log_superseded(&self, superseded: &SupersededTargets) {
+        let view = self.state.packets.view.load();
+        info!(self.state.log, "another target is at the address: the former entry gets no new flows";
+            "decision" => DecisionKind::EntrySuperseded,
+            "agent" => superseded.agent.to_string(),
+            "service" => view.service_name(superseded.service).to_owned(),
+            "targets" => superseded.count);
+    }
+
     /// Updates the readiness that routers poll before they send packets here.
     fn update_readiness(&self) {
         let now = self.state.packets.clock.now();
--- a/crates/flows/src/lib.rs
+++ b/crates/flows/src/lib.rs
@@ -47,6 +47,6 @@
     TargetKey,
 };
 pub use view::{
-    DoubtReason, FlowRoute, FlowView, FlowViewBuilder, RegionIndex, RouteRegions, ViewCoverage,
-    ViewSettings, ZoneIndex, ZoneTable,
+    DoubtReason, FlowRoute, FlowView, FlowViewBuilder, RegionIndex, RouteRegions,
+    SupersededTargets, ViewCoverage, ViewSettings, ZoneIndex, ZoneTable,
 };
--- a/crates/flows/src/view.rs
+++ b/crates/flows/src/view.rs
@@ -25,6 +25,7 @@
 pub use self::builder::{FlowViewBuilder, ViewSettings};
 pub use self::coverage::{DoubtReason, ViewCoverage};
 pub use self::regions::{RegionIndex, RouteRegions};
+pub use self::superseded::SupersededTargets;
 pub use self::zones::{ZoneIndex, ZoneTable};
 
 /// Routes by the service address that clients send to.
--- a/crates/flows/src/view/builder.rs
+++ b/crates/flows/src/view/builder.rs
@@ -17,7 +17,7 @@
 
 use super::coverage::{CoverageTracker, UNREADABLE_TIMEOUT, ViewCoverage};
 use super::regions::{RegionList, RegionMap, RouteRegions};
-use super::superseded::{ComparedAgents, SharedAddresses};
+use super::superseded::{ComparedAgents, SharedAddresses, SupersededTargets};
 use super::zones::{ZoneIndex, ZoneNames};
 use super::{FlowRoute, FlowView, RouteMap, ServiceMap};
 use crate::ring::{FlowStanding, FlowTarget, NameKey, ServiceTargets, TargetKey};
@@ -163,6 +163,12 @@
         std::mem::take(&mut self.without_region)
     }
 
+    /// Returns the targets that others replaced at their addresses since the last call. They get no
+    /// new flows, whatever their entries say.
+    pub fn take_superseded(&mut self) -> Option<SupersededTargets> {
+        self.shared.take_marked()
+    }
+
     /// Applies a catalog, given the changes since the last one applied.
     pub fn apply_changes(&mut self, catalog: &Catalog, changes: &CatalogChanges, now: Moment) {
         let CatalogChanges::Rows { targets, routes } = changes else {
@@ -461,7 +467,7 @@
                 }
             }
         }
-        ComparedAgents::Some(agents)
+        ComparedAgents::Only(agents)
     }
 
     fn apply_routes(&mut self, routes: &[PublishedRoute], now: Moment) {
--- a/crates/flows/src/view/superseded.rs
+++ b/crates/flows/src/view/superseded.rs
@@ -59,7 +59,7 @@
 /// The agents whose targets have to be compared.
 pub(super) enum ComparedAgents {
     /// These agents.
-    Some(BTreeSet<AgentAddress>),
+    Only(BTreeSet<AgentAddress>),
     /// All agents.
     All,
 }
@@ -71,9 +71,27 @@
     shared: BTreeSet<AgentAddress>,
     /// Invariant: contains the agent of each target in the view, or is empty.
     filter: AddressFilter,
+    /// Targets that were marked since the last call of [`take_marked`](Self::take_marked).
+    marked: Option<SupersededTargets>,
+}
+
+/// Targets that others have replaced at their addresses; used for logging.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SupersededTargets {
+    /// The agent beside the first of them.
+    pub agent: AgentAddress,
+    /// The service of the first of them.
+    pub service: ServiceId,
+    /// Their number.
+    pub count: usize,
 }
 
 impl SharedAddresses {
+    /// Returns the targets that were marked as replaced since the last call.
+    pub(super) fn take_marked(&mut self) -> Option<SupersededTargets> {
+        self.marked.take()
+    }
+
     /// Returns whether a target's agent has several targets.
     pub(super) fn is_shared(&self, agent: AgentAddress) -> bool {
         self.shared.contains(&agent)
@@ -106,11 +124,23 @@
             if superseded != target.superseded {
                 let marks = changed.entry(target.service).or_default();
                 marks.push((target.key, superseded));
+                if superseded {
+                    self.count_marked(target);
+                }
             }
         }
         apply_marks(services, changed);
     }
 
+    fn count_marked(&mut self, target: &FlowTarget) {
+        let first = SupersededTargets {
+            agent: target.agent,
+            service: target.service,
+            count: 0,
+        };
+        self.marked.get_or_insert(first).count += 1;
+    }
+
     /// Returns the targets beside these agents. Only looks at all targets if the agents may have
     /// several, which happens where an address is used again.
     fn targets_to_compare(
@@ -119,8 +149,8 @@
         agents: &ComparedAgents,
     ) -> Vec<FlowTarget> {
         let agents = match agents {
-            ComparedAgents::Some(agents) if agents.is_empty() => return Vec::new(),
-            ComparedAgents::Some(agents) => agents,
+            ComparedAgents::Only(agents) if agents.is_empty() => return Vec::new(),
+            ComparedAgents::Only(agents) => agents,
             ComparedAgents::All => {
                 self.shared = shared_agents(services);
                 &self.shared.clone()
--- a/crates/flows/tests/all/superseded.rs
+++ b/crates/flows/tests/all/superseded.rs
@@ -4,7 +4,8 @@
 
 use lovagelatch_catalog::{PublishedTarget, TargetName};
 use lovagelatch_flows::{
-    BalancerStep, FlowBalancer, FlowStanding, FlowTarget, FlowView, RefusalReason, TargetKey,
+    BalancerStep, FlowBalancer, FlowStanding, FlowTarget, FlowView, RefusalReason,
+    SupersededTargets, TargetKey,
 };
 use quickcheck::quickcheck;
 
@@ -175,6 +176,24 @@
     })
 }
 
+// Guards against entries that are passed over without a trace in the log.
+#[test]
+fn each_superseded_target_is_reported_once() {
+    let mut builder = builder();
+    builder.apply(&catalog(vec![former()]), at(0));
+    assert_eq!(builder.take_superseded(), None);
+    builder.apply(&catalog(vec![former(), successor()]), at(1_000));
+    let superseded = SupersededTargets {
+        agent: agent(1),
+        service: service("claims").id(),
+        count: 1,
+    };
+    assert_eq!(builder.take_superseded(), Some(superseded));
+    let leaves = vec![former(), leaving(successor())];
+    builder.apply(&catalog(leaves), at(2_000));
+    assert_eq!(builder.take_superseded(), None);
+}
+
 quickcheck! {
     // Guards against a mark that a sequence of small changes leaves wrong.
     fn marks_depend_on_the_view_alone(changes: Vec<u32>) -> bool {
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -45,11 +45,13 @@
     ViewCoverage,
     /// A zone was evacuated, or accepts new flows again.
     ZoneChanged,
+    /// The store lists several targets at an address, and one of them is in force.
+    EntrySuperseded,
 }
 
 impl DecisionKind {
     /// Every kind.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 17] = [
         Self::FlowPlaced,
         Self::FlowHandedOn,
         Self::FlowAccepted,
@@ -66,6 +68,7 @@
         Self::SuspicionChanged,
         Self::ViewCoverage,
         Self::ZoneChanged,
+        Self::EntrySuperseded,
     ];
 
     /// Returns its value in the log field `decision`.
@@ -88,6 +91,7 @@
             Self::SuspicionChanged => "suspicion_changed",
             Self::ViewCoverage => "view_coverage",
             Self::ZoneChanged => "zone_changed",
+            Self::EntrySuperseded => "entry_superseded",
         }
     }
 }
