--- a/crates/flows/tests/all/search.rs
+++ b/crates/flows/tests/all/search.rs
@@ -717,8 +717,7 @@
     assert_eq!(queried(step), agents(3));
 }
 
-// Guards against open flows that are reset because an agent is asked for them by the entry of a
-// target of another service that crashed at its address.
+// Guards against open flows that are reset because a search names the service of a former target.
 #[test]
 fn a_search_names_the_service_of_the_latest_entry() {
     for _ in 0..20 {
