flows: count the targets at each address in one pass

Callers of a large fleet would have waited after a loss of power: every address then has two entries, and counting them for each address went through all that were found.

--- a/crates/flows/src/view/superseded.rs
+++ b/crates/flows/src/view/superseded.rs
@@ -165,11 +165,15 @@
             }
         }
         self.filter = filter;
-        for &agent in agents {
-            if found.iter().filter(|target| target.agent == agent).count() > 1 {
-                self.shared.insert(agent);
+        let mut counts: BTreeMap<AgentAddress, usize> = BTreeMap::new();
+        for target in &found {
+            *counts.entry(target.agent).or_default() += 1;
+        }
+        for agent in agents {
+            if counts.get(agent).is_some_and(|count| *count > 1) {
+                self.shared.insert(*agent);
             } else {
-                self.shared.remove(&agent);
+                self.shared.remove(agent);
             }
         }
         found
--- a/crates/flows/tests/all/superseded.rs
+++ b/crates/flows/tests/all/superseded.rs
@@ -1,5 +1,6 @@
 //! New flows where the store lists several targets at one address.
 
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
 use lovagelatch_catalog::{PublishedTarget, TargetName};
@@ -219,3 +220,37 @@
         true
     }
 }
+
+// Guards against former entries in force after a power loss, when all targets are compared at once.
+#[test]
+fn every_former_entry_is_marked_after_a_power_loss() {
+    let entries = |start: &str| -> Vec<PublishedTarget> {
+        let numbered = (0..20_000_u32).map(|number| {
+            let ip = Ipv4Addr::from(0x0a01_0000 + number);
+            PublishedTarget {
+                name: TargetName(format!("{start}-{number:05}").into()),
+                address: SocketAddrV4::new(ip, 8_000),
+                ..former()
+            }
+        });
+        numbered.collect()
+    };
+    let (former, successors) = (entries("a"), entries("b"));
+    let mut builder = builder();
+    builder.apply(&catalog(former.clone()), at(0));
+    let both = former.into_iter().chain(successors).collect();
+    builder.apply(&catalog(both), at(1_000));
+    let superseded = builder.take_superseded().expect("marked targets");
+    assert_eq!(superseded.count, 20_000);
+    let view = builder.build(at(1_000));
+    assert_eq!(marks(&view), marks_of_former_starts(&view));
+}
+
+/// Returns the marks by which only the targets count that were first seen at 1 s.
+fn marks_of_former_starts(view: &FlowView) -> Vec<(TargetKey, bool)> {
+    let ring = view.service(service("claims").id()).expect("a ring");
+    let targets = ring.targets().iter();
+    targets
+        .map(|target| (target.key, target.standing_since < at(1_000)))
+        .collect()
+}
