Log the store's era, dropped configurations and why a balancer reads

Callers' flows were opened by version 23 of the configuration 3 s after version 25 was acknowledged.

A later version that is dropped because its revision is not newer is logged with both revisions. A failed watch is logged with its position, and a balancer says when it begins to read, why, and when it is no longer elected. No decision changes.

The HTTP client now returns the whole response, as the era is in a header.

--- a/bins/balancer/src/opaque/catalog.rs
+++ b/bins/balancer/src/opaque/catalog.rs
@@ -344,7 +344,12 @@
     let mut client = StoreClient::new(StoreSettings { address });
     while let Some(call) = queue.recv().await {
         let outcome = client.call(call).await.map_err(|error| {
-            info!(tasks.state.log, "store call failed"; "error" => error.to_string());
+            let after = match call {
+                StoreCall::List => None,
+                StoreCall::Watch { after, .. } => Some(after),
+            };
+            info!(tasks.state.log, "store call failed";
+                "error" => error.to_string(), "after" => after);
             error.failure()
         });
         tasks.state.calls.add(outcome.as_ref().err().copied());
@@ -412,6 +417,11 @@
         CatalogNotice::StoreFailed(failure) => warn!(log, "store lost";
             "reason" => format!("{failure:?}")),
         CatalogNotice::StoreRecovered => info!(log, "store regained"),
+        CatalogNotice::EraChanged { from, to, revision } => warn!(log, "store back from a copy";
+            "from_era" => from.0, "era" => to.0, "revision" => *revision),
+        CatalogNotice::Reading(reason) => info!(log, "reads the store";
+            "reason" => reason.as_str()),
+        CatalogNotice::ReadingEnded => info!(log, "elected reader no longer"),
         CatalogNotice::Members(members) => info!(log, "balancers known"; "members" => members),
     }
 }
--- a/crates/catalog/src/answer.rs
+++ b/crates/catalog/src/answer.rs
@@ -46,9 +46,21 @@
     },
 }
 
+/// The number of times that the store has come back from a copy; 0 if the store does not say.
+///
+/// A copy may lack the newest changes. The store then gives their revisions out again, so revisions
+/// of different eras cannot be compared.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct StoreEra(pub u64);
+
 /// A successful answer of the store.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreAnswer {
+    /// The era of the store.
+    pub era: StoreEra,
     /// The items or changes, each with the revision of its last change, in the order of the store.
     pub events: Vec<(u64, StoreEvent)>,
     /// The revision from which a watch continues without missing a change.
--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -19,6 +19,19 @@
     /// A delta did not fit the table that it was applied to.
     #[error(transparent)]
     Table(#[from] TableError),
+    /// The store reports a configuration that the operator wrote later than the one in force, at a
+    /// revision that is not newer.
+    #[error(
+        "configuration {version} at revision {revision} is not newer than revision {held} held"
+    )]
+    OutdatedConfig {
+        /// The operator's version number.
+        version: ConfigRevision,
+        /// The revision that the store reports.
+        revision: u64,
+        /// The revision held.
+        held: u64,
+    },
     /// A value of the store could not be decoded.
     #[error("cannot decode store key {key}: {reason}")]
     Unreadable {
@@ -371,7 +384,15 @@
         config: PublishedConfig,
         errors: &mut Vec<CatalogError>,
     ) -> bool {
-        if revision <= self.routes.head().revision {
+        let held = self.routes.head().revision;
+        if revision <= held {
+            if config.version > self.catalog.version {
+                errors.push(CatalogError::OutdatedConfig {
+                    version: config.version,
+                    revision,
+                    held,
+                });
+            }
             return false;
         }
         let mut next = config.routes;
--- a/crates/catalog/src/member.rs
+++ b/crates/catalog/src/member.rs
@@ -9,11 +9,11 @@
 use rand::{Rng, SeedableRng};
 use smallvec::SmallVec;
 
-use crate::answer::{StoreAnswer, StoreCall, StoreFailure};
+use crate::answer::{StoreAnswer, StoreCall, StoreEra, StoreFailure};
 use crate::catalog::{Catalog, CatalogChanges, CatalogError, CatalogTables};
 use crate::message::{CatalogDelta, CatalogHead, CatalogMessage, HeadMessage, ReaderStatus};
 use crate::peers::{LARGE_FLEET_FANOUT, PeerTable, SMALL_FLEET_FANOUT};
-use crate::reader::{ReaderInputs, ReaderState};
+use crate::reader::{ReadReason, ReaderInputs, ReaderState};
 use crate::stops::{AgentStop, StopList, StopTable, StopUpdate};
 
 /// How often [`CatalogMember::advance`] must be called, in addition to the moments that
@@ -81,6 +81,19 @@
     StoreFailed(StoreFailure),
     /// The store answers again.
     StoreRecovered,
+    /// An answer of the store has another era than the one before.
+    EraChanged {
+        /// The era of the answer before.
+        from: StoreEra,
+        /// The era of this answer.
+        to: StoreEra,
+        /// The revision of the store in this answer.
+        revision: u64,
+    },
+    /// This balancer calls the store for another reason than before.
+    Reading(ReadReason),
+    /// This balancer is no longer an elected reader.
+    ReadingEnded,
     /// The number of live balancers changed, this one included.
     Members(usize),
 }
@@ -146,6 +159,10 @@
     confirmed_at: Option<Moment>,
     /// When the store last failed this process or another.
     last_failure: Option<Moment>,
+    /// The era of the store's last answer to this process; `None` before the first one.
+    era: Option<StoreEra>,
+    /// Whether this process was an elected reader when it last considered a call.
+    elected: bool,
     /// First answer of the store to any process after `last_failure`; older than it while there is
     /// none.
     recovered_at: Option<Moment>,
@@ -181,6 +198,8 @@
             confirmed_at: None,
             last_failure: None,
             recovered_at: None,
+            era: None,
+            elected: false,
             zones_read_at: now,
             stops: StopTable::new(now),
             called_at: now,
@@ -371,6 +390,7 @@
     fn accept_store_answer(&mut self, call: StoreCall, answer: StoreAnswer, now: Moment) {
         let has_changes = !answer.events.is_empty();
         self.record_confirmation(now);
+        self.record_era(&answer);
         let recovered_at = self.store_recovered_at();
         self.reader
             .succeeded(answer.revision, has_changes, recovered_at, now);
@@ -398,6 +418,17 @@
         }
     }
 
+    fn record_era(&mut self, answer: &StoreAnswer) {
+        let before = self.era.replace(answer.era);
+        if let Some(from) = before.filter(|before| *before != answer.era) {
+            self.notice(CatalogNotice::EraChanged {
+                from,
+                to: answer.era,
+                revision: answer.revision,
+            });
+        }
+    }
+
     fn store_failed(&mut self, call: StoreCall, failure: StoreFailure, now: Moment) {
         let was_reachable = self.reader.store_reachable();
         let inputs = self.reader_inputs(now);
@@ -585,10 +616,19 @@
 
     fn call_store(&mut self, now: Moment) {
         let inputs = self.reader_inputs(now);
+        let reason = self.reader.reason();
         let call = self.reader.next_call(&inputs, &mut self.random, now);
         if call.is_some() {
             self.called_at = now;
         }
+        let elected = inputs.rank.is_some();
+        if std::mem::replace(&mut self.elected, elected) && !elected {
+            self.reader.stand_down();
+            self.notice(CatalogNotice::ReadingEnded);
+        }
+        if let Some(next) = self.reader.reason().filter(|next| Some(*next) != reason) {
+            self.notice(CatalogNotice::Reading(next));
+        }
         self.actions.extend(call.map(CatalogAction::Call));
     }
 
--- a/crates/catalog/src/reader.rs
+++ b/crates/catalog/src/reader.rs
@@ -76,6 +76,33 @@
 /// The longest interval between two probes.
 const MAX_PROBE_INTERVAL: Duration = Duration::from_secs(12);
 
+/// Why this process calls the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadReason {
+    /// It has no catalog yet.
+    Starting,
+    /// It is an elected reader, with this rank.
+    Elected(usize),
+    /// The store failed it; it checks whether the store is back.
+    Probing,
+    /// No recent confirmation of the store reached it from the elected readers.
+    Fallback,
+}
+
+impl ReadReason {
+    /// Returns the reason as it is logged.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Starting => "starting",
+            Self::Elected(0) => "elected first",
+            Self::Elected(_) => "elected standby",
+            Self::Probing => "probing",
+            Self::Fallback => "fallback",
+        }
+    }
+}
+
 /// The state of the member that the reader depends on.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ReaderInputs {
@@ -105,6 +132,8 @@
     fallback_until: Moment,
     /// Whether the last call failed.
     failed: bool,
+    /// Why the last call was made; `None` before the first one.
+    reason: Option<ReadReason>,
     probe_interval: Duration,
     /// When a balancer whose call failed probes the store again.
     probe_at: Moment,
@@ -120,6 +149,7 @@
             watch_after: None,
             fallback_until: Moment::ZERO,
             failed: false,
+            reason: None,
             probe_interval: MIN_PROBE_INTERVAL,
             probe_at: Moment::ZERO,
         }
@@ -142,9 +172,10 @@
         random: &mut SmallRng,
         now: Moment,
     ) -> Option<StoreCall> {
-        if self.in_flight || now < self.next_call_at || !self.should_read(inputs, random, now) {
+        if self.in_flight || now < self.next_call_at {
             return None;
         }
+        self.reason = Some(self.read_reason(inputs, random, now)?);
         self.in_flight = true;
         let known = self.watch_after.map(|after| after.max(inputs.revision));
         Some(match known {
@@ -166,22 +197,41 @@
         }
     }
 
-    fn should_read(&mut self, inputs: &ReaderInputs, random: &mut SmallRng, now: Moment) -> bool {
+    /// Returns why the last call was made; `None` before the first one.
+    pub(crate) fn reason(&self) -> Option<ReadReason> {
+        self.reason
+    }
+
+    /// Records that this process is no longer elected.
+    pub(crate) fn stand_down(&mut self) {
+        self.reason = None;
+    }
+
+    /// Returns why this process should call the store now; `None` if it should not.
+    fn read_reason(
+        &mut self,
+        inputs: &ReaderInputs,
+        random: &mut SmallRng,
+        now: Moment,
+    ) -> Option<ReadReason> {
         let Some(age) = inputs.age else {
-            return true;
+            return Some(ReadReason::Starting);
         };
-        let probe_due = self.failed && now >= self.probe_at;
-        if inputs.rank.is_some() || probe_due || now < self.fallback_until {
-            return true;
+        if let Some(rank) = inputs.rank {
+            return Some(ReadReason::Elected(rank));
+        }
+        if self.failed && now >= self.probe_at {
+            return Some(ReadReason::Probing);
+        }
+        if now < self.fallback_until {
+            return Some(ReadReason::Fallback);
         }
         let limit = if inputs.is_large {
             LARGE_FLEET_STALE_AGE
         } else {
             STALE_AGE
         };
-        let Some(excess) = age.checked_sub(limit) else {
-            return false;
-        };
+        let excess = age.checked_sub(limit)?;
         let growth = 2_f64.powf(excess.as_secs_f64().min(30.0));
         #[allow(clippy::cast_precision_loss)]
         let chance = READER_COUNT as f64 / inputs.members.max(1) as f64 * growth;
@@ -189,7 +239,7 @@
         if starts_fallback {
             self.fallback_until = now + FALLBACK_PERIOD;
         }
-        starts_fallback
+        starts_fallback.then_some(ReadReason::Fallback)
     }
 
     /// Records that the call in flight succeeded and covers all changes up to `revision`.
--- a/crates/catalog/tests/all/member.rs
+++ b/crates/catalog/tests/all/member.rs
@@ -5,7 +5,7 @@
 
 use lovagelatch_catalog::{
     CatalogAction, CatalogMember, CatalogMessage, CatalogNotice, HeadMessage, MemberSettings,
-    StoreAnswer, StoreCall, StoreEvent, StoreFailure,
+    StoreAnswer, StoreCall, StoreEra, StoreEvent, StoreFailure,
 };
 use lovagelatch_domain::Moment;
 use smallvec::smallvec;
@@ -457,6 +457,7 @@
         let wait = Duration::from_millis(1_500);
         let ended = StoreCall::Watch { after: 0, wait };
         let answer = StoreAnswer {
+            era: StoreEra::default(),
             events: Vec::new(),
             revision: head.routes.revision,
         };
--- a/crates/catalog/tests/all/support.rs
+++ b/crates/catalog/tests/all/support.rs
@@ -7,7 +7,7 @@
 use lovagelatch_catalog::{
     AgentStop, Catalog, CatalogAction, CatalogMember, CatalogMessage, CatalogNotice, MEMBER_TICK,
     MemberSettings, PublishedConfig, PublishedRoute, PublishedTarget, RouteShare, StoreAnswer,
-    StoreCall, StoreEvent, StoreFailure, TargetName, TargetStart,
+    StoreCall, StoreEra, StoreEvent, StoreFailure, TargetName, TargetStart,
 };
 use lovagelatch_domain::{ConfigRevision, Moment};
 use smallvec::smallvec;
@@ -94,6 +94,7 @@
             }
         }
         StoreAnswer {
+            era: StoreEra::default(),
             events: items.into_values().collect(),
             revision: self.revision,
         }
@@ -110,7 +111,11 @@
         let later = self.log.iter().filter(|(revision, _)| *revision > after);
         let events: Vec<_> = later.cloned().collect();
         let revision = self.revision;
-        (!events.is_empty()).then_some(Ok(StoreAnswer { events, revision }))
+        (!events.is_empty()).then_some(Ok(StoreAnswer {
+            era: StoreEra::default(),
+            events,
+            revision,
+        }))
     }
 }
 
@@ -310,6 +315,7 @@
                 Some(outcome) => outcome,
                 None if now.since(since) < limit => return,
                 None => Ok(StoreAnswer {
+                    era: StoreEra::default(),
                     events: Vec::new(),
                     revision: self.store.revision,
                 }),
--- a/crates/catalog/tests/all/tables.rs
+++ b/crates/catalog/tests/all/tables.rs
@@ -1,12 +1,19 @@
 //! Changes that the catalog tables apply and reject.
 
-use lovagelatch_catalog::{CatalogTables, StoreAnswer, StoreEvent, TargetName, TargetRow};
+use lovagelatch_catalog::{
+    CatalogError, CatalogTables, StoreAnswer, StoreEra, StoreEvent, TargetName, TargetRow,
+};
+use lovagelatch_domain::ConfigRevision;
 use quickcheck::{Arbitrary, Gen, quickcheck};
 
 use crate::support::{config, target};
 
 fn list(events: Vec<(u64, StoreEvent)>, revision: u64) -> StoreAnswer {
-    StoreAnswer { events, revision }
+    StoreAnswer {
+        era: StoreEra::default(),
+        events,
+        revision,
+    }
 }
 
 fn names(tables: &CatalogTables) -> Vec<String> {
@@ -181,6 +188,23 @@
     assert_eq!(tables.catalog().version.0, 8);
 }
 
+#[test]
+fn a_later_version_at_an_old_revision_is_reported() {
+    let mut tables = tables_with(&["i-1"], 5);
+    let events = vec![(1, StoreEvent::Config(config(8, &[81])))];
+    let (_changed, errors) = tables.apply_events(list(events, 5));
+    let expected = CatalogError::OutdatedConfig {
+        version: ConfigRevision(8),
+        revision: 1,
+        held: 2,
+    };
+    assert_eq!(errors, [expected]);
+    // The one in force may be reported again.
+    let events = vec![(2, StoreEvent::Config(config(7, &[80])))];
+    let (_changed, errors) = tables.apply_events(list(events, 5));
+    assert!(errors.is_empty());
+}
+
 #[test]
 fn a_delta_brings_a_peer_to_the_same_state() {
     let mut tables = tables_with(&["i-1"], 5);
--- a/crates/catalog/tests/all/zones.rs
+++ b/crates/catalog/tests/all/zones.rs
@@ -5,7 +5,7 @@
 
 use lovagelatch_catalog::{
     CatalogDelta, CatalogHead, CatalogMember, CatalogMessage, CatalogTables, MemberSettings,
-    StoreAnswer, StoreEvent,
+    StoreAnswer, StoreEra, StoreEvent,
 };
 use lovagelatch_domain::Moment;
 use smallvec::smallvec;
@@ -25,6 +25,7 @@
 
 fn answer(revision: u64, events: &[(u64, StoreEvent)]) -> StoreAnswer {
     StoreAnswer {
+        era: StoreEra::default(),
         events: events.to_vec(),
         revision,
     }
--- a/crates/fleet/src/platform.rs
+++ b/crates/fleet/src/platform.rs
@@ -101,12 +101,12 @@
     }
 
     async fn get(&self, path: &str, timeout: Duration) -> Result<Option<Bytes>, PlatformError> {
-        let (status, body) = HttpClient::new(self.address, MAX_RESPONSE_BYTES)
+        let response = HttpClient::new(self.address, MAX_RESPONSE_BYTES)
             .get(path, timeout)
             .await?;
-        match status {
+        match response.status() {
             StatusCode::NO_CONTENT => Ok(None),
-            StatusCode::OK => Ok(Some(body)),
+            StatusCode::OK => Ok(Some(response.into_body())),
             other => Err(PlatformError::Status(other)),
         }
     }
--- a/crates/flows/benches/memory.rs
+++ b/crates/flows/benches/memory.rs
@@ -7,7 +7,7 @@
 
 use lovagelatch_catalog::{
     CatalogTables, PublishedConfig, PublishedRoute, PublishedTarget, RouteShare, StoreAnswer,
-    StoreEvent, TargetName, TargetRow, TargetStart,
+    StoreEra, StoreEvent, TargetName, TargetRow, TargetStart,
 };
 use lovagelatch_domain::{AgentAddress, ConfigRevision, Moment, ServiceId, ServiceName, ZoneName};
 use lovagelatch_flows::{
@@ -91,6 +91,7 @@
         routes: (0_u16..).zip(routes).map(with_port).collect(),
     });
     StoreAnswer {
+        era: StoreEra::default(),
         events: targets.chain([config]).map(|event| (1, event)).collect(),
         revision: 1,
     }
@@ -145,6 +146,7 @@
         let revision = tables.head().targets.revision + 1;
         let start = Instant::now();
         tables.apply_events(StoreAnswer {
+            era: StoreEra::default(),
             events: vec![(revision, event)],
             revision,
         });
--- a/crates/flows/tests/all/view_changes.rs
+++ b/crates/flows/tests/all/view_changes.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use lovagelatch_catalog::{
-    CatalogTables, PublishedConfig, PublishedRoute, StoreAnswer, StoreEvent, TargetName,
+    CatalogTables, PublishedConfig, PublishedRoute, StoreAnswer, StoreEra, StoreEvent, TargetName,
     TargetStart,
 };
 use lovagelatch_domain::ConfigRevision;
@@ -144,7 +144,7 @@
                     revision += 1;
                     let events = event_of(step, revision).into_iter();
                     let events = events.map(|event| (revision, event)).collect();
-                    tables.apply_events(StoreAnswer { events, revision });
+                    tables.apply_events(StoreAnswer { era: StoreEra::default(), events, revision });
                     let changes = tables.take_changes();
                     incremental.apply_changes(tables.catalog(), &changes, now);
                     whole.apply(tables.catalog(), now);
@@ -183,7 +183,11 @@
     ] {
         let events = event_of(step, revision).into_iter();
         let events = events.map(|event| (revision, event)).collect();
-        tables.apply_events(StoreAnswer { events, revision });
+        tables.apply_events(StoreAnswer {
+            era: StoreEra::default(),
+            events,
+            revision,
+        });
     }
     let changes = tables.take_changes();
     incremental.apply_changes(tables.catalog(), &changes, at(0));
--- a/crates/network/src/http.rs
+++ b/crates/network/src/http.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, StatusCode};
+use http::{Request, Response};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -53,7 +53,8 @@
         }
     }
 
-    /// Sends a GET request for `path`, which may contain a query, and waits up to `timeout`.
+    /// Sends a GET request for `path`, which may contain a query, and waits up to `timeout` for the
+    /// whole response.
     ///
     /// # Errors
     ///
@@ -62,21 +63,21 @@
         &mut self,
         path: &str,
         timeout: Duration,
-    ) -> Result<(StatusCode, Bytes), HttpError> {
+    ) -> Result<Response<Bytes>, HttpError> {
         let connection = self.connection.take();
         let exchange = self.exchange(connection, path);
-        let (connection, status, body) = tokio::time::timeout(timeout, exchange)
+        let (connection, response) = tokio::time::timeout(timeout, exchange)
             .await
             .map_err(|_| HttpError::Timeout)??;
         self.connection = Some(connection);
-        Ok((status, body))
+        Ok(response)
     }
 
     async fn exchange(
         &self,
         connection: Option<SendRequest<Empty<Bytes>>>,
         path: &str,
-    ) -> Result<(SendRequest<Empty<Bytes>>, StatusCode, Bytes), HttpError> {
+    ) -> Result<(SendRequest<Empty<Bytes>>, Response<Bytes>), HttpError> {
         let mut connection = match connection {
             Some(open) if !open.is_closed() => open,
             _ => self.connect().await?,
@@ -85,11 +86,10 @@
             .header(http::header::HOST, self.address.to_string())
             .body(Empty::<Bytes>::new())?;
         connection.ready().await?;
-        let response = connection.send_request(request).await?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), self.max_body).collect();
+        let (head, body) = connection.send_request(request).await?.into_parts();
+        let body = Limited::new(body, self.max_body).collect();
         let body = body.await.map_err(|_| HttpError::Body)?.to_bytes();
-        Ok((connection, status, body))
+        Ok((connection, Response::from_parts(head, body)))
     }
 
     async fn connect(&self) -> Result<SendRequest<Empty<Bytes>>, HttpError> {
