catalog: tests of a store that comes back from a copy, listed as failing

The group now also fails any test in which a balancer publishes an older version of the configuration than before.

--- a/crates/catalog/tests/all/main.rs
+++ b/crates/catalog/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod member;
 mod readers;
+mod restored;
 mod stops;
 mod support;
 mod tables;
--- a/crates/catalog/tests/all/support.rs
+++ b/crates/catalog/tests/all/support.rs
@@ -52,6 +52,7 @@
 /// A store that keeps its full history.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct FakeStore {
+    pub(crate) era: StoreEra,
     pub(crate) revision: u64,
     log: Vec<(u64, StoreEvent)>,
     /// Changes up to this revision can no longer be watched.
@@ -65,6 +66,24 @@
         self.log.push((self.revision, event));
     }
 
+    /// Comes back from the copy that was made at `revision`: later changes are lost, and their
+    /// revisions are given out again.
+    pub(crate) fn restore(&mut self, revision: u64) {
+        self.era.0 += 1;
+        self.log.retain(|(written, _)| *written <= revision);
+        self.revision = revision;
+    }
+
+    /// Returns the names of the targets that the store lists, sorted.
+    pub(crate) fn target_names(&self) -> Vec<String> {
+        let events = self.list().events.into_iter();
+        let names = events.filter_map(|(_, event)| match event {
+            StoreEvent::Target(target) => Some(target.name.0.to_string()),
+            _ => None,
+        });
+        names.collect()
+    }
+
     fn list(&self) -> StoreAnswer {
         let mut items: BTreeMap<String, (u64, StoreEvent)> = BTreeMap::new();
         for (revision, event) in &self.log {
@@ -94,7 +113,7 @@
             }
         }
         StoreAnswer {
-            era: StoreEra::default(),
+            era: self.era,
             events: items.into_values().collect(),
             revision: self.revision,
         }
@@ -105,16 +124,15 @@
         let StoreCall::Watch { after, .. } = call else {
             return Some(Ok(self.list()));
         };
-        if after < self.compacted {
+        if after < self.compacted || after > self.revision {
             return Some(Err(StoreFailure::HistoryGone));
         }
         let later = self.log.iter().filter(|(revision, _)| *revision > after);
         let events: Vec<_> = later.cloned().collect();
-        let revision = self.revision;
         (!events.is_empty()).then_some(Ok(StoreAnswer {
-            era: StoreEra::default(),
+            era: self.era,
             events,
-            revision,
+            revision: self.revision,
         }))
     }
 }
@@ -315,7 +333,7 @@
                 Some(outcome) => outcome,
                 None if now.since(since) < limit => return,
                 None => Ok(StoreAnswer {
-                    era: StoreEra::default(),
+                    era: self.store.era,
                     events: Vec::new(),
                     revision: self.store.revision,
                 }),
@@ -339,7 +357,14 @@
                     self.store.calls += 1;
                 }
                 CatalogAction::Publish { catalog, .. } => {
-                    self.nodes.get_mut(&at).expect("a node").catalog = catalog;
+                    let node = self.nodes.get_mut(&at).expect("a node");
+                    assert!(
+                        catalog.version >= node.catalog.version,
+                        "{at}: version {} after {}",
+                        catalog.version,
+                        node.catalog.version
+                    );
+                    node.catalog = catalog;
                 }
                 CatalogAction::RecordStops(stops) => {
                     let node = self.nodes.get_mut(&at).expect("a node");
