catalog: order changes by era and version, not by revision alone

Cause: each table drops what carries a revision up to its own. A store that comes back from a copy some seconds old gives revisions out again, so the newer change is dropped as old. Where the counter has passed the old one, two balancers hold different rows at one revision and list the store without end. Class: a sequence number compared beyond the life of the counter that gave it.

Change: targets and zones are ordered by the store's era and then by revision, packed in one number since a table holds one for each row. The configuration is ordered by the operator's version, as a copy may hold an older one than the one in force. A watch answered in another era, a list with pages of two eras and a reader whose catalog is of a later era than its watch are followed by a list. A return counts as a failure of the store, as live targets may be missing from the copy. Logs and /status show era and revision apart.

Messages between balancers carry a version now: to a release that compares bare revisions the new ones would look like the far future.

--- a/bins/agent/src/opaque/process.rs
+++ b/bins/agent/src/opaque/process.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use lovagelatch_adapter::READY_PATH;
-use lovagelatch_domain::{AgentAddress, ServiceName};
+use lovagelatch_domain::{AgentAddress, ServiceName, StorePosition};
 use lovagelatch_fleet::ProcessClock;
 use lovagelatch_flows::{AgentSettings, FlowAgent, FlowKey, WarmupSettings};
 use lovagelatch_operations::{
@@ -198,6 +198,7 @@
 
 fn status_json(state: &PacketState) -> serde_json::Value {
     let status = state.agent.lock().status(state.clock.now());
+    let zones_read = StorePosition::from_table(status.load.zones_revision);
     serde_json::json!({
         "in_progress": status.load.in_progress,
         "average": f64::from(status.load.average_milli) / 1_000.0,
@@ -206,7 +207,8 @@
         "responsive": status.load.responsive,
         "leaving": status.load.leaving,
         "knows_all": status.knows_all_flows,
-        "zones_revision": status.load.zones_revision,
+        "zones_era": zones_read.era,
+        "zones_revision": zones_read.revision,
         "evacuated": status.load.evacuated,
         "cold_room": status.load.room,
     })
--- a/bins/balancer/src/opaque/catalog.rs
+++ b/bins/balancer/src/opaque/catalog.rs
@@ -10,7 +10,7 @@
     AgentStop, Catalog, CatalogAction, CatalogMember, CatalogMessage, CatalogNotice, MEMBER_TICK,
     StoreAnswer, StoreCall, StoreFailure,
 };
-use lovagelatch_domain::Moment;
+use lovagelatch_domain::{Moment, StorePosition};
 use lovagelatch_flows::{FlowViewBuilder, SupersededTargets};
 use lovagelatch_network::{read_frame, write_frame};
 use lovagelatch_operations::ReadyFlag;
@@ -260,10 +260,10 @@
     }
 
     fn send(&self, to: SocketAddrV4, message: &CatalogMessage) {
-        let bytes = encode(message);
+        let bytes = message.encode();
         let bytes = if bytes.len() > MAX_DATAGRAM_BYTES {
             let sender = self.own_address();
-            encode(&CatalogMessage::TooLarge { sender })
+            CatalogMessage::TooLarge { sender }.encode()
         } else {
             bytes
         };
@@ -279,11 +279,6 @@
     }
 }
 
-fn encode(message: &CatalogMessage) -> Vec<u8> {
-    // Serialization into a vector cannot fail for these types.
-    postcard::to_stdvec(message).unwrap_or_default()
-}
-
 /// Advances the member and the view at each tick, and earlier when the member has something due.
 async fn tick(tasks: Arc<CatalogTasks>) {
     let mut interval = tokio::time::interval(MEMBER_TICK);
@@ -330,7 +325,7 @@
         let Ok((length, _)) = tasks.socket.recv_from(&mut buffer).await else {
             continue;
         };
-        if let Ok(message) = postcard::from_bytes(&buffer[..length]) {
+        if let Ok(message) = CatalogMessage::decode(&buffer[..length]) {
             tasks.accept(message);
         }
     }
@@ -360,12 +355,12 @@
 async fn ask_by_stream(tasks: Arc<CatalogTasks>, to: SocketAddrV4, ask: CatalogMessage) {
     let exchange = async {
         let mut stream = TcpStream::connect(to).await?;
-        write_frame(&mut stream, &encode(&ask)).await?;
+        write_frame(&mut stream, &ask.encode()).await?;
         read_frame(&mut stream, MAX_STREAM_BYTES).await
     };
     match tokio::time::timeout(STREAM_TIMEOUT, exchange).await {
         Ok(Ok(Some(frame))) => {
-            if let Ok(message) = postcard::from_bytes(&frame) {
+            if let Ok(message) = CatalogMessage::decode(&frame) {
                 tasks.accept(message);
             }
         }
@@ -390,12 +385,12 @@
     let Some(frame) = read_frame(&mut stream, MAX_DATAGRAM_BYTES).await? else {
         return Ok(());
     };
-    let Ok(CatalogMessage::Ask { head, .. }) = postcard::from_bytes(&frame) else {
+    let Ok(CatalogMessage::Ask { head, .. }) = CatalogMessage::decode(&frame) else {
         return Ok(());
     };
     let now = tasks.state.packets.clock.now();
     let answer = tasks.state.member.lock().answer_to(&head, now);
-    write_frame(&mut stream, &encode(&answer)).await
+    write_frame(&mut stream, &answer.encode()).await
 }
 
 fn log_notice(log: &Logger, notice: &CatalogNotice) {
@@ -404,12 +399,16 @@
             head,
             version,
             from,
-        } => info!(log, "catalog taken";
-            "decision" => DecisionKind::ConfigTaken,
-            "version" => version.0,
-            "routes_revision" => head.routes.revision,
-            "targets_revision" => head.targets.revision,
-            "from" => from.map_or_else(|| "store".to_owned(), |peer| peer.to_string())),
+        } => {
+            let targets = StorePosition::from_table(head.targets.revision);
+            info!(log, "catalog taken";
+                "decision" => DecisionKind::ConfigTaken,
+                "version" => version.0,
+                "era" => targets.era.0,
+                "routes_revision" => head.routes.revision,
+                "targets_revision" => targets.revision,
+                "from" => from.map_or_else(|| "store".to_owned(), |peer| peer.to_string()));
+        }
         CatalogNotice::Refused(error) => warn!(log, "catalog change refused";
             "decision" => DecisionKind::ConfigRefused, "error" => error.to_string()),
         CatalogNotice::Conflict(peer) => warn!(log, "another content of the same revision";
@@ -417,8 +416,8 @@
         CatalogNotice::StoreFailed(failure) => warn!(log, "store lost";
             "reason" => format!("{failure:?}")),
         CatalogNotice::StoreRecovered => info!(log, "store regained"),
-        CatalogNotice::EraChanged { from, to, revision } => warn!(log, "store back from a copy";
-            "from_era" => from.0, "era" => to.0, "revision" => *revision),
+        CatalogNotice::EraChanged { from, to } => warn!(log, "store back from a copy";
+            "from_era" => from.0, "era" => to.era.0, "revision" => to.revision),
         CatalogNotice::Reading(reason) => info!(log, "reads the store";
             "reason" => reason.as_str()),
         CatalogNotice::ReadingEnded => info!(log, "elected reader no longer"),
--- a/bins/balancer/src/opaque/process.rs
+++ b/bins/balancer/src/opaque/process.rs
@@ -8,7 +8,7 @@
 use arc_swap::ArcSwap;
 use lovagelatch_adapter::READY_PATH;
 use lovagelatch_catalog::{CatalogMember, MemberSettings};
-use lovagelatch_domain::AgentAddress;
+use lovagelatch_domain::{AgentAddress, StorePosition};
 use lovagelatch_fleet::ProcessClock;
 use lovagelatch_flows::{FlowBalancer, FlowKey, FlowView, FlowViewBuilder, ViewSettings};
 use lovagelatch_operations::{
@@ -276,13 +276,17 @@
     let catalog = tasks.state.member.lock().status(now);
     let view = packets.view.load();
     let (routes, targets) = view.counts();
+    let targets_read = StorePosition::from_table(catalog.head.targets.revision);
+    let zones_read = StorePosition::from_table(catalog.head.zones.revision);
     serde_json::json!({
         "ready": ready.is_set(),
         "coverage": view.coverage,
         "version": catalog.version.0,
         "routes_revision": catalog.head.routes.revision,
-        "targets_revision": catalog.head.targets.revision,
-        "zones_revision": catalog.head.zones.revision,
+        "era": targets_read.era,
+        "targets_revision": targets_read.revision,
+        "zones_era": zones_read.era,
+        "zones_revision": zones_read.revision,
         "evacuated": tasks.state.zones.lock().status(now),
         "confirmed_ms_ago": catalog.age.map(millis),
         "balancers": catalog.members,
--- a/crates/catalog/src/answer.rs
+++ b/crates/catalog/src/answer.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use lovagelatch_domain::ZoneName;
+use lovagelatch_domain::{StoreEra, StorePosition, ZoneName};
 use serde::{Deserialize, Serialize};
 
 use crate::record::{PublishedConfig, PublishedTarget, TargetName};
@@ -46,16 +46,6 @@
     },
 }
 
-/// The number of times that the store has come back from a copy; 0 if the store does not say.
-///
-/// A copy may lack the newest changes. The store then gives their revisions out again, so revisions
-/// of different eras cannot be compared.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-#[serde(transparent)]
-pub struct StoreEra(pub u64);
-
 /// A successful answer of the store.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreAnswer {
@@ -67,10 +57,22 @@
     pub revision: u64,
 }
 
+impl StoreAnswer {
+    /// Returns the position from which a watch continues without missing a change.
+    #[must_use]
+    pub fn position(&self) -> StorePosition {
+        StorePosition {
+            era: self.era,
+            revision: self.revision,
+        }
+    }
+}
+
 /// Why a call failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum StoreFailure {
-    /// The store no longer holds the history that the watch asked for.
+    /// The store no longer holds the history that the watch asked for, or came back from a copy
+    /// during a list.
     HistoryGone,
     /// The store rejected the call.
     Refused,
--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lovagelatch_domain::{ConfigRevision, ServiceName, ZoneName};
+use lovagelatch_domain::{ConfigRevision, ServiceName, StorePosition, ZoneName};
 use lovagelatch_membership::{RowChange, TableDelta, TableError, TableIndex};
 use thiserror::Error;
 
@@ -19,18 +19,14 @@
     /// A delta did not fit the table that it was applied to.
     #[error(transparent)]
     Table(#[from] TableError),
-    /// The store reports a configuration that the operator wrote later than the one in force, at a
-    /// revision that is not newer.
-    #[error(
-        "configuration {version} at revision {revision} is not newer than revision {held} held"
-    )]
+    /// The store lists an older configuration than the one in force, as it does after its return
+    /// from a copy.
+    #[error("the store lists version {version}, version {held} is in force")]
     OutdatedConfig {
-        /// The operator's version number.
+        /// The operator's version number of the listed configuration.
         version: ConfigRevision,
-        /// The revision that the store reports.
-        revision: u64,
-        /// The revision held.
-        held: u64,
+        /// That of the configuration in force.
+        held: ConfigRevision,
     },
     /// A value of the store could not be decoded.
     #[error("cannot decode store key {key}: {reason}")]
@@ -55,8 +51,8 @@
     pub targets: Arc<Vec<TargetRow>>,
     /// Services that the configuration lists without sending flows of any route to them.
     pub unrouted: Arc<Vec<ServiceName>>,
-    /// The store revision up to which the evacuated zones are known; 0 while they are unknown, and
-    /// then no flow may be placed.
+    /// The [`StorePosition`] up to which the evacuated zones are known, as a table revision; 0 while
+    /// they are unknown, and then no flow may be placed.
     pub zones_revision: u64,
     /// The zones whose targets get no new flows. Invariant: sorted by name.
     pub evacuated: Arc<Vec<EvacuatedZone>>,
@@ -120,8 +116,12 @@
 #[derive(Clone, Debug, Default)]
 pub struct CatalogTables {
     catalog: Catalog,
+    /// Its revision is the operator's version, which never goes back, unlike those of the store: a
+    /// copy that the store comes back from may hold an older configuration than the one in force.
     routes: TableIndex<SocketAddrV4>,
+    /// Its revision is a [`StorePosition`].
     targets: TableIndex<TargetName>,
+    /// Its revision is a [`StorePosition`].
     zones: TableIndex<ZoneName>,
     /// Changes since the last call of [`take_changes`](Self::take_changes).
     changes: CatalogChanges,
@@ -138,6 +138,12 @@
         }
     }
 
+    /// Returns the position in the store's history that the targets are known up to.
+    #[must_use]
+    pub fn position(&self) -> StorePosition {
+        StorePosition::from_table(self.targets.head().revision)
+    }
+
     /// Returns the catalog in force.
     #[must_use]
     pub fn catalog(&self) -> &Catalog {
@@ -250,15 +256,20 @@
     ///
     /// Returns the values that could not be decoded; everything else was applied.
     pub fn apply_list(&mut self, answer: StoreAnswer) -> (bool, Vec<CatalogError>) {
+        let revision = answer.position().to_table();
         let mut errors = Vec::new();
         let mut changed = false;
         let mut targets = Vec::new();
         let mut evacuated = Vec::new();
-        for (revision, event) in answer.events {
+        for (_, event) in answer.events {
             match event {
-                StoreEvent::Config(config) => {
-                    changed |= self.apply_config(revision, config, &mut errors);
+                StoreEvent::Config(config) if config.version < self.catalog.version => {
+                    errors.push(CatalogError::OutdatedConfig {
+                        version: config.version,
+                        held: self.catalog.version,
+                    });
                 }
+                StoreEvent::Config(config) => changed |= self.apply_config(config, &mut errors),
                 StoreEvent::Target(target) => targets.push(TargetRow::Published(target)),
                 StoreEvent::ZoneEvacuated(zone) => evacuated.push(EvacuatedZone(zone)),
                 StoreEvent::TargetRemoved(_) | StoreEvent::ZoneRestored(_) => {}
@@ -272,12 +283,12 @@
                 }
             }
         }
-        if answer.revision > self.targets.head().revision {
-            changed |= self.replace_targets(targets, answer.revision, &mut errors);
+        if revision > self.targets.head().revision {
+            changed |= self.replace_targets(targets, revision, &mut errors);
         }
-        if answer.revision > self.zones.head().revision {
+        if revision > self.zones.head().revision {
             let rows = &mut self.catalog.evacuated;
-            match replace_rows(&mut self.zones, rows, evacuated, answer.revision) {
+            match replace_rows(&mut self.zones, rows, evacuated, revision) {
                 Ok(changes) => changed |= self.advance_zones(&changes),
                 Err(error) => errors.push(error.into()),
             }
@@ -285,7 +296,7 @@
         (changed, errors)
     }
 
-    /// Applies the changes that a watch returned.
+    /// Applies the changes that a watch returned. They must follow a position of the same era.
     ///
     /// # Errors
     ///
@@ -294,11 +305,11 @@
         let mut errors = Vec::new();
         let mut changed = false;
         let mut update = CatalogUpdate::default();
+        let era = answer.era;
         for (revision, event) in answer.events {
+            let revision = StorePosition { era, revision }.to_table();
             match event {
-                StoreEvent::Config(config) => {
-                    changed |= self.apply_config(revision, config, &mut errors);
-                }
+                StoreEvent::Config(config) => changed |= self.apply_config(config, &mut errors),
                 StoreEvent::Unreadable {
                     key,
                     reason,
@@ -378,21 +389,9 @@
         }
     }
 
-    fn apply_config(
-        &mut self,
-        revision: u64,
-        config: PublishedConfig,
-        errors: &mut Vec<CatalogError>,
-    ) -> bool {
-        let held = self.routes.head().revision;
-        if revision <= held {
-            if config.version > self.catalog.version {
-                errors.push(CatalogError::OutdatedConfig {
-                    version: config.version,
-                    revision,
-                    held,
-                });
-            }
+    fn apply_config(&mut self, config: PublishedConfig, errors: &mut Vec<CatalogError>) -> bool {
+        let revision = config.version.0;
+        if revision <= self.routes.head().revision {
             return false;
         }
         let mut next = config.routes;
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -23,12 +23,14 @@
 mod stops;
 mod table;
 
-pub use answer::{StoreAnswer, StoreCall, StoreEra, StoreEvent, StoreFailure};
+pub use answer::{StoreAnswer, StoreCall, StoreEvent, StoreFailure};
 pub use catalog::{Catalog, CatalogChanges, CatalogError, CatalogTables};
 pub use member::{
     CatalogAction, CatalogMember, CatalogNotice, CatalogStatus, MEMBER_TICK, MemberSettings,
 };
-pub use message::{CatalogDelta, CatalogHead, CatalogMessage, ConfigDelta, HeadMessage};
+pub use message::{
+    CatalogDelta, CatalogHead, CatalogMessage, ConfigDelta, HeadMessage, MessageError,
+};
 pub use reader::{MAX_RETRY_BACKOFF, RECOVERY_WINDOW, ReadReason, WATCH_WAIT};
 pub use record::{
     EvacuatedZone, PublishedConfig, PublishedRoute, PublishedTarget, RouteShare, TargetName,
--- a/crates/catalog/src/member.rs
+++ b/crates/catalog/src/member.rs
@@ -3,13 +3,13 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use lovagelatch_domain::{ConfigRevision, Moment};
+use lovagelatch_domain::{ConfigRevision, Moment, StoreEra, StorePosition};
 use lovagelatch_membership::TableHead;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use smallvec::SmallVec;
 
-use crate::answer::{StoreAnswer, StoreCall, StoreEra, StoreFailure};
+use crate::answer::{StoreAnswer, StoreCall, StoreFailure};
 use crate::catalog::{Catalog, CatalogChanges, CatalogError, CatalogTables};
 use crate::message::{CatalogDelta, CatalogHead, CatalogMessage, HeadMessage, ReaderStatus};
 use crate::peers::{LARGE_FLEET_FANOUT, PeerTable, SMALL_FLEET_FANOUT};
@@ -81,14 +81,12 @@
     StoreFailed(StoreFailure),
     /// The store answers again.
     StoreRecovered,
-    /// An answer of the store has another era than the one before.
+    /// The store came back from a copy.
     EraChanged {
-        /// The era of the answer before.
+        /// The era of the catalog before.
         from: StoreEra,
-        /// The era of this answer.
-        to: StoreEra,
-        /// The revision of the store in this answer.
-        revision: u64,
+        /// The position of the store, as this process or another read it.
+        to: StorePosition,
     },
     /// This balancer calls the store for another reason than before.
     Reading(ReadReason),
@@ -159,8 +157,6 @@
     confirmed_at: Option<Moment>,
     /// When the store last failed this process or another.
     last_failure: Option<Moment>,
-    /// The era of the store's last answer to this process; `None` before the first one.
-    era: Option<StoreEra>,
     /// Whether this process was an elected reader when it last considered a call.
     elected: bool,
     /// First answer of the store to any process after `last_failure`; older than it while there is
@@ -198,7 +194,6 @@
             confirmed_at: None,
             last_failure: None,
             recovered_at: None,
-            era: None,
             elected: false,
             zones_read_at: now,
             stops: StopTable::new(now),
@@ -388,12 +383,17 @@
     }
 
     fn accept_store_answer(&mut self, call: StoreCall, answer: StoreAnswer, now: Moment) {
+        let position = answer.position();
+        if matches!(call, StoreCall::Watch { .. }) && !self.reader.continues(position) {
+            self.reader.interrupted();
+            return;
+        }
         let has_changes = !answer.events.is_empty();
+        self.record_position(position, now);
         self.record_confirmation(now);
-        self.record_era(&answer);
         let recovered_at = self.store_recovered_at();
         self.reader
-            .succeeded(answer.revision, has_changes, recovered_at, now);
+            .succeeded(position, has_changes, recovered_at, now);
         if std::mem::take(&mut self.store_failing) {
             self.notice(CatalogNotice::StoreRecovered);
         }
@@ -418,15 +418,19 @@
         }
     }
 
-    fn record_era(&mut self, answer: &StoreAnswer) {
-        let before = self.era.replace(answer.era);
-        if let Some(from) = before.filter(|before| *before != answer.era) {
-            self.notice(CatalogNotice::EraChanged {
-                from,
-                to: answer.era,
-                revision: answer.revision,
-            });
+    /// Records a return of the store from a copy if `position`, which this process or another read,
+    /// shows one. It counts as a failure of the store: entries that the copy lacks may be those of
+    /// live targets, which are about to write them again.
+    fn record_position(&mut self, position: StorePosition, now: Moment) {
+        let known = self.tables.position();
+        if known.revision == 0 || position.era <= known.era {
+            return;
         }
+        self.last_failure = Some(now);
+        self.notice(CatalogNotice::EraChanged {
+            from: known.era,
+            to: position,
+        });
     }
 
     fn store_failed(&mut self, call: StoreCall, failure: StoreFailure, now: Moment) {
@@ -546,6 +550,9 @@
         now: Moment,
     ) {
         self.asked_at = None;
+        if let Some(targets) = &delta.targets {
+            self.record_position(StorePosition::from_table(targets.to.revision), now);
+        }
         let zones_before = self.tables.head().zones;
         let applied = self.tables.apply_delta(delta);
         self.record_zones_read(zones_before, zones_read_at);
@@ -640,11 +647,7 @@
             age: self.age(now),
             members: self.peers.known_count(now) + 1,
             is_large: self.peers.is_large(now),
-            revision: head
-                .targets
-                .revision
-                .min(head.routes.revision)
-                .min(head.zones.revision),
+            position: StorePosition::from_table(head.targets.revision.min(head.zones.revision)),
         }
     }
 
--- a/crates/catalog/src/message.rs
+++ b/crates/catalog/src/message.rs
@@ -15,10 +15,25 @@
 use lovagelatch_membership::{TableDelta, TableHead};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
+use thiserror::Error;
 
 use crate::record::{EvacuatedZone, PublishedRoute, TargetName, TargetRow};
 use crate::stops::StopUpdate;
 
+/// First byte of an encoded message. The first byte of the unversioned format before it was 0 to 4.
+const MESSAGE_VERSION: u8 = 0x82;
+
+/// Why a message could not be decoded.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum MessageError {
+    /// It is of another release, whose revisions may mean something else.
+    #[error("message of another version")]
+    Version,
+    /// It does not follow the format.
+    #[error("malformed message: {0}")]
+    Malformed(#[from] postcard::Error),
+}
+
 /// The state of the catalog that a balancer holds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct CatalogHead {
@@ -129,3 +144,22 @@
     /// Announces agents that are stopping.
     Stops(StopUpdate),
 }
+
+impl CatalogMessage {
+    /// Encodes the message for a datagram or a stream.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        // Serialization into a vector cannot fail for these types.
+        postcard::to_extend(self, vec![MESSAGE_VERSION]).unwrap_or_default()
+    }
+
+    /// Decodes a message.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`MessageError`] if the bytes are not a message of this version.
+    pub fn decode(bytes: &[u8]) -> Result<Self, MessageError> {
+        let message = bytes.strip_prefix(&[MESSAGE_VERSION]);
+        Ok(postcard::from_bytes(message.ok_or(MessageError::Version)?)?)
+    }
+}
--- a/crates/catalog/src/reader.rs
+++ b/crates/catalog/src/reader.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use lovagelatch_domain::Moment;
+use lovagelatch_domain::{Moment, StorePosition};
 use rand::Rng;
 use rand::rngs::SmallRng;
 
@@ -116,8 +116,8 @@
     pub(crate) members: usize,
     /// Whether the fleet is so large that changes take several rounds of heads to spread.
     pub(crate) is_large: bool,
-    /// The revision up to which the catalog is complete.
-    pub(crate) revision: u64,
+    /// The position in the store's history up to which the catalog is complete.
+    pub(crate) position: StorePosition,
 }
 
 /// The store calls of this process, at most one at a time.
@@ -127,8 +127,8 @@
     /// No call is made before this moment.
     next_call_at: Moment,
     backoff: Duration,
-    /// The revision after which the next watch starts; `None` if a list is needed first.
-    watch_after: Option<u64>,
+    /// The position after which the next watch starts; `None` if a list is needed first.
+    watch_after: Option<StorePosition>,
     fallback_until: Moment,
     /// Whether the last call failed.
     failed: bool,
@@ -177,18 +177,27 @@
         }
         self.reason = Some(self.read_reason(inputs, random, now)?);
         self.in_flight = true;
-        let known = self.watch_after.map(|after| after.max(inputs.revision));
-        Some(match known {
+        // A position of an earlier era says nothing about this one.
+        let position = self.watch_after;
+        self.watch_after = position.filter(|after| after.era >= inputs.position.era);
+        Some(match self.watch_after {
             // Also without a configuration: the watch returns it when it is written. Polling by
             // lists until then made two thirds of all calls of a quiet minute.
             Some(after) => StoreCall::Watch {
-                after,
+                after: after.max(inputs.position).revision,
                 wait: self.watch_wait(inputs),
             },
             None => StoreCall::List,
         })
     }
 
+    /// Returns whether the answer to the watch in flight continues its position. Otherwise the
+    /// store has come back from a copy, and changes before those in the answer are unknown.
+    pub(crate) fn continues(&self, position: StorePosition) -> bool {
+        self.watch_after
+            .is_some_and(|after| after.era == position.era)
+    }
+
     fn watch_wait(&self, inputs: &ReaderInputs) -> Duration {
         match inputs.rank {
             _ if self.failed => Duration::ZERO,
@@ -242,11 +251,11 @@
         starts_fallback.then_some(ReadReason::Fallback)
     }
 
-    /// Records that the call in flight succeeded and covers all changes up to `revision`.
+    /// Records that the call in flight succeeded and covers all changes up to `position`.
     /// `recovered_at` is when the store first answered after its last failure.
     pub(crate) fn succeeded(
         &mut self,
-        revision: u64,
+        position: StorePosition,
         changed: bool,
         recovered_at: Option<Moment>,
         now: Moment,
@@ -264,16 +273,22 @@
         self.backoff = MIN_RETRY_BACKOFF;
         self.failed = false;
         self.probe_interval = MIN_PROBE_INTERVAL;
-        self.watch_after = Some(revision);
+        self.watch_after = Some(position);
+    }
+
+    /// Records that the call in flight was answered but must be followed by a list.
+    pub(crate) fn interrupted(&mut self) {
+        self.in_flight = false;
+        self.watch_after = None;
     }
 
     /// Records that the call in flight failed.
     pub(crate) fn failed(&mut self, failure: StoreFailure, inputs: &ReaderInputs, now: Moment) {
-        self.in_flight = false;
         if failure == StoreFailure::HistoryGone {
-            self.watch_after = None;
+            self.interrupted();
             return;
         }
+        self.in_flight = false;
         self.failed = true;
         self.probe_at = now + self.probe_interval;
         self.probe_interval = (self.probe_interval * 2).min(MAX_PROBE_INTERVAL);
--- a/crates/catalog/tests/all/main.rs
+++ b/crates/catalog/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the catalog and its distribution.
 
 mod member;
+mod messages;
 mod readers;
 mod restored;
 mod stops;
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -10,6 +10,7 @@
 mod moment;
 mod name;
 mod outcome;
+mod store;
 
 pub use instance::{
     AgentAddress, BalancerRecord, Incarnation, InstanceList, InstanceState, ListRevision, TargetId,
@@ -21,6 +22,7 @@
     AgencyName, MAX_NAME_BYTES, NameError, RegionName, ServiceId, ServiceName, ZoneName,
 };
 pub use outcome::{AttemptId, RefusalReason, RequestOutcome};
+pub use store::{StoreEra, StorePosition};
 
 use serde::{Deserialize, Serialize};
 
