flows: a target that announced its end never serves again

What callers would see: new flows at a target that is about to stop, cut when it ends. A store that comes back from a copy lists a target as it was before it announced that it is leaving, until the target writes again, or for three heartbeats if it is gone by now.

Cause: a view takes the standing of a target from its last entry alone. Same class as: what the store said last counts as what happened last.

Change: an announcement is kept for each start of a target, also past the removal of its entry. A target that was merely silent may come back.

--- a/crates/flows/src/view/builder.rs
+++ b/crates/flows/src/view/builder.rs
@@ -48,6 +48,8 @@
     key: TargetKey,
     service: ServiceId,
     unlisted_at: Moment,
+    /// Whether it announced before that it is leaving.
+    announced: bool,
 }
 
 /// A change to one target of a service.
@@ -387,7 +389,7 @@
 
     fn target_of(&mut self, row: &PublishedTarget, now: Moment) -> FlowTarget {
         let (key, service) = (key_of(row), row.service.id());
-        let standing = if row.leaving {
+        let standing = if row.leaving || self.has_announced(service, key) {
             FlowStanding::Leaving
         } else {
             FlowStanding::Serving
@@ -421,6 +423,19 @@
         }
     }
 
+    /// Returns whether a target announced that it is leaving, which it never takes back. A store
+    /// that comes back from a copy may list it as it was before.
+    fn has_announced(&self, service: ServiceId, key: TargetKey) -> bool {
+        let Some(known) = self.target(service, key) else {
+            return false;
+        };
+        if known.listed {
+            return known.standing == FlowStanding::Leaving;
+        }
+        let unlisted = self.unlisted.get(&known.name);
+        unlisted.is_some_and(|unlisted| unlisted.key == key && unlisted.announced)
+    }
+
     fn edit_targets(&mut self, edits: ServiceEdits, now: Moment) {
         if edits.is_empty() {
             return;
@@ -661,6 +676,7 @@
                 if let Some(target) = targets.get_mut(&key) {
                     let served = target.standing == FlowStanding::Serving && !target.superseded;
                     let lapses = store_failed && served;
+                    let announced = target.standing == FlowStanding::Leaving;
                     target.listed = false;
                     target.standing = match (readable, lapses) {
                         (false, _) => FlowStanding::Unreadable,
@@ -672,6 +688,7 @@
                         key,
                         service,
                         unlisted_at: now,
+                        announced,
                     };
                     unlisted.insert(target.name, record);
                 }
--- a/crates/flows/tests/all/view.rs
+++ b/crates/flows/tests/all/view.rs
@@ -14,6 +14,73 @@
     Some(found.standing)
 }
 
+struct ReturnCase {
+    name: &'static str,
+    /// What the store lists of the target, one second after the other; `None` while it lists none.
+    entries: Vec<Option<PublishedTarget>>,
+    expected: FlowStanding,
+}
+
+// Guards against new flows at a target that is about to stop: a store that comes back from a copy
+// lists it as it was before its announcement, also after it is gone.
+#[test]
+fn a_target_that_announced_its_end_never_serves_again() {
+    let serving = target(1, "claims");
+    let leaving = PublishedTarget {
+        leaving: true,
+        ..serving.clone()
+    };
+    let next_start = PublishedTarget {
+        start: TargetStart(9),
+        ..serving.clone()
+    };
+    let cases = [
+        ReturnCase {
+            name: "its announcement is lost",
+            entries: vec![Some(leaving.clone()), Some(serving.clone())],
+            expected: FlowStanding::Leaving,
+        },
+        ReturnCase {
+            name: "its announcement and its removal are lost",
+            entries: vec![Some(leaving.clone()), None, Some(serving.clone())],
+            expected: FlowStanding::Leaving,
+        },
+        ReturnCase {
+            name: "its entry changes again",
+            entries: vec![
+                Some(leaving.clone()),
+                Some(serving.clone()),
+                Some(PublishedTarget {
+                    slots: 4,
+                    ..serving.clone()
+                }),
+            ],
+            expected: FlowStanding::Leaving,
+        },
+        ReturnCase {
+            name: "it was silent for a while",
+            entries: vec![Some(serving.clone()), None, Some(serving.clone())],
+            expected: FlowStanding::Serving,
+        },
+        ReturnCase {
+            name: "it starts again",
+            entries: vec![Some(leaving), Some(next_start)],
+            expected: FlowStanding::Serving,
+        },
+    ];
+    for case in cases {
+        let mut builder = builder();
+        let mut now = at(0);
+        for (second, entry) in (0..).zip(case.entries) {
+            now = at(1_000 * second);
+            let others = [target(2, "claims")].into_iter();
+            builder.apply(&catalog(others.chain(entry).collect()), now);
+        }
+        let view = builder.build(now);
+        assert_eq!(standing(&view, 1), Some(case.expected), "{}", case.name);
+    }
+}
+
 struct RemovalCase {
     name: &'static str,
     /// How long before the entry vanishes the store failed, in milliseconds.
