flows: an entry that comes back does not supersede its successor

What callers would see: fewer targets take new flows for some seconds, and flows are offered to a target of another service, after the store came back from a copy that still lists a target that is gone.

Cause: of several entries at an address the one that changed last is in force. An entry that comes back with the copy counted as new, so the target that runs there now was superseded by its dead predecessor.

Change: a target that comes back after its entry was gone was at the address before any other that was seen there since, and is ordered so.

Evidence: superseded::the_latest_entry_at_an_address_decides_about_new_flows, case 'the removed entry of another service comes back', failed before: the flow was refused.

--- a/crates/flows/src/view/builder.rs
+++ b/crates/flows/src/view/builder.rs
@@ -398,6 +398,8 @@
         let known = self.target(service, key);
         let standing_since = match known {
             Some(known) if known.standing == standing => known.standing_since,
+            // It was there before any other target that was seen at its address since.
+            Some(known) if !known.may_be_alive() => Moment::ZERO,
             _ => now,
         };
         let warm_at = match known {
--- a/crates/flows/tests/all/superseded.rs
+++ b/crates/flows/tests/all/superseded.rs
@@ -79,7 +79,7 @@
         ),
         case(
             "the successor belongs to another service",
-            &[&alone, &[former.clone(), vault]],
+            &[&alone, &[former.clone(), vault.clone()]],
             None,
         ),
         case(
@@ -87,6 +87,16 @@
             &[&alone, &both, &both[1..]],
             Some(1),
         ),
+        case(
+            "the removed entry of another service comes back",
+            &[
+                &[vault.clone()],
+                &[vault.clone(), former.clone()],
+                &[former.clone()],
+                &[vault, former.clone()],
+            ],
+            Some(1),
+        ),
         SharedAddressCase {
             store_fails: true,
             ..case(
