flows: an evacuation outlives the store's return from a copy for 2 s

What callers would see: new flows in a zone that the operator has evacuated, long ones among them, when the store comes back from a copy that was made before the order. The order is written again within a moment, but the flows stay, in a zone that is being taken down.

Cause: the zones of a new era come into force at once. Entries of targets that the copy lacks are kept for 2 s already, evacuations were not.

Change: zones of a later era that would end an evacuation come into force 2 s after they were read, or as soon as the store lists the evacuation again. The view keeps its former revision meanwhile, so agents keep to the order too. Not covered: a balancer that starts in these 2 s knows the copy alone.

Evidence: zones::an_evacuation_outlives_the_return_of_the_store_from_a_copy failed before (not evacuated at 0 ms).

--- a/bins/balancer/src/opaque/catalog.rs
+++ b/bins/balancer/src/opaque/catalog.rs
@@ -239,7 +239,7 @@
     fn publish_if_due(&self) {
         let now = self.state.packets.clock.now();
         let builder = self.state.builder.lock();
-        let expired = builder.next_target_expiry().is_some_and(|end| end <= now);
+        let expired = builder.next_expiry().is_some_and(|end| end <= now);
         let coverage = builder.coverage(now);
         let cut_off = builder.is_cut_off();
         drop(builder);
--- a/crates/flows/src/view/builder.rs
+++ b/crates/flows/src/view/builder.rs
@@ -10,9 +10,12 @@
 use std::time::Duration;
 
 use lovagelatch_catalog::{
-    Catalog, CatalogChanges, PublishedRoute, PublishedTarget, TargetName, TargetRow, WarmupRule,
+    Catalog, CatalogChanges, PublishedRoute, PublishedTarget, RECOVERY_WINDOW, TargetName,
+    TargetRow, WarmupRule,
+};
+use lovagelatch_domain::{
+    AgentAddress, Moment, RegionName, ServiceId, ServiceName, StorePosition, ZoneName,
 };
-use lovagelatch_domain::{AgentAddress, Moment, RegionName, ServiceId, ServiceName, ZoneName};
 use smallvec::SmallVec;
 
 use super::coverage::{CoverageTracker, UNREADABLE_TIMEOUT, ViewCoverage};
@@ -52,6 +55,15 @@
     announced: bool,
 }
 
+/// Evacuated zones that are not in force yet.
+#[derive(Clone, Debug)]
+struct PendingZones {
+    revision: u64,
+    evacuated: SmallVec<[ZoneIndex; 4]>,
+    /// When they come into force.
+    due: Moment,
+}
+
 /// A change to one target of a service.
 enum TargetEdit {
     /// The store lists the target.
@@ -82,6 +94,9 @@
     /// The services in the configuration that no route sends flows to.
     unrouted: Arc<Vec<ServiceName>>,
     zones: ZoneNames,
+    /// The zones that the store lists after its return from a copy, if they would end an
+    /// evacuation. The copy may be older than the order, which is then written again.
+    pending_zones: Option<PendingZones>,
     regions: RegionMap,
     /// Zones of targets without a region in the settings, found since the last call of
     /// [`take_zones_without_region`](Self::take_zones_without_region).
@@ -99,6 +114,7 @@
             settings,
             view: FlowView::default(),
             zones: ZoneNames::default(),
+            pending_zones: None,
             without_region: Vec::new(),
             unlisted: HashMap::new(),
             former: HashMap::new(),
@@ -227,10 +243,11 @@
 
     /// Applies the parts of a catalog other than routes and targets.
     fn apply_head(&mut self, catalog: &Catalog, now: Moment) {
-        if self.view.zones.revision != catalog.zones_revision {
+        let pending = self.pending_zones.as_ref().map(|zones| zones.revision);
+        if pending.unwrap_or(self.view.zones.revision) != catalog.zones_revision {
             let zones = catalog.evacuated.iter();
             let zones = zones.map(|zone| self.zone_index(&zone.0)).collect();
-            self.view.zones.apply(catalog.zones_revision, zones, now);
+            self.apply_zones(catalog.zones_revision, zones, now);
         }
         let changed = self.view.version != catalog.version || self.unrouted != catalog.unrouted;
         self.view.version = catalog.version;
@@ -241,6 +258,28 @@
         }
     }
 
+    fn apply_zones(&mut self, revision: u64, evacuated: SmallVec<[ZoneIndex; 4]>, now: Moment) {
+        let known = &self.view.zones;
+        let ends_one = known.evacuated.iter().any(|zone| !evacuated.contains(zone));
+        let era_of = |revision| StorePosition::from_table(revision).era;
+        let due = match &self.pending_zones {
+            Some(pending) => Some(pending.due),
+            None if era_of(revision) > era_of(known.revision) => Some(now + RECOVERY_WINDOW),
+            None => None,
+        };
+        self.pending_zones = match due.filter(|due| ends_one && now < *due) {
+            Some(due) => Some(PendingZones {
+                revision,
+                evacuated,
+                due,
+            }),
+            None => {
+                self.view.zones.apply(revision, evacuated, now);
+                None
+            }
+        };
+    }
+
     /// Returns the services that are in the configuration, or were within the last flow lifetime.
     fn configured_services(&self, catalog: &Catalog) -> HashSet<ServiceId> {
         let unrouted = catalog.unrouted.iter().map(ServiceName::id);
@@ -251,9 +290,15 @@
         unrouted.chain(known).collect()
     }
 
-    /// Returns when the next target with a lapsed or unreadable entry is presumed gone.
+    /// Returns when the next target with a lapsed or unreadable entry is presumed gone, or the next
+    /// evacuation ends that the store no longer lists.
     #[must_use]
-    pub fn next_target_expiry(&self) -> Option<Moment> {
+    pub fn next_expiry(&self) -> Option<Moment> {
+        let pending = self.pending_zones.as_ref().map(|zones| zones.due);
+        self.next_target_expiry().into_iter().chain(pending).min()
+    }
+
+    fn next_target_expiry(&self) -> Option<Moment> {
         let unlisted = self.unlisted.values();
         let targets = unlisted.filter_map(|known| self.target(known.service, known.key));
         targets
@@ -265,7 +310,7 @@
     #[must_use]
     pub fn next_change(&self, now: Moment) -> Option<Moment> {
         let coverage = self.coverage.next_change(now);
-        let expiry = self.next_target_expiry().filter(|at| *at > now);
+        let expiry = self.next_expiry().filter(|at| *at > now);
         coverage.into_iter().chain(expiry).min()
     }
 
@@ -592,6 +637,9 @@
     }
 
     fn expire(&mut self, now: Moment) {
+        if let Some(zones) = self.pending_zones.take_if(|zones| now >= zones.due) {
+            self.view.zones.apply(zones.revision, zones.evacuated, now);
+        }
         self.expire_targets(now);
         self.expire_former_services(now);
     }
--- a/crates/flows/tests/all/superseded.rs
+++ b/crates/flows/tests/all/superseded.rs
@@ -90,10 +90,10 @@
         case(
             "the removed entry of another service comes back",
             &[
-                &[vault.clone()],
+                std::slice::from_ref(&vault),
+                &[vault.clone(), former.clone()],
+                std::slice::from_ref(&former),
                 &[vault.clone(), former.clone()],
-                &[former.clone()],
-                &[vault, former.clone()],
             ],
             Some(1),
         ),
--- a/crates/flows/tests/all/zones.rs
+++ b/crates/flows/tests/all/zones.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use lovagelatch_catalog::{Catalog, EvacuatedZone, PublishedTarget};
-use lovagelatch_domain::AgentAddress;
+use lovagelatch_domain::{AgentAddress, StoreEra, StorePosition};
 use lovagelatch_flows::{
     AgentStep, BalancerStep, DropReason, FlowBalancer, FlowEvent, FlowView, FramePurpose,
     LoadReport, PacketFrame, RefusalReason, ZoneNotice,
@@ -479,3 +479,78 @@
     assert_eq!(notice_for(1), Some((7, true)));
     assert_eq!(notice_for(2), None);
 }
+
+struct RestoredZoneCase {
+    name: &'static str,
+    /// Zones evacuated in the era before.
+    before: &'static [&'static str],
+    /// What the store lists after its return, with the time in milliseconds after it.
+    after: &'static [(u64, &'static [&'static str])],
+    /// Whether hall-b is evacuated, by time in milliseconds after the return.
+    expected: &'static [(u64, bool)],
+}
+
+// Guards against new flows in an evacuated zone: the store comes back from a copy that was made
+// before the order, and the operator writes it again a moment later.
+#[test]
+fn an_evacuation_outlives_the_return_of_the_store_from_a_copy() {
+    let cases = [
+        RestoredZoneCase {
+            name: "the order is written again",
+            before: &["hall-b"],
+            after: &[(0, &[]), (1_200, &["hall-b"])],
+            expected: &[(0, true), (1_000, true), (1_300, true), (9_000, true)],
+        },
+        RestoredZoneCase {
+            name: "the order is not written again",
+            before: &["hall-b"],
+            after: &[(0, &[])],
+            expected: &[(0, true), (1_900, true), (2_000, false), (9_000, false)],
+        },
+        RestoredZoneCase {
+            name: "it is written again and taken back",
+            before: &["hall-b"],
+            after: &[(0, &[]), (300, &["hall-b"]), (600, &[])],
+            expected: &[(0, true), (400, true), (600, false)],
+        },
+        RestoredZoneCase {
+            name: "the copy has the order that was taken back",
+            before: &[],
+            after: &[(0, &["hall-b"]), (900, &[])],
+            expected: &[(0, true), (900, false)],
+        },
+        RestoredZoneCase {
+            name: "another zone is evacuated meanwhile",
+            before: &["hall-c"],
+            after: &[(0, &[]), (500, &["hall-b"])],
+            expected: &[(0, false), (2_000, true), (9_000, true)],
+        },
+    ];
+    let position = |era, revision| {
+        let era = StoreEra(era);
+        StorePosition { era, revision }.to_table()
+    };
+    for case in cases {
+        let mut builder = builder();
+        builder.apply(&evacuated(4, case.before, position(1, 50)), at(0));
+        let back = 10_000;
+        let mut writes = (40..).zip(case.after).peekable();
+        for &(time, expected) in case.expected {
+            while let Some((revision, (written, zones))) =
+                writes.next_if(|(_, (written, _))| *written <= time)
+            {
+                let catalog = evacuated(4, zones, position(2, revision));
+                builder.apply(&catalog, at(back + written));
+            }
+            let now = at(back + time);
+            let view = builder.build(now);
+            let zones = &view.zones;
+            let target = view.service(claims()).expect("a ring").targets();
+            let target = target.iter().find(|target| target.agent == agent(2));
+            let held = zones.is_evacuated(target.expect("a target in hall-b").zone);
+            assert_eq!(held, expected, "{}, {time} ms", case.name);
+            let due = builder.next_change(now);
+            assert!(due.is_none_or(|due| due > now), "{}: {due:?}", case.name);
+        }
+    }
+}
--- a/tests/matrix/src/opaque/world.rs
+++ b/tests/matrix/src/opaque/world.rs
@@ -883,10 +883,7 @@
     fn balancer_timers(&mut self, number: usize) {
         let now = self.now();
         let balancer = &mut self.balancers[number];
-        let ended = balancer
-            .builder
-            .next_target_expiry()
-            .is_some_and(|end| end <= now);
+        let ended = balancer.builder.next_expiry().is_some_and(|end| end <= now);
         if ended || balancer.builder.is_complete(now) != balancer.view.is_complete() {
             balancer.view = balancer.builder.build(now);
         }
