flows: a leaving target that is listed again is no last resort

What callers would see: new flows at a target 3.5 s after it announced that it is leaving (DRAIN allows 3 s), cut when it ends, where no other target serves.

Cause: a target that has just announced its end may get flows for 0.8 s if nothing else can take them. Its entry vanished with the store's copy, was written again, and the 0.8 s began anew with the entry's return. A lapse of the entry in a store failure does the same.

Change: an entry that comes back is as old as it can be, whatever it says.

--- a/crates/flows/src/view/builder.rs
+++ b/crates/flows/src/view/builder.rs
@@ -442,9 +442,10 @@
         let zone = self.zone_index(&row.zone);
         let known = self.target(service, key);
         let standing_since = match known {
-            Some(known) if known.standing == standing => known.standing_since,
-            // It was there before any other target that was seen at its address since.
+            // Its entry comes back. It was there before any other target that was seen at its
+            // address since, and if it is leaving, that is no news.
             Some(known) if !known.may_be_alive() => Moment::ZERO,
+            Some(known) if known.standing == standing => known.standing_since,
             _ => now,
         };
         let warm_at = match known {
--- a/crates/flows/tests/all/view.rs
+++ b/crates/flows/tests/all/view.rs
@@ -3,9 +3,11 @@
 use std::net::SocketAddrV4;
 
 use lovagelatch_catalog::{Catalog, PublishedTarget, TargetName, TargetRow, TargetStart};
-use lovagelatch_flows::{FlowStanding, FlowView};
+use lovagelatch_flows::{BalancerStep, FlowBalancer, FlowStanding, FlowView, RefusalReason};
 
-use crate::support::{at, builder, catalog, claims, claims_address, flow, route, service, target};
+use crate::support::{
+    at, balancer, builder, catalog, claims, claims_address, flow, opening, route, service, target,
+};
 
 fn standing(view: &FlowView, number: u8) -> Option<FlowStanding> {
     let ring = view.service(claims())?;
@@ -81,6 +83,32 @@
     }
 }
 
+// Guards against new flows at a target that announced its end long ago: its entry is lost with the
+// store's copy and written again, and it was taken for one that has only just announced it.
+#[test]
+fn a_leaving_target_that_is_listed_again_is_no_last_resort() {
+    let leaving = PublishedTarget {
+        leaving: true,
+        ..target(1, "claims")
+    };
+    let mut builder = builder();
+    let balancer = FlowBalancer::new(balancer());
+    let entries = [
+        (0, Some(leaving.clone())),
+        (5_000, None),
+        (5_300, Some(leaving)),
+    ];
+    for (millis, entry) in entries {
+        let now = at(millis);
+        builder.record_store_failure(now);
+        builder.apply(&catalog(entry.into_iter().collect()), now);
+    }
+    let now = at(5_400);
+    let view = builder.build(now);
+    let step = balancer.handle_packet(&opening(flow(1)), b"syn", &view, now);
+    assert_eq!(step, BalancerStep::Reset(RefusalReason::NoTarget));
+}
+
 struct RemovalCase {
     name: &'static str,
     /// How long before the entry vanishes the store failed, in milliseconds.
