soak: a store that comes back from a copy, and flows by an old configuration

RestoreStore lets it hang and come back from a copy 4 s older than the failure; targets and the configuration are written again 0.8 s later, entries of ended targets expire. The check old_configuration fails a flow that is accepted by a service that its address has not been routed to for 3.5 s, unless the target or the store was disturbed in the last 4 s, as the users count.

--- a/standins/soak/src/check.rs
+++ b/standins/soak/src/check.rs
@@ -13,6 +13,10 @@
 /// allowance for scheduling delays of the soak's own threads.
 const LEAVING_GRACE: Duration = Duration::from_millis(3_500);
 
+/// Time after its publication in which a configuration comes into force. Includes the same
+/// allowance.
+const CONFIG_GRACE: Duration = Duration::from_millis(3_500);
+
 /// Time after a disturbance in which its effects are tolerated: the users count machines as
 /// undisturbed after four seconds.
 pub(crate) const DISTURBANCE_WINDOW: Duration = Duration::from_secs(4);
@@ -139,6 +143,10 @@
     flow_targets: HashMap<FlowKey, StartNumber>,
     ended: HashMap<StartNumber, Instant>,
     leaving: HashMap<StartNumber, Instant>,
+    /// Index of each target's service.
+    services: HashMap<StartNumber, u8>,
+    /// The service that each address is routed to, and when that was first published.
+    routes: HashMap<SocketAddrV4, (u8, Instant)>,
     disturbed_targets: HashMap<StartNumber, Instant>,
     all_targets_disturbed: Option<Instant>,
     disturbed_balancers: HashMap<Ipv4Addr, Instant>,
@@ -223,8 +231,13 @@
     fn check(&mut self, event: SoakEvent, now: Instant) -> Option<&'static str> {
         match event {
             SoakEvent::Accepted {
-                target, allowed, ..
+                flow,
+                target,
+                allowed,
             } => {
+                if allowed && self.is_outdated(&flow, target, now) {
+                    return Some("old_configuration");
+                }
                 let announced = self.leaving.get(&target);
                 let late = announced.is_some_and(|announced| now - *announced > LEAVING_GRACE);
                 let tolerated = self.is_disturbed(target, now);
@@ -237,6 +250,7 @@
                 self.flow_targets.insert(flow, target);
             }
             SoakEvent::TargetStarted { target, service } => {
+                self.services.insert(target, service);
                 self.availability.record_started(target, service, now);
             }
             SoakEvent::TargetEnded(target) => {
@@ -250,6 +264,10 @@
             SoakEvent::EntryUnreadable(target) => self.availability.record_withdrawn(target),
             SoakEvent::EntryRestored(target) => self.availability.record_restored(target, now),
             SoakEvent::RoutePublished { address, service } => {
+                let known = self.routes.get(&address);
+                if known.is_none_or(|(known, _)| *known != service) {
+                    self.routes.insert(address, (service, now));
+                }
                 self.availability.record_route(address, service);
             }
             SoakEvent::OpeningEnded {
@@ -327,6 +345,21 @@
         unserved.then_some("service_unserved")
     }
 
+    /// Returns whether a target accepts a flow that the configuration in force for longer than
+    /// [`CONFIG_GRACE`] sends to another service, without a disturbance.
+    fn is_outdated(&self, flow: &FlowKey, target: StartNumber, now: Instant) -> bool {
+        let recent = |at: &Instant| now.saturating_duration_since(*at) < DISTURBANCE_WINDOW;
+        let disturbed =
+            self.is_disturbed(target, now) || self.store_disturbed.as_ref().is_some_and(recent);
+        let accepted_by = self.services.get(&target);
+        let route = self.routes.get(&flow.service_address);
+        let outdated = route.is_some_and(|(service, since)| {
+            accepted_by.is_some_and(|accepted_by| accepted_by != service)
+                && now.saturating_duration_since(*since) > CONFIG_GRACE
+        });
+        outdated && !disturbed
+    }
+
     fn check_reset(&self, flow: &FlowKey, now: Instant) -> Option<&'static str> {
         let target = self.flow_targets.get(flow)?;
         let alive = !self.ended.contains_key(target);
--- a/standins/soak/src/fault.rs
+++ b/standins/soak/src/fault.rs
@@ -73,6 +73,9 @@
     RebornWithAgent,
     /// Writes entries to the store that belong to no target, of which one stays.
     ForeignEntries,
+    /// Makes the store hang and then come back from a copy some seconds old. What was written since
+    /// is written again a moment later.
+    RestoreStore,
 }
 
 /// Faults that [`SoakPlan::add_extra`] draws from. They are drawn separately, so that the seeds of
@@ -84,7 +87,7 @@
 ];
 
 /// Faults that are injected only if `--only` names them, for the same reason.
-const EXPLICIT_FAULTS: [SoakFault; 1] = [SoakFault::RollAgents];
+const EXPLICIT_FAULTS: [SoakFault; 2] = [SoakFault::RollAgents, SoakFault::RestoreStore];
 
 /// Faults that [`SoakPlan::draw`] draws from.
 pub const SOAK_FAULTS: [SoakFault; 27] = [
--- a/standins/soak/src/fleet.rs
+++ b/standins/soak/src/fleet.rs
@@ -1,5 +1,6 @@
 //! The fleet under test: processes, targets and the proxies between them.
 
+use std::collections::HashSet;
 use std::fs;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -51,6 +52,8 @@
     pub(crate) agent_proxy: ProxyControl,
     /// Number in the name of the target's store entry: that of the first start under this name.
     name: u32,
+    /// Names of the entries that the machine's targets have had.
+    names: HashSet<TargetName>,
     /// Whether the next target starts under the name of the last one.
     pub(crate) reuse_name: bool,
     /// Entries of dead targets, with the time at which each expires.
@@ -149,6 +152,7 @@
             name: 0,
             reuse_name: false,
             expiring: Vec::new(),
+            names: HashSet::new(),
         });
         let at = self.machines.len() - 1;
         self.start_target(at)?;
@@ -233,6 +237,7 @@
         } else {
             machine.name = start;
         }
+        machine.names.insert(target_name(machine.name));
         let (ip, service) = (machine.ip, machine.service);
         let allowed = Arc::clone(&self.allowed);
         let target = Target::spawn(ip, start, service, allowed, Arc::clone(&self.log))?;
@@ -335,9 +340,40 @@
         }
     }
 
+    /// Makes the store come back from a copy that was made `age` ago. Entries of ended targets that
+    /// come back with it expire after [`ENTRY_TTL`].
+    pub(crate) fn restore_store(&mut self, age: Duration) {
+        self.store.restore_copy(age);
+        self.store.set_mode(StoreMode::Serving);
+        let expires_at = Instant::now() + ENTRY_TTL;
+        for name in self.store.target_names() {
+            let mut machines = self.machines.iter_mut();
+            let machine = machines.find(|machine| machine.names.contains(&name));
+            let Some(machine) = machine else { continue };
+            let current = machine.target.is_some() && target_name(machine.name) == name;
+            let expiring = machine.expiring.iter().any(|(known, _)| *known == name);
+            if !current && !expiring {
+                machine.expiring.push((name, expires_at));
+            }
+        }
+        self.timeline.record("store restored", &json!({}));
+    }
+
+    /// Writes the entries of all running targets and the configuration again.
+    pub(crate) fn write_all_again(&mut self) {
+        for at in 0..self.machines.len() {
+            self.rewrite_entry(at);
+        }
+        self.write_routes();
+    }
+
     /// Publishes a new version of the configuration with the current services of the routes.
     pub(crate) fn publish_routes(&mut self) {
         self.version += 1;
+        self.write_routes();
+    }
+
+    fn write_routes(&mut self) {
         let mut allowed = self.allowed.lock().expect("routes");
         let routes = (0..).zip(self.routes).map(|(number, service)| {
             let address = RunNetwork::route(number);
--- a/standins/soak/src/run.rs
+++ b/standins/soak/src/run.rs
@@ -41,6 +41,13 @@
 /// Delay from a balancer's exit until it is started again.
 const BALANCER_RESTART_DELAY: Duration = Duration::from_millis(300);
 
+/// Age of the copy that the store comes back from, in addition to the time that it was away.
+const COPY_AGE: Duration = Duration::from_secs(4);
+
+/// Delay from the return of the store until what it lost is written again: less than a heartbeat of
+/// a target.
+const REWRITE_DELAY: Duration = Duration::from_millis(800);
+
 /// Delay from the end of a drained target until its replacement starts.
 const REPLACEMENT_DELAY: Duration = Duration::from_millis(300);
 
@@ -150,6 +157,8 @@
     StartTarget(usize),
     /// Ends the target with this start number, if it still runs.
     RetireTarget(usize, StartNumber),
+    /// Writes again what the store may have lost.
+    Rewrite,
 }
 
 struct SoakRun {
@@ -266,6 +275,7 @@
                 }
                 PendingAction::StartTarget(_) => {}
                 PendingAction::RetireTarget(at, start) => self.retire_target(at, start),
+                PendingAction::Rewrite => self.fleet.write_all_again(),
             }
         }
         self.record_ongoing_faults();
@@ -378,6 +388,7 @@
             }
             SoakFault::StoreRefuses => fleet.store.set_mode(StoreMode::Refusing),
             SoakFault::StoreLapse => self.expire_entries(machine),
+            SoakFault::RestoreStore => fleet.store.set_mode(StoreMode::Silent),
             SoakFault::StoreForgets => fleet.store.compact_history(),
             SoakFault::BadEntry => fleet.spoil_entry(machine),
             SoakFault::RebornTarget => self.crash_keeping_name(machine),
@@ -432,6 +443,11 @@
                     fleet.rewrite_entry(at);
                 }
             }
+            SoakFault::RestoreStore => {
+                fleet.restore_store(COPY_AGE + scheduled.duration);
+                let rewrite = Instant::now() + REWRITE_DELAY;
+                self.pending.push((rewrite, PendingAction::Rewrite));
+            }
             SoakFault::BadEntry => fleet.restore_entry(machine),
             SoakFault::MoveRoute => {
                 fleet.routes[0] = 0;
@@ -480,11 +496,16 @@
     /// Records the disturbances of store faults that are not healed yet, which continue until then.
     fn record_ongoing_faults(&self) {
         for (_, action) in &self.pending {
-            let PendingAction::Heal(scheduled) = action else {
-                continue;
+            let scheduled = match action {
+                PendingAction::Heal(scheduled) => scheduled,
+                PendingAction::Rewrite => {
+                    self.log.record(SoakEvent::StoreDisturbed);
+                    continue;
+                }
+                PendingAction::StartTarget(_) | PendingAction::RetireTarget(..) => continue,
             };
             match scheduled.fault {
-                SoakFault::StoreRefuses | SoakFault::StoreLapse => {
+                SoakFault::StoreRefuses | SoakFault::StoreLapse | SoakFault::RestoreStore => {
                     self.log.record(SoakEvent::StoreDisturbed);
                 }
                 SoakFault::SilentStore
--- a/standins/soak/tests/all/check.rs
+++ b/standins/soak/tests/all/check.rs
@@ -262,3 +262,80 @@
         assert_eq!(unserved, case.found, "{}: {found:?}", case.name);
     }
 }
+
+struct RouteCase {
+    name: &'static str,
+    /// Events with their times in milliseconds.
+    events: Vec<(u64, SoakEvent)>,
+    /// Time at which a target of service 0 accepts a new flow, in milliseconds.
+    accepted_ms: u64,
+    found: bool,
+}
+
+/// Guards against passing a balancer that goes on with an old configuration: flows reach the former
+/// service of an address, which some configuration allows.
+#[test]
+fn a_new_flow_may_not_follow_an_old_configuration() {
+    let published = |service| SoakEvent::RoutePublished {
+        address: flow().service_address,
+        service,
+    };
+    let moved = [(0, published(0)), (1_000, published(1))];
+    let case = |name, events: &[(u64, SoakEvent)], accepted_ms, found| RouteCase {
+        name,
+        events: moved.iter().chain(events).copied().collect(),
+        accepted_ms,
+        found,
+    };
+    let cases = [
+        case("long after the change", &[], 5_000, true),
+        case("within the time that a change takes", &[], 4_000, false),
+        case("moved back", &[(2_000, published(0))], 9_000, false),
+        case("published again", &[(4_000, published(1))], 5_000, true),
+        case(
+            "the store was disturbed",
+            &[(3_000, SoakEvent::StoreDisturbed)],
+            5_000,
+            false,
+        ),
+        case(
+            "the store was disturbed long ago",
+            &[(3_000, SoakEvent::StoreDisturbed)],
+            7_100,
+            true,
+        ),
+        case(
+            "the target is disturbed",
+            &[(3_000, SoakEvent::TargetDisturbed(1))],
+            5_000,
+            false,
+        ),
+    ];
+    for case in cases {
+        let log = SoakLog::new();
+        let start = Instant::now();
+        let at = |millis| start + Duration::from_millis(millis);
+        let started = SoakEvent::TargetStarted {
+            target: 1,
+            service: 0,
+        };
+        log.record_at(started, start);
+        for (millis, event) in case.events {
+            log.record_at(event, at(millis));
+        }
+        let accepted = SoakEvent::Accepted {
+            flow: flow(),
+            target: 1,
+            allowed: true,
+        };
+        log.record_at(accepted, at(case.accepted_ms));
+        let findings = log.findings().into_iter();
+        let guarantees: Vec<_> = findings.map(|finding| finding.guarantee).collect();
+        let expected: &[&str] = if case.found {
+            &["old_configuration"]
+        } else {
+            &[]
+        };
+        assert_eq!(guarantees, expected, "{}", case.name);
+    }
+}
--- a/tests/tests/all/soak.rs
+++ b/tests/tests/all/soak.rs
@@ -104,6 +104,27 @@
     case.run();
 }
 
+/// Guards against flows that open by an old configuration, or at a target that announced long ago
+/// that it is leaving, after the store came back from a copy and gave revisions out again.
+#[test]
+fn a_store_that_comes_back_from_a_copy_breaks_no_promise() {
+    let case = SoakCase {
+        seed: "7001",
+        minutes: "0.3",
+        processes: "12",
+        further: false,
+        arguments: &[
+            "--only",
+            "RestoreStore",
+            "--only",
+            "MoveRoute",
+            "--only",
+            "ReplaceTarget",
+        ],
+    };
+    case.run();
+}
+
 /// Guards against a process that ends without a log line when SIGHUP announces a change of settings
 /// a few milliseconds after its start, and that stays down until it is restarted. SIGHUP ends a
 /// process until it watches its settings, which takes 2 to 5 ms on a busy machine and longer on a
