catalog: after a reader loses the store, the other balancers ask side by side

The store is silent for several balancers and serves others.

Cause: balancers find out in turn. The first reader's watch fails 2.2 s after the silence; the next one elected is silent too and starts with a watch that waits 1.5 s, or reads only when nothing was confirmed for 2.6 s, and by chance.

Change: a balancer that becomes a reader starts at once, with a call that does not wait. 150 ms after a balancer has lost the store without a confirmation, all others of a small fleet call it; in a large one two, twice as many every 250 ms, at most 64 at a time.

Evidence: readers::a_change_is_in_force_in_time_however_many_balancers_the_ store_is_silent_for, with ticks as in real processes, 12 phases of the watches. Calls in calm are as before (calls_to_the_store_do_not_grow_with_the_fleet), and a store that is down is called within the same limit (a_store_that_is_down_is_not_called_by_all).

--- a/crates/catalog/src/member.rs
+++ b/crates/catalog/src/member.rs
@@ -157,6 +157,8 @@
     confirmed_at: Option<Moment>,
     /// When the store last failed this process or another.
     last_failure: Option<Moment>,
+    /// When a reader last lost the store.
+    reader_lost_at: Option<Moment>,
     /// Whether this process was an elected reader when it last considered a call.
     elected: bool,
     /// First answer of the store to any process after `last_failure`; older than it while there is
@@ -194,6 +196,7 @@
             confirmed_at: None,
             last_failure: None,
             recovered_at: None,
+            reader_lost_at: None,
             elected: false,
             zones_read_at: now,
             stops: StopTable::new(now),
@@ -316,7 +319,13 @@
     /// Handles a message of another balancer.
     pub fn accept(&mut self, message: CatalogMessage, now: Moment) -> Vec<CatalogAction> {
         match message {
-            CatalogMessage::Head(head) => self.accept_head(&head, now),
+            CatalogMessage::Head(head) => {
+                self.accept_head(&head, now);
+                // Not at the next tick: a reader that lost the store leaves a gap.
+                if !self.elected && self.reader_rank(now).is_some() {
+                    self.call_store(now);
+                }
+            }
             CatalogMessage::Ask { sender, head } => {
                 let message = self.answer_to(&head, now);
                 self.send(sender, message);
@@ -390,7 +399,11 @@
         }
         let has_changes = !answer.events.is_empty();
         self.record_position(position, now);
+        let doubted = self.doubt(now).is_some();
         self.record_confirmation(now);
+        if doubted {
+            self.send_heads(now);
+        }
         let recovered_at = self.store_recovered_at();
         self.reader
             .succeeded(position, has_changes, recovered_at, now);
@@ -470,8 +483,9 @@
 
     fn accept_head(&mut self, message: &HeadMessage, now: Moment) {
         let random = &mut self.random;
-        self.peers
-            .record_head(message.sender, message.reads, message.leaving, random, now);
+        let mut lost_store =
+            self.peers
+                .record_head(message.sender, message.reads, message.leaving, random, now);
         // A new process knows no peers, and until it hears one it cannot know of earlier failures
         // of the store, so it treats no flow as lost.
         if message.peers.is_empty() && !message.leaving {
@@ -485,7 +499,10 @@
             self.peers.record_mention(peer, now);
         }
         for status in &message.readers {
-            self.peers.record_status(status, &mut self.random, now);
+            lost_store |= self.peers.record_status(status, &mut self.random, now);
+        }
+        if lost_store {
+            self.reader_lost_at = Some(now);
         }
         self.last_failure = self.last_failure.max(message.trouble.map(|age| now - age));
         let (known, offered) = (self.tables.head(), message.head);
@@ -604,6 +621,13 @@
         self.ready |= known && is_recent;
     }
 
+    /// Returns the time since a reader lost the store, if nobody has confirmed the catalog since.
+    fn doubt(&self, now: Moment) -> Option<Duration> {
+        let lost_at = self.reader_lost_at?;
+        let confirmed = self.confirmed_at.is_some_and(|at| at >= lost_at);
+        (!confirmed).then(|| now.since(lost_at))
+    }
+
     fn age(&self, now: Moment) -> Option<Duration> {
         self.confirmed_at.map(|at| now.since(at))
     }
@@ -645,6 +669,7 @@
             rank: self.reader_rank(now),
             holds_catalog: head.routes.revision > 0,
             age: self.age(now),
+            doubt: self.doubt(now),
             members: self.peers.known_count(now) + 1,
             is_large: self.peers.is_large(now),
             position: StorePosition::from_table(head.targets.revision.min(head.zones.revision)),
--- a/crates/catalog/src/peers.rs
+++ b/crates/catalog/src/peers.rs
@@ -93,6 +93,8 @@
         self.seeds = others.filter(|&seed| seed != self.own_address).collect();
     }
 
+    /// Records a head received from `peer` itself. Returns whether it shows that the store stopped
+    /// answering `peer`.
     pub(crate) fn record_head(
         &mut self,
         peer: SocketAddrV4,
@@ -100,10 +102,11 @@
         leaving: bool,
         random: &mut SmallRng,
         now: Moment,
-    ) {
+    ) -> bool {
         if peer == self.own_address {
-            return;
+            return false;
         }
+        let lost_store = !reads && self.peers.get(&peer).is_some_and(|known| known.reads);
         self.evict_for(peer, random);
         let heard = PeerEntry {
             heard_at: Some(now),
@@ -113,6 +116,7 @@
             leaving,
         };
         self.peers.insert(peer, heard);
+        lost_store
     }
 
     /// Records that another balancer knows `peer`.
@@ -130,15 +134,16 @@
         entry.seen_at = now;
     }
 
-    /// Records a relayed reader status if it is the newest one of that balancer.
+    /// Records a relayed reader status if it is the newest one of that balancer. Returns whether it
+    /// shows that the store stopped answering that balancer.
     pub(crate) fn record_status(
         &mut self,
         status: &ReaderStatus,
         random: &mut SmallRng,
         now: Moment,
-    ) {
+    ) -> bool {
         if status.address == self.own_address {
-            return;
+            return false;
         }
         let active_at = now - status.age;
         let known = self.peers.get(&status.address);
@@ -146,8 +151,9 @@
             .and_then(|peer| peer.active_at)
             .is_some_and(|at| at >= active_at)
         {
-            return;
+            return false;
         }
+        let lost_store = !status.reads && known.is_some_and(|known| known.reads);
         let heard_at = known.and_then(|peer| peer.heard_at);
         self.evict_for(status.address, random);
         let peer = PeerEntry {
@@ -158,6 +164,7 @@
             leaving: status.leaving,
         };
         self.peers.insert(status.address, peer);
+        lost_store
     }
 
     /// Returns the known status of the lowest-ranked balancers, this one included.
--- a/crates/catalog/src/reader.rs
+++ b/crates/catalog/src/reader.rs
@@ -52,6 +52,20 @@
 /// old at 60 balancers and 3.4 s old at 4,000.
 const LARGE_FLEET_STALE_AGE: Duration = Duration::from_secs(4);
 
+/// How long a reader that lost the store may leave the others in doubt before they call it too.
+/// The next reader is elected at once and needs some milliseconds.
+const DOUBT_DELAY: Duration = Duration::from_millis(150);
+
+/// Time in which the number of balancers that call the store in doubt doubles in a large fleet.
+const DOUBT_DOUBLING: Duration = Duration::from_millis(250);
+
+/// The most balancers that start to call the store in doubt at a time, as expected value.
+const MAX_DOUBT_READERS: f64 = 64.0;
+
+/// Age of the store's last answer to this process above which its next call must not wait: a
+/// connection that went silent unnoticed would show only when the wait is over.
+const RECENT_ANSWER_AGE: Duration = Duration::from_secs(1);
+
 /// How long a fallback reader goes on reading, so that it does not flap.
 const FALLBACK_PERIOD: Duration = Duration::from_secs(6);
 
@@ -103,6 +117,10 @@
     }
 }
 
+/// The number of elected readers, as the expected value of random decisions.
+#[allow(clippy::cast_precision_loss)]
+const READERS: f64 = READER_COUNT as f64;
+
 /// The state of the member that the reader depends on.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ReaderInputs {
@@ -116,6 +134,8 @@
     pub(crate) members: usize,
     /// Whether the fleet is so large that changes take several rounds of heads to spread.
     pub(crate) is_large: bool,
+    /// Time since a reader lost the store, if nobody has confirmed the catalog since.
+    pub(crate) doubt: Option<Duration>,
     /// The position in the store's history up to which the catalog is complete.
     pub(crate) position: StorePosition,
 }
@@ -130,6 +150,8 @@
     /// The position after which the next watch starts; `None` if a list is needed first.
     watch_after: Option<StorePosition>,
     fallback_until: Moment,
+    /// When the store last answered.
+    answered_at: Option<Moment>,
     /// Whether the last call failed.
     failed: bool,
     /// Why the last call was made; `None` before the first one.
@@ -148,6 +170,7 @@
             backoff: MIN_RETRY_BACKOFF,
             watch_after: None,
             fallback_until: Moment::ZERO,
+            answered_at: None,
             failed: false,
             reason: None,
             probe_interval: MIN_PROBE_INTERVAL,
@@ -185,7 +208,7 @@
             // lists until then made two thirds of all calls of a quiet minute.
             Some(after) => StoreCall::Watch {
                 after: after.max(inputs.position).revision,
-                wait: self.watch_wait(inputs),
+                wait: self.watch_wait(inputs, now),
             },
             None => StoreCall::List,
         })
@@ -198,9 +221,11 @@
             .is_some_and(|after| after.era == position.era)
     }
 
-    fn watch_wait(&self, inputs: &ReaderInputs) -> Duration {
+    fn watch_wait(&self, inputs: &ReaderInputs, now: Moment) -> Duration {
+        let answered = self.answered_at;
+        let recent = answered.is_some_and(|at| now.since(at) < RECENT_ANSWER_AGE);
         match inputs.rank {
-            _ if self.failed => Duration::ZERO,
+            _ if self.failed || !recent => Duration::ZERO,
             Some(rank) if rank > 0 => STANDBY_WATCH_WAIT,
             _ => WATCH_WAIT,
         }
@@ -235,22 +260,30 @@
         if now < self.fallback_until {
             return Some(ReadReason::Fallback);
         }
-        let limit = if inputs.is_large {
-            LARGE_FLEET_STALE_AGE
-        } else {
-            STALE_AGE
-        };
-        let excess = age.checked_sub(limit)?;
-        let growth = 2_f64.powf(excess.as_secs_f64().min(30.0));
         #[allow(clippy::cast_precision_loss)]
-        let chance = READER_COUNT as f64 / inputs.members.max(1) as f64 * growth;
-        let starts_fallback = random.random_bool(chance.clamp(0.0, 1.0));
+        let members = inputs.members.max(1) as f64;
+        let callers = self.doubt_callers(inputs).max(stale_callers(inputs, age));
+        let starts_fallback = random.random_bool((callers / members).clamp(0.0, 1.0));
         if starts_fallback {
             self.fallback_until = now + FALLBACK_PERIOD;
         }
         starts_fallback.then_some(ReadReason::Fallback)
     }
 
+    /// Returns how many balancers should start to call the store because a reader lost it. In a
+    /// small fleet all do: whom the store answers is unknown, and they must not find out in turn.
+    fn doubt_callers(&self, inputs: &ReaderInputs) -> f64 {
+        let doubt = inputs.doubt.filter(|_| !self.failed);
+        let Some(excess) = doubt.and_then(|doubt| doubt.checked_sub(DOUBT_DELAY)) else {
+            return 0.0;
+        };
+        if !inputs.is_large {
+            return f64::INFINITY;
+        }
+        let growth = excess.as_secs_f64() / DOUBT_DOUBLING.as_secs_f64();
+        (READERS * 2_f64.powf(growth.min(30.0))).min(MAX_DOUBT_READERS)
+    }
+
     /// Records that the call in flight succeeded and covers all changes up to `position`.
     /// `recovered_at` is when the store first answered after its last failure.
     pub(crate) fn succeeded(
@@ -271,6 +304,7 @@
             self.next_call_at = now + delay;
         }
         self.backoff = MIN_RETRY_BACKOFF;
+        self.answered_at = Some(now);
         self.failed = false;
         self.probe_interval = MIN_PROBE_INTERVAL;
         self.watch_after = Some(position);
@@ -312,3 +346,17 @@
         self.watch_after = None;
     }
 }
+
+/// Returns how many balancers should start to call the store because its last confirmation is
+/// `age` old.
+fn stale_callers(inputs: &ReaderInputs, age: Duration) -> f64 {
+    let limit = if inputs.is_large {
+        LARGE_FLEET_STALE_AGE
+    } else {
+        STALE_AGE
+    };
+    let excess = age.checked_sub(limit);
+    excess.map_or(0.0, |excess| {
+        READERS * 2_f64.powf(excess.as_secs_f64().min(30.0))
+    })
+}
--- a/crates/catalog/tests/all/readers.rs
+++ b/crates/catalog/tests/all/readers.rs
@@ -7,6 +7,7 @@
 
 use lovagelatch_catalog::StoreFailure;
 use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
 use crate::support::{Group, READER_FAULTS, address};
@@ -17,6 +18,9 @@
 /// The time that the users allow for a change in a fleet of hundreds of machines.
 const APPLY_LIMIT: Duration = Duration::from_secs(6);
 
+/// Part of the time for a change that the network takes, which the group does not model.
+const NETWORK_ALLOWANCE: Duration = Duration::from_millis(200);
+
 fn settled(count: u8) -> Group {
     Group::settled(count, Duration::from_secs(8))
 }
@@ -59,6 +63,69 @@
     }
 }
 
+struct SilenceCase {
+    balancers: u8,
+    /// Numbers of balancers that the store stops answering at once, the readers among them.
+    silent: &'static [u8],
+    /// The time that the users allow for a change in a fleet of this size.
+    limit: Duration,
+}
+
+// Guards against a configuration that is in force late: the store falls silent for several
+// balancers just before a change, and they find out one after the other.
+#[test]
+fn a_change_is_in_force_in_time_however_many_balancers_the_store_is_silent_for() {
+    let cases = [
+        SilenceCase {
+            balancers: 6,
+            silent: &[2, 3, 4, 5],
+            limit: Duration::from_secs(3),
+        },
+        SilenceCase {
+            balancers: 20,
+            silent: &[2, 3, 4, 10, 19],
+            limit: Duration::from_secs(5),
+        },
+        SilenceCase {
+            balancers: 59,
+            silent: &[2, 4, 30, 50],
+            limit: Duration::from_secs(6),
+        },
+    ];
+    let mut random = SmallRng::seed_from_u64(11);
+    for case in cases {
+        let mut slowest = Duration::ZERO;
+        for &silent in case.silent {
+            // Phases of the watches, which wait 1.5 s and 5 s.
+            for phase in 0..12 {
+                let mut group = settled(case.balancers);
+                group.ticking = true;
+                group.run(Duration::from_millis(phase * 430));
+                let mut cut = group.readers();
+                let others = (1..=case.balancers).filter(|number| !cut.contains(number));
+                let others = others.collect::<Vec<_>>();
+                let more = usize::from(silent).saturating_sub(cut.len());
+                cut.extend(others.choose_multiple(&mut random, more));
+                for number in cut {
+                    group.node(number).store_cut = true;
+                }
+                group.change(4);
+                let written = group.now;
+                while group.versions().iter().any(|version| *version != 4) {
+                    group.run(Duration::from_millis(50));
+                    assert!(group.now.since(written) < Duration::from_secs(20));
+                }
+                slowest = slowest.max(group.now.since(written));
+            }
+        }
+        assert!(
+            slowest <= case.limit - NETWORK_ALLOWANCE,
+            "{} balancers: {slowest:?}",
+            case.balancers
+        );
+    }
+}
+
 // Guards against a store that is down and is called by all balancers all the time, because the
 // probability of becoming a fallback reader is computed from too few members.
 #[test]
--- a/crates/catalog/tests/all/support.rs
+++ b/crates/catalog/tests/all/support.rs
@@ -12,6 +12,9 @@
 use lovagelatch_domain::{ConfigRevision, Moment, StoreEra};
 use smallvec::smallvec;
 
+/// Length of a step.
+const STEP: Duration = Duration::from_millis(50);
+
 pub(crate) fn address(number: u8) -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number), 7_735)
 }
@@ -152,6 +155,7 @@
     pub(crate) peers_cut: bool,
     /// Not running.
     pub(crate) stopped: bool,
+    next_tick: Moment,
 }
 
 /// A fault that hits the readers.
@@ -204,6 +208,9 @@
     pub(crate) failure: Option<StoreFailure>,
     /// Whether answers exceed a datagram and go over a stream, as between real processes.
     pub(crate) large: bool,
+    /// Whether balancers advance only at their ticks and when they have something due, as real
+    /// processes do, instead of at every step.
+    pub(crate) ticking: bool,
 }
 
 impl Group {
@@ -214,6 +221,7 @@
             now: Moment::from_millis(1_000),
             failure: None,
             large: false,
+            ticking: false,
         };
         group.store.write(StoreEvent::Config(config(1, &[80])));
         group.store.write(StoreEvent::Target(target("i-1")));
@@ -285,6 +293,7 @@
             store_cut: false,
             peers_cut: false,
             stopped: false,
+            next_tick: self.now + MEMBER_TICK * u32::from(number % 5) / 5,
         };
         self.nodes.insert(address(number), node);
     }
@@ -296,7 +305,7 @@
     pub(crate) fn run(&mut self, span: Duration) {
         let end = self.now + span;
         while self.now < end {
-            self.now = self.now + MEMBER_TICK / 5;
+            self.now = self.now + STEP;
             self.step();
         }
     }
@@ -310,6 +319,14 @@
             self.answer_call(at);
             let now = self.now;
             let node = self.nodes.get_mut(&at).expect("a node");
+            let due = node
+                .member
+                .next_due(now - STEP)
+                .is_some_and(|due| due <= now);
+            if self.ticking && !due && now < node.next_tick {
+                continue;
+            }
+            node.next_tick = now + MEMBER_TICK;
             let actions = node.member.advance(now);
             self.execute(at, actions);
         }
