domain: reduce an era to the bits of a table revision

A store whose era starts from a large number, such as a time of day, would have shown a new era with every answer: the era was cut to 24 bits in tables and compared whole elsewhere, so views would doubt the store for good. Found by reading the change again.

An era is now reduced to its lowest 24 bits where it enters; it wraps after sixteen million returns.

--- a/crates/catalog/src/answer.rs
+++ b/crates/catalog/src/answer.rs
@@ -61,10 +61,7 @@
     /// Returns the position from which a watch continues without missing a change.
     #[must_use]
     pub fn position(&self) -> StorePosition {
-        StorePosition {
-            era: self.era,
-            revision: self.revision,
-        }
+        StorePosition::new(self.era, self.revision)
     }
 }
 
--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -307,7 +307,7 @@
         let mut update = CatalogUpdate::default();
         let era = answer.era;
         for (revision, event) in answer.events {
-            let revision = StorePosition { era, revision }.to_table();
+            let revision = StorePosition::new(era, revision).to_table();
             match event {
                 StoreEvent::Config(config) => changed |= self.apply_config(config, &mut errors),
                 StoreEvent::Unreadable {
--- a/crates/catalog/tests/all/tables.rs
+++ b/crates/catalog/tests/all/tables.rs
@@ -247,15 +247,12 @@
             later: (1, 1),
         },
         PositionCase {
-            name: "eras that do not fit",
-            earlier: (u64::from(u32::MAX), 8),
-            later: (u64::from(u32::MAX) + 1, 9),
+            name: "eras that are times of day",
+            earlier: (1_796_314_093, 9),
+            later: (1_796_314_094, 8),
         },
     ];
-    let position = |(era, revision)| StorePosition {
-        era: StoreEra(era),
-        revision,
-    };
+    let position = |(era, revision)| StorePosition::new(StoreEra(era), revision);
     for case in cases {
         let (earlier, later) = (position(case.earlier), position(case.later));
         assert!(earlier < later, "{}", case.name);
--- a/crates/domain/src/store.rs
+++ b/crates/domain/src/store.rs
@@ -12,8 +12,8 @@
 #[serde(transparent)]
 pub struct StoreEra(pub u64);
 
-/// Bits of a table revision that hold the store's revision; the others hold the era. The counter
-/// lasts for ten thousand years of 300,000 changes a day, the era for sixteen million returns.
+/// Bits of a table revision that hold the store's revision, enough for ten thousand years of 300,000
+/// changes a day. The others hold the lowest bits of the era.
 const REVISION_BITS: u32 = 40;
 
 const MAX_REVISION: u64 = (1 << REVISION_BITS) - 1;
@@ -29,11 +29,18 @@
 }
 
 impl StorePosition {
+    /// Creates a position from what the store says. The era is reduced to the bits that a table
+    /// revision has for it: only its changes matter, whatever number it started from.
+    #[must_use]
+    pub fn new(era: StoreEra, revision: u64) -> Self {
+        Self::from_table(Self { era, revision }.to_table())
+    }
+
     /// Returns the position as the revision of a table, in the same order: one number, since a
-    /// table holds one for each row. Values beyond the bits of their part count as its maximum.
+    /// table holds one for each row.
     #[must_use]
     pub fn to_table(self) -> u64 {
-        let era = self.era.0.min(MAX_ERA);
+        let era = self.era.0 & MAX_ERA;
         (era << REVISION_BITS) | self.revision.min(MAX_REVISION)
     }
 
