--- a/bins/agent/src/opaque/decision_log.rs
+++ b/bins/agent/src/opaque/decision_log.rs
@@ -88,7 +88,7 @@
         };
         info!(self.log, "{message}";
             "decision" => DecisionKind::ZoneChanged,
-            "revision" => StorePosition::from_table(notice.revision).revision,
+            "revision" => StorePosition::from_table_revision(notice.revision).revision,
             "age_ms" => notice.age.as_secs_f64() * 1_000.0);
     }
 
@@ -111,7 +111,7 @@
             "in_progress" => load.in_progress,
             "responsive" => load.responsive,
             "evacuated" => load.evacuated,
-            "zones_revision" => StorePosition::from_table(load.zones_revision).revision,
+            "zones_revision" => StorePosition::from_table_revision(load.zones_revision).revision,
             "cold_room" => load.room,
             "left_out" => left_out);
     }
--- a/bins/agent/src/opaque/process.rs
+++ b/bins/agent/src/opaque/process.rs
@@ -198,7 +198,7 @@
 
 fn status_json(state: &PacketState) -> serde_json::Value {
     let status = state.agent.lock().status(state.clock.now());
-    let zones_read = StorePosition::from_table(status.load.zones_revision);
+    let zones_read = StorePosition::from_table_revision(status.load.zones_revision);
     serde_json::json!({
         "in_progress": status.load.in_progress,
         "average": f64::from(status.load.average_milli) / 1_000.0,
--- a/bins/balancer/src/opaque/catalog.rs
+++ b/bins/balancer/src/opaque/catalog.rs
@@ -400,7 +400,7 @@
             version,
             from,
         } => {
-            let targets = StorePosition::from_table(head.targets.revision);
+            let targets = StorePosition::from_table_revision(head.targets.revision);
             info!(log, "catalog taken";
                 "decision" => DecisionKind::ConfigTaken,
                 "version" => version.0,
--- a/bins/balancer/src/opaque/process.rs
+++ b/bins/balancer/src/opaque/process.rs
@@ -276,8 +276,8 @@
     let catalog = tasks.state.member.lock().status(now);
     let view = packets.view.load();
     let (routes, targets) = view.counts();
-    let targets_read = StorePosition::from_table(catalog.head.targets.revision);
-    let zones_read = StorePosition::from_table(catalog.head.zones.revision);
+    let targets_read = StorePosition::from_table_revision(catalog.head.targets.revision);
+    let zones_read = StorePosition::from_table_revision(catalog.head.zones.revision);
     serde_json::json!({
         "ready": ready.is_set(),
         "coverage": view.coverage,
--- a/bins/balancer/src/opaque/zones.rs
+++ b/bins/balancer/src/opaque/zones.rs
@@ -52,7 +52,7 @@
             info!(log, "zone takes new flows again";
                 "decision" => DecisionKind::ZoneChanged,
                 "zone" => tracked.zone.0.as_str().to_owned(),
-                "revision" => StorePosition::from_table(catalog.zones_revision).revision,
+                "revision" => StorePosition::from_table_revision(catalog.zones_revision).revision,
                 "evacuated_ms" => millis(now.since(tracked.since)));
         }
         for zone in catalog.evacuated.iter() {
@@ -81,7 +81,7 @@
         info!(log, "zone evacuated: its targets get no new flows";
             "decision" => DecisionKind::ZoneChanged,
             "zone" => zone.0.as_str().to_owned(),
-            "revision" => StorePosition::from_table(catalog.zones_revision).revision,
+            "revision" => StorePosition::from_table_revision(catalog.zones_revision).revision,
             "targets" => targets,
             "age_ms" => millis(now.since(read_at)));
         if targets == 0 {
--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -141,7 +141,7 @@
     /// Returns the position in the store's history that the targets are known up to.
     #[must_use]
     pub fn position(&self) -> StorePosition {
-        StorePosition::from_table(self.targets.head().revision)
+        StorePosition::from_table_revision(self.targets.head().revision)
     }
 
     /// Returns the catalog in force.
@@ -256,7 +256,7 @@
     ///
     /// Returns the values that could not be decoded; everything else was applied.
     pub fn apply_list(&mut self, answer: StoreAnswer) -> (bool, Vec<CatalogError>) {
-        let revision = answer.position().to_table();
+        let revision = answer.position().to_table_revision();
         let mut errors = Vec::new();
         let mut changed = false;
         let mut targets = Vec::new();
@@ -307,7 +307,7 @@
         let mut update = CatalogUpdate::default();
         let era = answer.era;
         for (revision, event) in answer.events {
-            let revision = StorePosition::new(era, revision).to_table();
+            let revision = StorePosition::new(era, revision).to_table_revision();
             match event {
                 StoreEvent::Config(config) => changed |= self.apply_config(config, &mut errors),
                 StoreEvent::Unreadable {
--- a/crates/catalog/src/member.rs
+++ b/crates/catalog/src/member.rs
@@ -568,7 +568,7 @@
     ) {
         self.asked_at = None;
         if let Some(targets) = &delta.targets {
-            self.record_position(StorePosition::from_table(targets.to.revision), now);
+            self.record_position(StorePosition::from_table_revision(targets.to.revision), now);
         }
         let zones_before = self.tables.head().zones;
         let applied = self.tables.apply_delta(delta);
@@ -672,7 +672,9 @@
             doubt: self.doubt(now),
             members: self.peers.known_count(now) + 1,
             is_large: self.peers.is_large(now),
-            position: StorePosition::from_table(head.targets.revision.min(head.zones.revision)),
+            position: StorePosition::from_table_revision(
+                head.targets.revision.min(head.zones.revision),
+            ),
         }
     }
 
--- a/crates/catalog/tests/all/tables.rs
+++ b/crates/catalog/tests/all/tables.rs
@@ -256,10 +256,17 @@
     for case in cases {
         let (earlier, later) = (position(case.earlier), position(case.later));
         assert!(earlier < later, "{}", case.name);
-        assert!(earlier.to_table() < later.to_table(), "{}", case.name);
+        assert!(
+            earlier.to_table_revision() < later.to_table_revision(),
+            "{}",
+            case.name
+        );
     }
     let known = position((7, 12));
-    assert_eq!(StorePosition::from_table(known.to_table()), known);
+    assert_eq!(
+        StorePosition::from_table_revision(known.to_table_revision()),
+        known
+    );
 }
 
 #[test]
--- a/crates/domain/src/store.rs
+++ b/crates/domain/src/store.rs
@@ -33,20 +33,20 @@
     /// revision has for it: only its changes matter, whatever number it started from.
     #[must_use]
     pub fn new(era: StoreEra, revision: u64) -> Self {
-        Self::from_table(Self { era, revision }.to_table())
+        Self::from_table_revision(Self { era, revision }.to_table_revision())
     }
 
     /// Returns the position as the revision of a table, in the same order: one number, since a
     /// table holds one for each row.
     #[must_use]
-    pub fn to_table(self) -> u64 {
+    pub fn to_table_revision(self) -> u64 {
         let era = self.era.0 & MAX_ERA;
         (era << REVISION_BITS) | self.revision.min(MAX_REVISION)
     }
 
     /// Returns the position that a table revision stands for.
     #[must_use]
-    pub fn from_table(revision: u64) -> Self {
+    pub fn from_table_revision(revision: u64) -> Self {
         Self {
             era: StoreEra(revision >> REVISION_BITS),
             revision: revision & MAX_REVISION,
--- a/crates/flows/src/view/builder.rs
+++ b/crates/flows/src/view/builder.rs
@@ -261,7 +261,7 @@
     fn apply_zones(&mut self, revision: u64, evacuated: SmallVec<[ZoneIndex; 4]>, now: Moment) {
         let known = &self.view.zones;
         let ends_one = known.evacuated.iter().any(|zone| !evacuated.contains(zone));
-        let era_of = |revision| StorePosition::from_table(revision).era;
+        let era_of = |revision| StorePosition::from_table_revision(revision).era;
         let due = match &self.pending_zones {
             Some(pending) => Some(pending.due),
             None if era_of(revision) > era_of(known.revision) => Some(now + RECOVERY_WINDOW),
--- a/crates/flows/tests/all/zones.rs
+++ b/crates/flows/tests/all/zones.rs
@@ -528,7 +528,7 @@
     ];
     let position = |era, revision| {
         let era = StoreEra(era);
-        StorePosition { era, revision }.to_table()
+        StorePosition { era, revision }.to_table_revision()
     };
     for case in cases {
         let mut builder = builder();
