--- a/crates/flows/tests/all/superseded.rs
+++ b/crates/flows/tests/all/superseded.rs
@@ -264,3 +264,22 @@
         .map(|target| (target.key, target.standing_since < at(1_000)))
         .collect()
 }
+
+// Guards against new flows at a leaving target through the entry of its dead predecessor: a store
+// that comes back from a copy lists that one, and no longer the leaving target.
+#[test]
+fn a_former_entry_in_a_copy_sends_no_flows_to_a_leaving_successor() {
+    let balancer = FlowBalancer::new(balancer());
+    let mut builder = builder();
+    let lists = [vec![leaving(successor())], vec![former()]];
+    for (second, list) in (0..).zip(lists) {
+        let now = at(5_000 * second);
+        builder.record_store_failure(now);
+        builder.set_store_recovered_at(Some(now));
+        builder.apply(&catalog(list), now);
+    }
+    let now = at(5_100);
+    let view = builder.build(now);
+    let step = balancer.handle_packet(&opening(flow(1)), b"syn", &view, now);
+    assert_eq!(step, BalancerStep::Reset(RefusalReason::NoTarget));
+}
