--- a/tests/tests/all/soak.rs
+++ b/tests/tests/all/soak.rs
@@ -125,6 +125,35 @@
     case.run();
 }
 
+/// Guards against open flows that are reset because all balancers are new and take a list for whole
+/// that the store has just restored from a copy, which lacks the flows' targets.
+#[test]
+fn a_new_fleet_after_a_restore_resets_no_open_flow() {
+    let case = SoakCase {
+        seed: "8310",
+        minutes: "0.3",
+        processes: "24",
+        further: false,
+        arguments: &[
+            "--only",
+            "RestoreStore",
+            "--only",
+            "MoveRoute",
+            "--only",
+            "ReplaceTarget",
+            "--only",
+            "LosePower",
+            "--only",
+            "KillBalancers",
+            "--only",
+            "StoreLapse",
+            "--only",
+            "ReuseAddress",
+        ],
+    };
+    case.run();
+}
+
 /// Guards against a process that ends without a log line when SIGHUP announces a change of settings
 /// a few milliseconds after its start, and that stays down until it is restarted. SIGHUP ends a
 /// process until it watches its settings, which takes 2 to 5 ms on a busy machine and longer on a
