Carry request policies and flow limits from the configuration to agents

Callers of urgent requests fare no better than others under overload: no decision on the packet path knows a route's priority, latency objective or time-out, or a service's flow limit.

Load reports get two fields for the waiting requests and the learned service time; nothing sets them yet. Messages between balancers get a new version, as their records changed.

--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -33,7 +33,7 @@
 };
 pub use reader::{MAX_RETRY_BACKOFF, RECOVERY_WINDOW, ReadReason, WATCH_WAIT};
 pub use record::{
-    EvacuatedZone, PublishedConfig, PublishedRoute, PublishedTarget, RouteShare, TargetName,
-    TargetRow, TargetStart, WarmupRule,
+    EvacuatedZone, PublishedConfig, PublishedRoute, PublishedTarget, RequestPolicy, RouteShare,
+    TargetName, TargetRow, TargetStart, WarmupRule,
 };
 pub use stops::{AgentStop, RESTART_GRACE, StopList, StopUpdate};
--- a/crates/catalog/src/message.rs
+++ b/crates/catalog/src/message.rs
@@ -21,7 +21,7 @@
 use crate::stops::StopUpdate;
 
 /// First byte of an encoded message. The first byte of the unversioned format before it was 0 to 4.
-const MESSAGE_VERSION: u8 = 0x82;
+const MESSAGE_VERSION: u8 = 0x83;
 
 /// Why a message could not be decoded.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
--- a/crates/catalog/src/record.rs
+++ b/crates/catalog/src/record.rs
@@ -109,6 +109,17 @@
     pub rate_milli: NonZeroU32,
 }
 
+/// What the operator expects of the requests of a route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct RequestPolicy {
+    /// The urgency of the requests; 0 is the most urgent.
+    pub priority: u8,
+    /// The latency objective in milliseconds. Invariant: at least 1.
+    pub aim_ms: u32,
+    /// The time after which callers give up, in milliseconds. Invariant: at least `aim_ms`.
+    pub timeout_ms: u32,
+}
+
 /// A service that a route sends flows to.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteShare {
@@ -118,6 +129,8 @@
     pub weight: u32,
     /// Limit of its cold targets; the same in every share of the service.
     pub warmup: Option<WarmupRule>,
+    /// How many flows a target of the service can hold; the same in every share of the service.
+    pub max_flows: Option<NonZeroU32>,
 }
 
 /// An address that callers send to, and the services behind it.
@@ -130,6 +143,8 @@
     /// Whether its requests may be retried. If so, a flow whose target is lost may be ended early,
     /// so that the client retries elsewhere.
     pub idempotent: bool,
+    /// The urgency of its requests; `None` where the operator does not say.
+    pub policy: Option<RequestPolicy>,
     /// The services that new flows are distributed to.
     pub shares: SmallVec<[RouteShare; 2]>,
     /// The regions that its flows are restricted to; empty if there is no restriction.
--- a/crates/catalog/tests/all/support.rs
+++ b/crates/catalog/tests/all/support.rs
@@ -37,11 +37,13 @@
         address: SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), port),
         name: format!("r-{port}"),
         idempotent: true,
+        policy: None,
         homes: Box::default(),
         shares: smallvec![RouteShare {
             service: "claims".parse().expect("a service"),
             weight: 1,
             warmup: None,
+            max_flows: None,
         }],
     };
     PublishedConfig {
--- a/crates/flows/benches/decision.rs
+++ b/crates/flows/benches/decision.rs
@@ -56,11 +56,13 @@
             address: route_address(),
             name: "r".to_owned(),
             idempotent: true,
+            policy: None,
             homes: Box::default(),
             shares: smallvec![RouteShare {
                 service: service(),
                 weight: 1,
                 warmup: None,
+                max_flows: None,
             }],
         }]
         .into(),
--- a/crates/flows/benches/memory.rs
+++ b/crates/flows/benches/memory.rs
@@ -79,11 +79,13 @@
         address: SocketAddrV4::new(Ipv4Addr::from(0xc612_0000 + number / 8), 443),
         name: format!("r-{number}"),
         idempotent: true,
+        policy: None,
         homes: Box::default(),
         shares: smallvec![RouteShare {
             service: services[number as usize % services.len()].clone(),
             weight: 1,
             warmup: None,
+            max_flows: None,
         }],
     });
     let config = StoreEvent::Config(PublishedConfig {
--- a/crates/flows/src/agent.rs
+++ b/crates/flows/src/agent.rs
@@ -396,6 +396,8 @@
             zones_revision: self.zone.revision,
             evacuated: self.zone.evacuated,
             room: self.warmup.room(now),
+            waiting: 0,
+            service_time_us: None,
         }
     }
 
--- a/crates/flows/src/agent/entry.rs
+++ b/crates/flows/src/agent/entry.rs
@@ -1,10 +1,10 @@
 //! Per-flow state of an agent, and packets whose outcome at the target is pending.
 
-use lovagelatch_domain::{AgentAddress, Moment};
+use lovagelatch_domain::{AgentAddress, Moment, ServiceId};
 use smallvec::SmallVec;
 
 use crate::flow_table::LastActive;
-use crate::frame::{Candidate, FramePurpose, PacketFrame};
+use crate::frame::{Candidate, FramePurpose, PacketFrame, RequestClass};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum EntryState {
@@ -60,6 +60,9 @@
 pub(super) struct FrameOrigin {
     pub(super) purpose: FramePurpose,
     pub(super) zones_revision: u64,
+    /// The service of the agent that the frame was sent to.
+    pub(super) service: ServiceId,
+    pub(super) class: Option<Box<RequestClass>>,
     pub(super) balancer: AgentAddress,
     pub(super) asker: Option<AgentAddress>,
     pub(super) rest: SmallVec<[Candidate; 5]>,
@@ -70,6 +73,8 @@
         Self {
             purpose: frame.purpose,
             zones_revision: frame.zones_revision,
+            service: frame.service,
+            class: frame.class,
             balancer: frame.balancer,
             asker: frame.asker,
             rest: frame.rest,
--- a/crates/flows/src/agent/inbound.rs
+++ b/crates/flows/src/agent/inbound.rs
@@ -233,6 +233,7 @@
                 balancer,
                 slots: next.slots,
                 warmup: next.warmup,
+                class: origin.class.filter(|_| next.service == origin.service),
                 zones_revision: origin.zones_revision,
                 purpose,
                 asker: origin.asker,
--- a/crates/flows/src/balancer/offer.rs
+++ b/crates/flows/src/balancer/offer.rs
@@ -139,6 +139,7 @@
             frame: PacketFrame {
                 slots: chosen.slots,
                 warmup: view.warmup_of(chosen, now),
+                class: view.class_of(route, chosen.service).map(Box::new),
                 zones_revision: view.zones.confirmed_revision(),
                 rest,
                 ..PacketFrame::new(FramePurpose::Offer, chosen.service, self.own_address)
--- a/crates/flows/src/frame.rs
+++ b/crates/flows/src/frame.rs
@@ -2,11 +2,11 @@
 //! the packet as it was received if the frame carries one.
 
 use std::net::Ipv4Addr;
-use std::num::NonZeroU16;
+use std::num::{NonZeroU16, NonZeroU32};
 use std::time::Duration;
 
 use lovagelatch_catalog::WarmupRule;
-use lovagelatch_domain::{AgentAddress, ServiceId};
+use lovagelatch_domain::{AgentAddress, ConfigRevision, ServiceId};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use thiserror::Error;
@@ -83,6 +83,24 @@
     }
 }
 
+/// What an agent knows of the requests of a route to its service. It is learned from offers, and
+/// applies to all flows to the route's address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct RequestClass {
+    /// The version of the configuration that it was taken from; a higher one supersedes it.
+    pub version: ConfigRevision,
+    /// The urgency of the requests; 0 is the most urgent.
+    pub priority: u8,
+    /// The latency objective in milliseconds. Invariant: at least 1.
+    pub aim_ms: u32,
+    /// The time after which callers give up, in milliseconds. Invariant: at least `aim_ms`.
+    pub timeout_ms: u32,
+    /// Whether the requests may be run again.
+    pub idempotent: bool,
+    /// How many flows a target of the receiver's service can hold; `None` without a limit.
+    pub max_flows: Option<NonZeroU32>,
+}
+
 /// An agent that a packet may be forwarded to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Candidate {
@@ -110,6 +128,10 @@
     /// How many new flows that target can take while it is cold; `None` without a limit, and in
     /// frames other than offers.
     pub warmup: Option<WarmupLimit>,
+    /// The class of the route's requests, in offers; `None` in other frames, where the operator
+    /// does not say, and at an agent of another service than that of the first choice. Boxed,
+    /// because most frames have none.
+    pub class: Option<Box<RequestClass>>,
     /// For an offer, the store revision up to which the balancer knew the evacuated zones; at that
     /// revision neither the receiver's zone nor that of any agent in `rest` is evacuated. 0 if the
     /// balancer makes no such statement: it is cut off, or the packet is a copy of one that the
@@ -133,6 +155,7 @@
             balancer,
             slots: 0,
             warmup: None,
+            class: None,
             zones_revision: 0,
             purpose,
             asker: None,
@@ -213,6 +236,11 @@
     /// How many more new flows its cold target can take until the next report; `None` where no
     /// limit applies.
     pub room: Option<u16>,
+    /// Requests that wait at the agent until the target can take them.
+    pub waiting: u16,
+    /// The learned mean time that the target works on a request, in microseconds; `None` while it
+    /// is not known.
+    pub service_time_us: Option<NonZeroU32>,
 }
 
 impl LoadReport {
@@ -231,6 +259,8 @@
             zones_revision: 0,
             evacuated: false,
             room: None,
+            waiting: 0,
+            service_time_us: None,
         }
     }
 }
--- a/crates/flows/src/lib.rs
+++ b/crates/flows/src/lib.rs
@@ -37,8 +37,8 @@
 pub use explain::{CandidateExplanation, FlowExplanation, FlowStatus};
 pub use frame::{
     Candidate, DelegatedSearch, FlowEvent, FlowUpdate, FrameError, FramePurpose, LoadReport,
-    PacketFrame, PeerFrame, SearchGroup, SearchResult, WarmupLimit, ZoneNotice, is_relayable,
-    read_frame, write_frame, write_relay_frame,
+    PacketFrame, PeerFrame, RequestClass, SearchGroup, SearchResult, WarmupLimit, ZoneNotice,
+    is_relayable, read_frame, write_frame, write_relay_frame,
 };
 pub use load::{LoadTable, TargetLoad};
 pub use packet::{FlowKey, FlowPacket, PacketFlags};
--- a/crates/flows/src/view.rs
+++ b/crates/flows/src/view.rs
@@ -11,14 +11,15 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddrV4;
+use std::num::NonZeroU32;
 use std::sync::Arc;
 use std::time::Duration;
 
-use lovagelatch_catalog::WarmupRule;
+use lovagelatch_catalog::{RequestPolicy, WarmupRule};
 use lovagelatch_domain::{AgentAddress, ConfigRevision, Moment, ServiceId, ServiceName};
 use smallvec::SmallVec;
 
-use crate::frame::WarmupLimit;
+use crate::frame::{RequestClass, WarmupLimit};
 use crate::packet::FlowKey;
 use crate::ring::{FlowStanding, FlowTarget, ServiceTargets};
 
@@ -41,6 +42,8 @@
     pub name: String,
     /// Whether the requests of the route are idempotent, so that they may be retried.
     pub idempotent: bool,
+    /// What the operator expects of the requests of the route, if anything.
+    pub policy: Option<RequestPolicy>,
     /// The services that new flows are sent to, with weights. Invariant: no weight is 0.
     pub shares: SmallVec<[(ServiceId, u32); 2]>,
     /// Services that the route no longer sends flows to, with the time until which they may still
@@ -99,6 +102,8 @@
     names: Arc<HashMap<ServiceId, ServiceName>>,
     /// The flow limits of cold targets, for services where the operator sets one.
     warmups: Arc<HashMap<ServiceId, WarmupRule>>,
+    /// How many flows a target can hold, for services where the operator sets a limit.
+    flow_limits: Arc<HashMap<ServiceId, NonZeroU32>>,
     /// The services in the configuration. Entries of other services belong to another writer.
     configured: Arc<HashSet<ServiceId>>,
     /// Targets that the store no longer lists, beside agents without a listed target.
@@ -200,6 +205,30 @@
         Some(WarmupLimit::new(rule, warm_at.since(now)))
     }
 
+    /// Returns how many flows a target of the service can hold; `None` without a limit.
+    #[must_use]
+    pub fn max_flows_of(&self, service: ServiceId) -> Option<NonZeroU32> {
+        if self.flow_limits.is_empty() {
+            return None;
+        }
+        self.flow_limits.get(&service).copied()
+    }
+
+    /// Returns the class of a route's requests for agents of a service; `None` where the operator
+    /// does not say.
+    #[must_use]
+    pub fn class_of(&self, route: &FlowRoute, service: ServiceId) -> Option<RequestClass> {
+        let policy = route.policy?;
+        Some(RequestClass {
+            version: self.version,
+            priority: policy.priority,
+            aim_ms: policy.aim_ms,
+            timeout_ms: policy.timeout_ms,
+            idempotent: route.idempotent,
+            max_flows: self.max_flows_of(service),
+        })
+    }
+
     /// Returns the name of a service for logs, or an empty string if it is unknown.
     #[must_use]
     pub fn service_name(&self, service: ServiceId) -> &str {
--- a/crates/flows/src/view/builder.rs
+++ b/crates/flows/src/view/builder.rs
@@ -11,7 +11,7 @@
 
 use lovagelatch_catalog::{
     Catalog, CatalogChanges, PublishedRoute, PublishedTarget, RECOVERY_WINDOW, TargetName,
-    TargetRow, WarmupRule,
+    TargetRow,
 };
 use lovagelatch_domain::{
     AgentAddress, Moment, RegionName, ServiceId, ServiceName, StorePosition, ZoneName,
@@ -564,6 +564,7 @@
         let next = route.map(|route| FlowRoute {
             name: route.name.clone(),
             idempotent: route.idempotent,
+            policy: route.policy,
             shares,
             former: self.former.get(&address).cloned().unwrap_or_default(),
             regions,
@@ -612,24 +613,14 @@
         }))
     }
 
-    fn set_warmup(&mut self, service: ServiceId, rule: Option<WarmupRule>) {
-        if self.view.warmups.get(&service) == rule.as_ref() {
-            return;
-        }
-        let warmups = Arc::make_mut(&mut self.view.warmups);
-        match rule {
-            Some(rule) => warmups.insert(service, rule),
-            None => warmups.remove(&service),
-        };
-    }
-
     fn shares_of(&mut self, route: &PublishedRoute) -> SmallVec<[(ServiceId, u32); 2]> {
         for share in &route.shares {
             let service = share.service.id();
             if !self.view.names.contains_key(&service) {
                 Arc::make_mut(&mut self.view.names).insert(service, share.service.clone());
             }
-            self.set_warmup(service, share.warmup);
+            set_limit(&mut self.view.warmups, service, share.warmup);
+            set_limit(&mut self.view.flow_limits, service, share.max_flows);
         }
         let weighted = route.shares.iter().filter(|share| share.weight > 0);
         weighted
@@ -693,6 +684,22 @@
     edits.entry(service).or_default().push(edit);
 }
 
+/// Sets or removes the limit of a service. Copies the map only if the limit changes.
+fn set_limit<L: Copy + PartialEq>(
+    limits: &mut Arc<HashMap<ServiceId, L>>,
+    service: ServiceId,
+    limit: Option<L>,
+) {
+    if limits.get(&service) == limit.as_ref() {
+        return;
+    }
+    let limits = Arc::make_mut(limits);
+    match limit {
+        Some(limit) => limits.insert(service, limit),
+        None => limits.remove(&service),
+    };
+}
+
 fn replace_route(routes: &mut Arc<RouteMap>, address: SocketAddrV4, next: Option<FlowRoute>) {
     let routes = Arc::make_mut(routes);
     match next {
--- a/crates/flows/tests/all/agent.rs
+++ b/crates/flows/tests/all/agent.rs
@@ -49,6 +49,7 @@
         balancer: balancer(),
         slots: 3,
         warmup: None,
+        class: None,
         zones_revision: 1,
         purpose,
         asker: None,
--- a/crates/flows/tests/all/balancer.rs
+++ b/crates/flows/tests/all/balancer.rs
@@ -1,9 +1,10 @@
 //! New flows at a balancer.
 
 use std::collections::BTreeSet;
+use std::num::NonZeroU32;
 
-use lovagelatch_catalog::PublishedTarget;
-use lovagelatch_domain::AgentAddress;
+use lovagelatch_catalog::{PublishedTarget, RequestPolicy};
+use lovagelatch_domain::{AgentAddress, ConfigRevision};
 use lovagelatch_flows::{
     BalancerStep, FlowBalancer, FlowEvent, FlowView, FramePurpose, LoadReport, PacketFrame,
     RefusalReason,
@@ -52,6 +53,38 @@
     }
 }
 
+// Guards against agents that order requests by an older configuration, and against the cost of a
+// class in every frame: only offers carry it.
+#[test]
+fn an_offer_carries_the_class_of_its_route() {
+    let policy = |priority| RequestPolicy {
+        priority,
+        aim_ms: 150,
+        timeout_ms: 1_000,
+    };
+    let balancer = FlowBalancer::new(balancer());
+    let mut builder = builder();
+    let mut catalog = catalog(vec![target(1, "claims")]);
+    for (version, priority) in [(7, 2), (9, 1)] {
+        let mut route = route(claims_address(), &[("claims", 1)]);
+        route.policy = Some(policy(priority));
+        route.shares[0].max_flows = NonZeroU32::new(2_000);
+        catalog.version = ConfigRevision(version);
+        catalog.routes = vec![route].into();
+        builder.apply(&catalog, at(version));
+        let view = builder.build(at(version));
+        let flow = flow(priority.into());
+        let step = balancer.handle_packet(&opening(flow), b"syn", &view, at(version));
+        let class = sent(step).1.class.expect("a class");
+        assert_eq!(class.version, ConfigRevision(version));
+        assert_eq!((class.priority, class.aim_ms), (priority, 150));
+        assert_eq!(class.max_flows.map(NonZeroU32::get), Some(2_000));
+        balancer.handle_flow_update(&flow_update(flow, agent(1), FlowEvent::Opened), at(version));
+        let step = balancer.handle_packet(&data(flow), b"data", &view, at(version));
+        assert_eq!(sent(step).1.class, None);
+    }
+}
+
 #[test]
 fn what_cannot_be_served_is_refused_at_once() {
     let balancer = FlowBalancer::new(balancer());
--- a/crates/flows/tests/all/frame.rs
+++ b/crates/flows/tests/all/frame.rs
@@ -1,8 +1,11 @@
 //! Encoding and decoding of frames.
 
+use std::num::NonZeroU32;
+
+use lovagelatch_domain::ConfigRevision;
 use lovagelatch_flows::{
-    Candidate, DelegatedSearch, FlowEvent, FramePurpose, PacketFrame, PeerFrame, SearchGroup,
-    SearchResult, read_frame, write_frame,
+    Candidate, DelegatedSearch, FlowEvent, FramePurpose, PacketFrame, PeerFrame, RequestClass,
+    SearchGroup, SearchResult, read_frame, write_frame,
 };
 use quickcheck::quickcheck;
 use smallvec::smallvec;
@@ -23,6 +26,7 @@
             balancer: balancer(),
             slots: 3,
             warmup: None,
+            class: None,
             zones_revision: 0,
             purpose: FramePurpose::Offer,
             asker: None,
@@ -44,6 +48,27 @@
     }
 }
 
+// Guards against an offer that no longer fits beside its packet because it names a class.
+#[test]
+fn an_offer_with_a_class_is_read_as_it_was_written() {
+    let class = RequestClass {
+        version: ConfigRevision(u64::MAX),
+        priority: u8::MAX,
+        aim_ms: 60_000,
+        timeout_ms: 60_000,
+        idempotent: true,
+        max_flows: NonZeroU32::new(2_000),
+    };
+    let frame = PeerFrame::Packet(PacketFrame {
+        class: Some(Box::new(class)),
+        ..PacketFrame::new(FramePurpose::Offer, claims(), balancer())
+    });
+    let mut bytes = Vec::new();
+    write_frame(&frame, b"packet", &mut bytes);
+    assert_eq!(read_frame(&bytes), Ok((frame, &b"packet"[..])));
+    assert!(bytes.len() < 100, "{} bytes", bytes.len());
+}
+
 #[test]
 fn a_delegated_search_leaves_room_for_the_packet() {
     let group = |first: u8| SearchGroup {
--- a/crates/flows/tests/all/support.rs
+++ b/crates/flows/tests/all/support.rs
@@ -68,6 +68,7 @@
         address,
         name: "r-1".to_owned(),
         idempotent: true,
+        policy: None,
         homes: Box::default(),
         shares: shares
             .iter()
@@ -75,6 +76,7 @@
                 service: service(name),
                 weight,
                 warmup: None,
+                max_flows: None,
             })
             .collect(),
     }
@@ -96,6 +98,7 @@
                 service: service("claims"),
                 weight: 1,
                 warmup: None,
+                max_flows: None,
             }],
             ..route(claims_address(), &[])
         }]
--- a/standins/soak/src/fleet.rs
+++ b/standins/soak/src/fleet.rs
@@ -385,11 +385,13 @@
                 address,
                 name: format!("r-{number}"),
                 idempotent: number != 1,
+                policy: None,
                 homes: Box::default(),
                 shares: smallvec![RouteShare {
                     service: service_name(service),
                     weight: 1,
                     warmup: None,
+                    max_flows: None,
                 }],
             }
         });
--- a/tests/matrix/src/opaque/fault.rs
+++ b/tests/matrix/src/opaque/fault.rs
@@ -114,6 +114,7 @@
                     service: vault(),
                     weight: 1,
                     warmup: None,
+                    max_flows: None,
                 };
                 self.routes[0].shares = smallvec![share];
                 self.version += 1;
--- a/tests/matrix/src/opaque/world.rs
+++ b/tests/matrix/src/opaque/world.rs
@@ -990,11 +990,13 @@
         address: address(number),
         name: format!("r-{number}"),
         idempotent: number != 2,
+        policy: None,
         homes: Box::default(),
         shares: smallvec![RouteShare {
             service,
             weight: 1,
-            warmup: None
+            warmup: None,
+            max_flows: None,
         }],
     }
 }
