Delegates query no agent twice for a repeated search

Callers saw: nothing directly; agents of a fleet that had lost power answered the same question several times, which took processor time from requests.

Cause: a balancer that is late repeats a delegated search before the first one has ended, and the delegate queried all named agents again.

Change: while a search for a flow on behalf of a balancer is in progress, a repetition queries only agents that were not queried, and answers that have arrived count. If all named agents have answered, the result is due at once.

Evidence: delegated_search::a_repeated_search_queries_no_agent_again and a_repeated_search_whose_answers_are_known_ends_at_once failed on the code before (four agents queried instead of one, one instead of none) and pass.

--- a/crates/flows/src/delegated_search.rs
+++ b/crates/flows/src/delegated_search.rs
@@ -4,6 +4,10 @@
 //! report the flow as absent. An agent that holds the flow notifies the balancer itself. When all
 //! have answered, or after [`DELEGATED_SEARCH_TIMEOUT`], the balancer receives one result for all
 //! of them.
+//!
+//! A balancer that got no result in time may ask again. What the agent has learned and whom it is
+//! still waiting for stays valid for as long as the first search lasts, so it queries nobody twice
+//! within that time.
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddrV4;
@@ -35,6 +39,23 @@
     started: Moment,
     /// Agents that have not answered yet.
     unanswered: SmallVec<[AgentAddress; 16]>,
+    /// Agents that have reported the flow as absent.
+    absent: SmallVec<[AgentAddress; 16]>,
+}
+
+impl PendingSearch {
+    fn new(balancer: AgentAddress, now: Moment) -> Self {
+        Self {
+            balancer,
+            started: now,
+            unanswered: SmallVec::new(),
+            absent: SmallVec::new(),
+        }
+    }
+
+    fn is_queried(&self, agent: AgentAddress) -> bool {
+        self.unanswered.contains(&agent) || self.absent.contains(&agent)
+    }
 }
 
 /// The delegated searches in flight.
@@ -43,6 +64,8 @@
     pending: HashMap<FlowKey, PendingSearch>,
     /// Invariant: ordered by start, since all have the same timeout.
     start_order: VecDeque<(Moment, FlowKey)>,
+    /// Searches that were repeated and have all their answers.
+    answered: Vec<FlowKey>,
 }
 
 impl DelegatedSearches {
@@ -58,21 +81,34 @@
         if self.start_order.len() >= MAX_SEARCHES {
             return Vec::new();
         }
+        let known = self.pending.remove(&flow).filter(|known| {
+            known.balancer == search.balancer && !has_timed_out(known.started, now)
+        });
+        let mut pending = known.unwrap_or_else(|| PendingSearch::new(search.balancer, now));
+        pending.started = now;
+        let mut named: SmallVec<[AgentAddress; 16]> = SmallVec::new();
         let mut frames = Vec::new();
         for group in &search.others {
             for &instance in &group.instances {
+                if named.len() == MAX_DELEGATED_AGENTS {
+                    break;
+                }
                 let agent = AgentAddress(SocketAddrV4::new(instance, own_address.0.port()));
-                let frame = PacketFrame::new(FramePurpose::Search, group.service, search.balancer);
-                frames.push((agent, frame.with_asker(own_address)));
+                named.push(agent);
+                if !pending.is_queried(agent) {
+                    let frame =
+                        PacketFrame::new(FramePurpose::Search, group.service, search.balancer);
+                    frames.push((agent, frame.with_asker(own_address)));
+                }
             }
         }
-        frames.truncate(MAX_DELEGATED_AGENTS);
-        let started = PendingSearch {
-            balancer: search.balancer,
-            started: now,
-            unanswered: frames.iter().map(|(agent, _)| *agent).collect(),
-        };
-        self.pending.insert(flow, started);
+        let absent = &pending.absent;
+        let unanswered = named.iter().filter(|agent| !absent.contains(agent));
+        pending.unanswered = unanswered.copied().collect();
+        if pending.unanswered.is_empty() && !named.is_empty() {
+            self.answered.push(flow);
+        }
+        self.pending.insert(flow, pending);
         self.start_order.push_back((now, flow));
         frames
     }
@@ -86,20 +122,29 @@
         own_address: AgentAddress,
     ) -> Option<(AgentAddress, SearchResult)> {
         let search = self.pending.get_mut(flow)?;
+        let before = search.unanswered.len();
         search.unanswered.retain(|unanswered| *unanswered != agent);
+        if search.unanswered.len() < before {
+            search.absent.push(agent);
+        }
         if !search.unanswered.is_empty() {
             return None;
         }
         self.finish(flow, own_address)
     }
 
-    /// Ends the searches that have timed out and returns their results.
+    /// Ends the searches that have timed out, or were repeated after all answers had arrived, and
+    /// returns their results.
     pub(crate) fn expire(
         &mut self,
         own_address: AgentAddress,
         now: Moment,
     ) -> Vec<(AgentAddress, SearchResult)> {
-        let mut results = Vec::new();
+        let answered = std::mem::take(&mut self.answered);
+        let mut results: Vec<_> = answered
+            .iter()
+            .filter_map(|flow| self.finish(flow, own_address))
+            .collect();
         while let Some((_, flow)) = self
             .start_order
             .pop_front_if(|(started, _)| has_timed_out(*started, now))
@@ -116,6 +161,9 @@
     /// Returns when the oldest search times out. A search that has ended meanwhile still counts
     /// until then.
     pub(crate) fn next_deadline(&self) -> Option<Moment> {
+        if !self.answered.is_empty() {
+            return Some(Moment::ZERO);
+        }
         self.start_order
             .front()
             .map(|(started, _)| *started + DELEGATED_SEARCH_TIMEOUT)
--- a/crates/flows/tests/all/delegated_search.rs
+++ b/crates/flows/tests/all/delegated_search.rs
@@ -104,6 +104,97 @@
     assert_eq!(delegate.expired_searches(at(100)), ended);
 }
 
+struct RepeatCase {
+    name: &'static str,
+    /// Agents that answer before the search is repeated.
+    absent: &'static [u8],
+    balancer: AgentAddress,
+    repeated_at: u64,
+    /// Agents that are queried for the repetition.
+    queried: &'static [u8],
+}
+
+// Guards against agents that are queried several times for one flow while their answers are on their
+// way: a balancer that is late sends the same search to the same delegate again, which queried all
+// agents each time.
+#[test]
+fn a_repeated_search_queries_no_agent_again() {
+    let first = RepeatCase {
+        name: "nobody has answered",
+        absent: &[],
+        balancer: balancer(),
+        repeated_at: 40,
+        queried: &[5],
+    };
+    let cases = [
+        RepeatCase { ..first },
+        RepeatCase {
+            name: "one has answered",
+            absent: &[2],
+            ..first
+        },
+        RepeatCase {
+            name: "the first search has ended",
+            repeated_at: 60,
+            queried: &[2, 3, 4, 5],
+            ..first
+        },
+        RepeatCase {
+            name: "another balancer searches",
+            balancer: agent(100),
+            queried: &[2, 3, 4, 5],
+            ..first
+        },
+    ];
+    for case in cases {
+        let mut delegate = informed_agent();
+        let search = delegated_search(&[2, 3], &[4]);
+        let step = delegate.handle_delegated_search(&search, &data(flow(1)), at(0));
+        assert_eq!(step.remote.len(), 3);
+        for &number in case.absent {
+            delegate.handle_flow_update(&flow_update(flow(1), agent(number), FlowEvent::Absent));
+        }
+        let repeated = DelegatedSearch {
+            balancer: case.balancer,
+            ..delegated_search(&[2, 3, 5], &[4])
+        };
+        let now = at(case.repeated_at);
+        let step = delegate.handle_delegated_search(&repeated, &data(flow(1)), now);
+        let mut queried: Vec<_> = step.remote.iter().map(|(to, _)| *to).collect();
+        queried.sort_unstable();
+        let expected: Vec<_> = case.queried.iter().map(|&number| agent(number)).collect();
+        assert_eq!(queried, expected, "{}", case.name);
+        // Earlier answers count, and the last one ends the search.
+        let missing = [2, 3, 4, 5].into_iter();
+        let missing = missing.filter(|number| !case.absent.contains(number));
+        let results: Vec<_> = missing
+            .filter_map(|number| {
+                let update = flow_update(flow(1), agent(number), FlowEvent::Absent);
+                delegate.handle_flow_update(&update)
+            })
+            .collect();
+        let [(to, result)] = &results[..] else {
+            panic!("{}: {results:?}", case.name);
+        };
+        assert_eq!((*to, result.silent.len()), (case.balancer, 0));
+    }
+}
+
+// Guards against a balancer that waits 60 ms for a result that the delegate has: the repeated search
+// names only agents that have answered the first one.
+#[test]
+fn a_repeated_search_whose_answers_are_known_ends_at_once() {
+    let mut delegate = informed_agent();
+    delegate.handle_delegated_search(&delegated_search(&[2, 3], &[]), &data(flow(1)), at(0));
+    delegate.handle_flow_update(&flow_update(flow(1), agent(2), FlowEvent::Absent));
+    let step =
+        delegate.handle_delegated_search(&delegated_search(&[2], &[]), &data(flow(1)), at(40));
+    assert_eq!(step.remote, []);
+    assert!(delegate.next_search_deadline() <= Some(at(40)));
+    let ended: Vec<_> = search_result(smallvec![]).into_iter().collect();
+    assert_eq!(delegate.expired_searches(at(40)), ended);
+}
+
 // Guards against one datagram that makes an agent send hundreds, because it queries every agent
 // that a frame names.
 #[test]
