--- a/bins/balancer/src/lib.rs
+++ b/bins/balancer/src/lib.rs
@@ -29,5 +29,5 @@
 pub use forward::{ForwardPath, ForwardState, PacketForwarder};
 pub use ingress::{IngressError, PacketIngress, PacketOrigin};
 pub use metrics::{PacketCounts, PacketMetrics, PacketOutcome};
-pub use opaque::run_opaque;
+pub use opaque::{CycleSteps, PacketCycle, ReadyInput, run_opaque};
 pub use process::{BalancerError, run_balancer};
--- a/bins/balancer/src/opaque/decision_log.rs
+++ b/bins/balancer/src/opaque/decision_log.rs
@@ -3,7 +3,8 @@
 use std::time::Instant;
 
 use lovagelatch_flows::{
-    DueOffer, FlowKey, FlowReset, FlowView, LossReason, PlacedFlow, RefusalReason, SearchFrames,
+    DueOffer, FlowKey, FlowReset, FlowView, LossReason, PlacedFlow, RefusalReason, SearchCounts,
+    SearchFrames,
 };
 use lovagelatch_telemetry::{DecisionKind, LineLimiter, Logger, info, warn};
 
@@ -119,7 +120,13 @@
             "left_out" => left_out);
     }
 
-    pub(crate) fn searched(&mut self, flow: &FlowKey, frames: &SearchFrames, view: &FlowView) {
+    pub(crate) fn searched(
+        &mut self,
+        flow: &FlowKey,
+        frames: &SearchFrames,
+        counts: SearchCounts,
+        view: &FlowView,
+    ) {
         let Some(left_out) = self.searched.admit(Instant::now()) else {
             return;
         };
@@ -130,6 +137,9 @@
             "address" => flow.service_address.to_string(),
             "agents" => agents,
             "frames" => frames.len(),
+            "in_flight" => counts.in_flight,
+            "waiting" => counts.waiting,
+            "suppressed" => counts.suppressed,
             "version" => view.version.0,
             "left_out" => left_out);
     }
--- a/bins/balancer/src/opaque/metrics.rs
+++ b/bins/balancer/src/opaque/metrics.rs
@@ -1,8 +1,12 @@
 //! Metrics of the balancer for opaque packets.
 
+use std::sync::Arc;
+
 use lovagelatch_catalog::StoreFailure;
 use lovagelatch_telemetry::{DURATION_BOUNDS, EventCounts, EventOutcome, Histogram, Meter};
 
+use super::packets::PacketState;
+
 /// Outcome of a datagram.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum PacketOutcome {
@@ -16,6 +20,8 @@
     Relayed,
     /// A search for the flow of a packet was sent to agents.
     Searched,
+    /// A search waits for others to end.
+    SearchWaiting,
     /// A search was abandoned because it would have had to query too many agents.
     SearchAbandoned,
     /// A first packet without a route was answered with a reset.
@@ -45,6 +51,7 @@
         Self::Forwarded,
         Self::Relayed,
         Self::Searched,
+        Self::SearchWaiting,
         Self::SearchAbandoned,
         Self::ResetNoRoute,
         Self::ResetNoTarget,
@@ -68,6 +75,7 @@
             Self::Forwarded => "forwarded",
             Self::Relayed => "relayed",
             Self::Searched => "searched",
+            Self::SearchWaiting => "search_waiting",
             Self::SearchAbandoned => "search_abandoned",
             Self::ResetNoRoute => "reset_no_route",
             Self::ResetNoTarget => "reset_no_target",
@@ -108,6 +116,39 @@
     }
 }
 
+/// Registers the metrics of searches, which are read when metrics are scraped.
+pub(crate) fn register_search_metrics(meter: &Meter, packets: &Arc<PacketState>) {
+    let state = Arc::clone(packets);
+    let _in_flight = meter
+        .u64_observable_gauge("lovagelatch.balancer.searches.in_flight")
+        .with_unit("{search}")
+        .with_description("Searches for flows with queries in flight")
+        .with_callback(move |observer| {
+            let counts = state.balancer.search_counts();
+            observer.observe(counts.in_flight as u64, &[]);
+        })
+        .build();
+    let state = Arc::clone(packets);
+    let _waiting = meter
+        .u64_observable_gauge("lovagelatch.balancer.searches.waiting")
+        .with_unit("{search}")
+        .with_description("Searches for flows that wait for others to end")
+        .with_callback(move |observer| {
+            let counts = state.balancer.search_counts();
+            observer.observe(counts.waiting as u64, &[]);
+        })
+        .build();
+    let state = Arc::clone(packets);
+    let _suppressed = meter
+        .u64_observable_counter("lovagelatch.balancer.searches.suppressed")
+        .with_unit("{packet}")
+        .with_description("Packets of unknown flows that caused no query")
+        .with_callback(move |observer| {
+            observer.observe(state.balancer.search_counts().suppressed, &[]);
+        })
+        .build();
+}
+
 /// Counters of store calls by outcome.
 #[derive(Clone, Debug)]
 pub(crate) struct StoreCallCounts(EventCounts<StoreOutcome>);
--- a/bins/balancer/src/opaque/mod.rs
+++ b/bins/balancer/src/opaque/mod.rs
@@ -13,6 +13,7 @@
 
 mod catalog;
 mod coverage;
+mod cycle;
 mod decision_log;
 mod metrics;
 mod packets;
@@ -21,6 +22,7 @@
 
 use std::time::Duration;
 
+pub use cycle::{CycleSteps, PacketCycle, ReadyInput};
 pub use process::run_opaque;
 
 /// Converts a duration to whole milliseconds, for logs and status.
--- a/bins/balancer/src/opaque/packets.rs
+++ b/bins/balancer/src/opaque/packets.rs
@@ -15,8 +15,9 @@
     LoadReport, PacketFrame, PeerFrame, RefusalReason, SearchFrames, read_frame, write_frame,
     write_relay_frame,
 };
-use lovagelatch_network::{BUFFER_BYTES, ReceiveBatch, SendBatch, wait_readable};
+use lovagelatch_network::{BATCH_DATAGRAMS, BUFFER_BYTES, ReceiveBatch, SendBatch, wait_readable};
 
+use super::cycle::{CycleSteps, PacketCycle, ReadyInput};
 use super::decision_log::DecisionLog;
 use super::metrics::{PacketCounts, PacketMetrics, PacketOutcome};
 
@@ -70,6 +71,8 @@
     metrics: PacketMetrics,
     log: DecisionLog,
     next_loss_check: Moment,
+    /// The view of the current cycle.
+    view: Arc<FlowView>,
     /// Packets received before a configuration was known, with their arrival times.
     held: Vec<(Moment, Vec<u8>)>,
 }
@@ -90,29 +93,16 @@
             metrics,
             log,
             next_loss_check: Moment::ZERO,
+            view: Arc::default(),
             held: Vec::new(),
         }
     }
 
     /// Processes packets until `shutdown` is set.
     pub(crate) fn run(&mut self) -> io::Result<()> {
+        let mut cycle = PacketCycle::default();
         while !self.state.shutdown.load(Ordering::Relaxed) {
-            let timeout = self.next_timeout();
-            let sockets = [&self.sockets.clients, &self.sockets.frames];
-            let [clients, frames] = wait_readable(sockets, timeout)?;
-            let view = self.state.view.load_full();
-            self.release_held(&view);
-            // Frames first: flow updates determine where later packets go.
-            if frames {
-                self.receive_frames(&view)?;
-            }
-            if clients {
-                self.receive_packets(&view)?;
-            }
-            self.retry_offers(&view);
-            self.advance_searches(&view);
-            self.reset_lost_flows(&view);
-            self.flush();
+            cycle.run(self)?;
         }
         Ok(())
     }
@@ -128,20 +118,6 @@
         wait.map_or(limit, |wait| wait.min(limit))
     }
 
-    fn receive_packets(&mut self, view: &FlowView) -> io::Result<()> {
-        let count = self.receiving.receive_available(&self.sockets.clients)?;
-        self.state
-            .received
-            .fetch_add(count as u64, Ordering::Relaxed);
-        let now = self.state.clock.now();
-        for index in 0..count {
-            let mut bytes = [0; BUFFER_BYTES];
-            let length = self.receiving.datagram(index).copy_to(&mut bytes);
-            self.handle_packet(&bytes[..length], view, now);
-        }
-        Ok(())
-    }
-
     fn handle_packet(&mut self, bytes: &[u8], view: &FlowView, now: Moment) {
         match decode_packet(bytes, PacketSender::Client) {
             Ok(packet) => {
@@ -152,17 +128,6 @@
         }
     }
 
-    fn receive_frames(&mut self, view: &FlowView) -> io::Result<()> {
-        let count = self.receiving.receive_available(&self.sockets.frames)?;
-        let now = self.state.clock.now();
-        for index in 0..count {
-            let mut bytes = [0; BUFFER_BYTES];
-            let length = self.receiving.datagram(index).copy_to(&mut bytes);
-            self.handle_frame(&bytes[..length], view, now);
-        }
-        Ok(())
-    }
-
     fn handle_frame(&mut self, datagram: &[u8], view: &FlowView, now: Moment) {
         match read_frame(datagram) {
             Ok((PeerFrame::Note(update), _)) => {
@@ -277,8 +242,7 @@
         }
     }
 
-    fn retry_offers(&mut self, view: &FlowView) {
-        let now = self.state.clock.now();
+    fn retry_offers(&mut self, view: &FlowView, now: Moment) {
         for offer in self.state.balancer.due_offers(view, now) {
             self.counts.add(PacketOutcome::OfferedAgain);
             self.log.offered_again(&offer, view);
@@ -286,8 +250,7 @@
         }
     }
 
-    fn advance_searches(&mut self, view: &FlowView) {
-        let now = self.state.clock.now();
+    fn advance_searches(&mut self, view: &FlowView, now: Moment) {
         for due in self.state.balancer.due_searches(view, now) {
             match due {
                 DueSearch::Query {
@@ -305,8 +268,12 @@
     }
 
     fn search(&mut self, flow: &FlowKey, frames: SearchFrames, bytes: &[u8], view: &FlowView) {
+        if frames.is_empty() {
+            return self.counts.add(PacketOutcome::SearchWaiting);
+        }
         self.counts.add(PacketOutcome::Searched);
-        self.log.searched(flow, &frames, view);
+        let counts = self.state.balancer.search_counts();
+        self.log.searched(flow, &frames, counts, view);
         for (to, frame) in frames {
             self.push(to.0, |out| write_frame(&frame, bytes, out));
         }
@@ -314,8 +281,7 @@
 
     /// Probes silent agents and resets flows that were lost with their targets, once per
     /// [`LOSS_CHECK_INTERVAL`].
-    fn reset_lost_flows(&mut self, view: &FlowView) {
-        let now = self.state.clock.now();
+    fn reset_lost_flows(&mut self, view: &FlowView, now: Moment) {
         if now < self.next_loss_check {
             return;
         }
@@ -360,12 +326,12 @@
 
     fn push(&mut self, to: SocketAddrV4, write: impl Fn(&mut Vec<u8>)) {
         if !self.sending.push(to, &write) {
-            self.flush();
+            self.send_pending();
             self.sending.push(to, &write);
         }
     }
 
-    fn flush(&mut self) {
+    fn send_pending(&mut self) {
         if !self.sending.is_empty() {
             let refused = self.sending.send(&self.sockets.frames);
             self.counts.add_many(PacketOutcome::NotSent, refused as u64);
@@ -373,6 +339,60 @@
     }
 }
 
+impl CycleSteps for PacketThread {
+    fn now(&self) -> Moment {
+        self.state.clock.now()
+    }
+
+    fn wait(&mut self) -> io::Result<ReadyInput> {
+        let timeout = self.next_timeout();
+        let sockets = [&self.sockets.clients, &self.sockets.frames];
+        let [packets, frames] = wait_readable(sockets, timeout)?;
+        self.view = self.state.view.load_full();
+        let view = Arc::clone(&self.view);
+        self.release_held(&view);
+        Ok(ReadyInput { frames, packets })
+    }
+
+    fn receive_frames(&mut self) -> io::Result<bool> {
+        let count = self.receiving.receive_available(&self.sockets.frames)?;
+        let now = self.state.clock.now();
+        let view = Arc::clone(&self.view);
+        for index in 0..count {
+            let mut bytes = [0; BUFFER_BYTES];
+            let length = self.receiving.datagram(index).copy_to(&mut bytes);
+            self.handle_frame(&bytes[..length], &view, now);
+        }
+        Ok(count == BATCH_DATAGRAMS)
+    }
+
+    fn receive_packets(&mut self) -> io::Result<()> {
+        let count = self.receiving.receive_available(&self.sockets.clients)?;
+        self.state
+            .received
+            .fetch_add(count as u64, Ordering::Relaxed);
+        let now = self.state.clock.now();
+        let view = Arc::clone(&self.view);
+        for index in 0..count {
+            let mut bytes = [0; BUFFER_BYTES];
+            let length = self.receiving.datagram(index).copy_to(&mut bytes);
+            self.handle_packet(&bytes[..length], &view, now);
+        }
+        Ok(())
+    }
+
+    fn run_timers(&mut self, as_of: Moment) {
+        let view = Arc::clone(&self.view);
+        self.retry_offers(&view, as_of);
+        self.advance_searches(&view, as_of);
+        self.reset_lost_flows(&view, as_of);
+    }
+
+    fn flush(&mut self) {
+        self.send_pending();
+    }
+}
+
 fn outcome_of(purpose: FramePurpose) -> PacketOutcome {
     match purpose {
         FramePurpose::Offer => PacketOutcome::Offered,
--- a/bins/balancer/src/opaque/process.rs
+++ b/bins/balancer/src/opaque/process.rs
@@ -23,7 +23,7 @@
 use super::catalog::{CatalogState, CatalogTasks, start_catalog};
 use super::coverage::CoverageLog;
 use super::decision_log::DecisionLog;
-use super::metrics::{PacketMetrics, StoreCallCounts, zone_delay};
+use super::metrics::{PacketMetrics, StoreCallCounts, register_search_metrics, zone_delay};
 use super::millis;
 use super::packets::{PacketSockets, PacketState, PacketThread};
 use super::zones::ZoneTracker;
@@ -227,6 +227,7 @@
         .with_description("Flows remembered")
         .with_callback(move |observer| observer.observe(packets.balancer.flow_count() as u64, &[]))
         .build();
+    register_search_metrics(meter, &tasks.state.packets);
     let packets = Arc::clone(&tasks.state.packets);
     let _complete = meter
         .u64_observable_gauge("lovagelatch.balancer.view_complete")
--- a/crates/flows/src/balancer.rs
+++ b/crates/flows/src/balancer.rs
@@ -16,7 +16,10 @@
 mod relay;
 mod schedule;
 mod search;
+mod search_answers;
 mod search_frames;
+mod search_timers;
+mod window;
 
 use std::collections::VecDeque;
 use std::sync::atomic::AtomicBool;
@@ -33,6 +36,8 @@
 use self::schedule::SearchSchedule;
 pub use self::search::DueSearch;
 pub use self::search_frames::SearchFrames;
+pub use self::window::SearchCounts;
+use self::window::SearchWindow;
 use crate::flow_table::FlowTable;
 use crate::frame::{
     FlowEvent, FlowUpdate, FramePurpose, LoadReport, PacketFrame, SearchResult, ZoneNotice,
@@ -135,7 +140,8 @@
         /// An agent that relays a copy of the frame, because `to` is silent.
         relay: Option<AgentAddress>,
     },
-    /// Query agents for the flow, with these frames.
+    /// Query agents for the flow, with these frames. Empty while the search waits for others to end;
+    /// [`FlowBalancer::due_searches`] then returns the first queries.
     Search(SearchFrames),
     /// Answer with a reset: the flow never opened.
     Reset(RefusalReason),
@@ -197,6 +203,8 @@
     pending: Mutex<VecDeque<PendingOffer>>,
     budget: Mutex<SearchBudget>,
     schedule: Mutex<SearchSchedule>,
+    /// Locked after a shard, and released before any other lock is taken.
+    window: Mutex<SearchWindow>,
     /// Whether the view of the last [`due_searches`](Self::due_searches) call was complete.
     view_was_complete: AtomicBool,
 }
@@ -218,6 +226,7 @@
             pending: Mutex::default(),
             budget: Mutex::new(SearchBudget::new()),
             schedule: Mutex::default(),
+            window: Mutex::default(),
             view_was_complete: AtomicBool::new(false),
         }
     }
@@ -249,6 +258,12 @@
         shard.flows.get(flow).map(|entry| entry.agent)
     }
 
+    /// Returns how many searches are in flight and waiting, and how many packets caused no query.
+    #[must_use]
+    pub fn search_counts(&self) -> SearchCounts {
+        self.window.lock().counts()
+    }
+
     pub(crate) fn loads(&self) -> MutexGuard<'_, LoadTable> {
         self.loads.lock()
     }
@@ -369,8 +384,9 @@
     #[must_use]
     pub fn next_due(&self) -> Option<Moment> {
         let search = self.schedule.lock().next_due();
+        let waiting = self.window.lock().next_due();
         let offer = self.next_offer();
-        search.into_iter().chain(offer).min()
+        search.into_iter().chain(waiting).chain(offer).min()
     }
 
     fn next_offer(&self) -> Option<Moment> {
@@ -471,7 +487,7 @@
     fn record_opened(&self, update: &FlowUpdate, now: Moment) {
         let (agent, service) = (update.load.agent, update.load.service);
         let mut shard = self.shard(update.flow.point()).lock();
-        let search = shard.searches.remove(&update.flow);
+        let search = self.remove_search(&mut shard, &update.flow);
         if let Some(entry) = shard.flows.get_mut(&update.flow) {
             entry.state = EntryState::Open;
             entry.agent = agent;
--- a/crates/flows/src/balancer/entry.rs
+++ b/crates/flows/src/balancer/entry.rs
@@ -7,7 +7,8 @@
 
 use crate::flow_table::LastActive;
 use crate::frame::Candidate;
-use crate::ring::FlowTarget;
+use crate::packet::FlowPacket;
+use crate::ring::{FlowTarget, TargetKey};
 
 /// An agent, and the service of its target.
 #[derive(Clone, Copy, Debug)]
@@ -111,6 +112,47 @@
     pub(super) holder: ServiceAgent,
     /// The agent that sends the query for this balancer; `None` if the balancer sends it directly.
     pub(super) delegate: Option<AgentAddress>,
+    /// When the agent was last queried.
+    pub(super) queried_at: Moment,
+    /// How often the agent was queried.
+    pub(super) count: u8,
+}
+
+impl PendingQuery {
+    pub(super) fn new(holder: ServiceAgent, now: Moment) -> Self {
+        Self {
+            holder,
+            delegate: None,
+            queried_at: now,
+            count: 0,
+        }
+    }
+
+    /// Records that the agent is queried, by the balancer itself or by a delegate.
+    pub(super) fn record_sent(&mut self, delegate: Option<AgentAddress>, now: Moment) {
+        self.delegate = delegate;
+        self.queried_at = now;
+        self.count = self.count.saturating_add(1);
+    }
+}
+
+/// An agent that was queried, and the target that was known at its address.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct QueriedTarget {
+    pub(super) agent: AgentAddress,
+    pub(super) key: TargetKey,
+    pub(super) at: Moment,
+    /// Whether the agent has reported the flow as absent.
+    pub(super) absent: bool,
+}
+
+impl QueriedTarget {
+    /// Returns whether a query about `target` would repeat this one. Another target at the same
+    /// address counts as queried if the view had it then, since an agent answers for the target that
+    /// runs beside it.
+    pub(super) fn covers(&self, target: &FlowTarget) -> bool {
+        self.agent == target.agent && (self.key == target.key || target.standing_since <= self.at)
+    }
 }
 
 /// The phase of a search.
@@ -133,6 +175,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct FlowSearch {
     pub(super) last_packet: Moment,
+    /// When the search began, or last began again.
     pub(super) started: Moment,
     /// When the search continues without another packet of the client.
     pub(super) due: Moment,
@@ -141,13 +184,22 @@
     /// Whether the route's requests may be run again.
     pub(super) idempotent: bool,
     pub(super) acknowledged: u32,
-    /// All agents that were queried.
-    pub(super) queried: SmallVec<[AgentAddress; 8]>,
+    /// The end of the client's data that agents were shown.
+    pub(super) client_end: u32,
+    /// Whether the packet in `bytes` carries data.
+    pub(super) has_data: bool,
+    /// All agents that were queried. Invariant: one entry for each agent.
+    pub(super) queried: SmallVec<[QueriedTarget; 8]>,
     /// Queries that have to be answered before the flow counts as lost.
     pub(super) pending: SmallVec<[PendingQuery; 8]>,
     /// The client's packet that started the search, shown to every queried agent.
     pub(super) bytes: Box<[u8]>,
     pub(super) phase: SearchPhase,
+    /// Whether the search waits for others to leave the window. Then it has no timer.
+    pub(super) is_waiting: bool,
+    /// Whether the search has begun before, so that its first queries go to all possible holders
+    /// that have not answered.
+    pub(super) is_repeated: bool,
     /// Whether the view that the search uses includes every live target.
     pub(super) view_complete: bool,
     /// Whether some possible holder must not be queried, so that the answers of the others prove
@@ -157,6 +209,41 @@
     pub(super) holder_unreachable: bool,
 }
 
+impl FlowSearch {
+    /// Creates a search that has queried nobody.
+    pub(super) fn new(packet: &FlowPacket, bytes: &[u8], idempotent: bool, now: Moment) -> Self {
+        Self {
+            last_packet: now,
+            started: now,
+            due: now,
+            queried_at: now,
+            idempotent,
+            acknowledged: packet.acknowledged,
+            client_end: packet.end(),
+            has_data: packet.data_bytes > 0,
+            queried: SmallVec::new(),
+            pending: SmallVec::new(),
+            bytes: bytes.into(),
+            phase: SearchPhase::Candidates,
+            is_waiting: false,
+            is_repeated: false,
+            view_complete: false,
+            holder_excluded: false,
+            holder_unreachable: false,
+        }
+    }
+
+    /// Records that an agent returned the flow's packet, so its target does not hold the flow.
+    pub(super) fn record_returned(&mut self, agent: AgentAddress, now: Moment) {
+        self.queried.push(QueriedTarget {
+            agent,
+            key: TargetKey::default(),
+            at: now,
+            absent: true,
+        });
+    }
+}
+
 impl LastActive for FlowEntry {
     fn last_active(&self) -> Moment {
         self.last_packet
--- a/crates/flows/src/balancer/holders.rs
+++ b/crates/flows/src/balancer/holders.rs
@@ -5,8 +5,8 @@
 use lovagelatch_domain::{AgentAddress, Moment};
 use smallvec::SmallVec;
 
-use super::entry::{FlowSearch, PendingQuery, SearchPhase, ServiceAgent};
-use crate::packet::FlowPacket;
+use super::entry::{FlowSearch, PendingQuery, QueriedTarget, SearchPhase, ServiceAgent};
+use crate::packet::FlowKey;
 use crate::ring::{FlowTarget, SEARCH_CANDIDATES, ServiceTargets};
 use crate::view::{FlowRoute, FlowView};
 
@@ -36,11 +36,15 @@
         let mut queried = QueriedAgents::new();
         for target in targets {
             let holder = ServiceAgent::of(target);
-            self.queried.push(target.agent);
+            self.queried.push(QueriedTarget {
+                agent: target.agent,
+                key: target.key,
+                at: now,
+                absent: false,
+            });
             queried.push(holder);
             if is_likely_alive(target, now) {
-                let delegate = None;
-                self.pending.push(PendingQuery { holder, delegate });
+                self.pending.push(PendingQuery::new(holder, now));
             }
         }
         queried
@@ -64,12 +68,54 @@
         self.holder_excluded |= targets.len() < before && now < regions.former_until;
     }
 
-    /// Returns those of `targets` whose agents have not been queried yet.
-    pub(super) fn not_queried<'v>(&self, targets: HolderList<'v>) -> HolderList<'v> {
-        let mut queried = self.queried.clone();
-        queried.sort_unstable();
-        let mut targets = targets;
-        targets.retain(|target| queried.binary_search(&target.agent).is_err());
+    /// Adds all possible holders that were not queried yet, and stops waiting for agents that are no
+    /// longer among them. Returns the agents to query, which include those that have not answered.
+    pub(super) fn query_all(
+        &mut self,
+        mut all: HolderList<'_>,
+        route: &FlowRoute,
+        view: &FlowView,
+        now: Moment,
+    ) -> QueriedAgents {
+        self.phase = SearchPhase::AllHolders;
+        self.exclude_regions(&mut all, route, view, now);
+        self.pending.retain(|query| {
+            let agent = &query.holder.agent;
+            all.binary_search_by_key(agent, |target| target.agent)
+                .is_ok()
+        });
+        let not_queried = self.not_queried(all);
+        let unanswered = self.pending.iter().map(|query| query.holder);
+        let unanswered: QueriedAgents = unanswered.collect();
+        let mut agents = self.add_queries(not_queried.into_iter(), now);
+        agents.extend(unanswered);
+        agents
+    }
+
+    /// Returns those of `targets` that have not been queried yet. Forgets queries of former targets
+    /// at their agents' addresses.
+    pub(super) fn not_queried<'v>(&mut self, mut targets: HolderList<'v>) -> HolderList<'v> {
+        self.queried.sort_unstable_by_key(|queried| queried.agent);
+        let mut replaced: SmallVec<[AgentAddress; 4]> = SmallVec::new();
+        targets.retain(|target| {
+            let known = self
+                .queried
+                .binary_search_by_key(&target.agent, |queried| queried.agent);
+            let Ok(known) = known else {
+                return true;
+            };
+            let is_new = !self.queried[known].covers(target);
+            if is_new {
+                replaced.push(target.agent);
+            }
+            is_new
+        });
+        if !replaced.is_empty() {
+            self.queried
+                .retain(|queried| !replaced.contains(&queried.agent));
+            self.pending
+                .retain(|query| !replaced.contains(&query.holder.agent));
+        }
         targets
     }
 }
@@ -79,50 +125,13 @@
     target.may_be_alive() || now.since(target.standing_since) < VANISHED_WINDOW
 }
 
-/// Starts a search: with all possible holders in a small fleet, else with the flow's candidates.
-pub(super) fn start_search(
-    packet: &FlowPacket,
-    bytes: &[u8],
-    except: Option<AgentAddress>,
-    route: &FlowRoute,
-    view: &FlowView,
-    now: Moment,
-) -> (FlowSearch, QueriedAgents) {
-    let is_small = is_small_fleet(view, now);
-    let mut search = FlowSearch {
-        last_packet: now,
-        started: now,
-        due: now,
-        queried_at: now,
-        idempotent: route.idempotent,
-        acknowledged: packet.acknowledged,
-        queried: SmallVec::new(),
-        pending: SmallVec::new(),
-        bytes: bytes.into(),
-        phase: if is_small {
-            SearchPhase::AllHolders
-        } else {
-            SearchPhase::Candidates
-        },
-        view_complete: view.is_complete(),
-        holder_excluded: false,
-        holder_unreachable: false,
-    };
-    let mut targets = if is_small {
-        possible_holders(view, now)
-    } else {
-        candidates(packet, route, view)
-    };
-    search.exclude_regions(&mut targets, route, view, now);
-    let others = targets.into_iter();
-    let others = others.filter(|target| Some(target.agent) != except);
-    let queried = search.add_queries(others, now);
-    (search, queried)
-}
-
 /// Returns the flow's candidates in each service that may hold it, one for each agent.
-fn candidates<'v>(packet: &FlowPacket, route: &FlowRoute, view: &'v FlowView) -> HolderList<'v> {
-    let point = packet.flow.point();
+pub(super) fn candidates<'v>(
+    flow: FlowKey,
+    route: &FlowRoute,
+    view: &'v FlowView,
+) -> HolderList<'v> {
+    let point = flow.point();
     let rings = route.services().filter_map(|service| view.service(service));
     let mut candidates = HolderList::new();
     for target in rings.flat_map(|ring| ring.candidates(point)) {
@@ -142,7 +151,7 @@
 
 /// Returns whether so few agents may hold a flow that all are queried at once. Every search calls
 /// this, so it stops as soon as the limit is exceeded: going through 1,000 targets took 40 us.
-fn is_small_fleet(view: &FlowView, now: Moment) -> bool {
+pub(super) fn is_small_fleet(view: &FlowView, now: Moment) -> bool {
     let mut agents: SmallVec<[AgentAddress; SINGLE_PHASE_AGENTS]> = SmallVec::new();
     for target in likely_alive_targets(view, now) {
         if agents.contains(&target.agent) {
--- a/crates/flows/src/balancer/offer.rs
+++ b/crates/flows/src/balancer/offer.rs
@@ -35,7 +35,7 @@
             }
             tried.clone_from(&entry.offered);
         }
-        shard.searches.remove(&flow);
+        self.remove_search(&mut shard, &flow);
         drop(shard);
         let Some(route) = view.route(&flow) else {
             return BalancerStep::Reset(RefusalReason::NoRoute);
--- a/crates/flows/src/balancer/search.rs
+++ b/crates/flows/src/balancer/search.rs
@@ -31,66 +31,55 @@
 //! While the view may lack targets, absence at all known holders proves nothing. These answers stay
 //! valid, because an open flow does not move to a target that does not hold it. So the search waits
 //! until the view is complete, queries the holders that are new in it, and ends.
+//!
+//! The work of searching must not grow with what fails. So only a few searches have queries in
+//! flight, and the others wait in order ([`SearchWindow`](super::window::SearchWindow)); a flow's
+//! absence at a target stays known when a search begins again; and copies of a client's packet
+//! query nobody whose answer is not overdue.
 
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use lovagelatch_domain::{AgentAddress, Moment};
 
-use super::entry::{EntryState, FlowEntry, FlowSearch, SearchPhase};
+use super::entry::{FlowSearch, SearchPhase};
 use super::holders::{self, QueriedAgents};
-use super::loss::{GONE_TIMEOUT, UNREACHABLE_TIMEOUT};
-use super::search_frames::{FrameBuilder, SearchFrames, delegated_bytes};
-use super::{BalancerStep, FlowBalancer, FlowReset, FlowShard, LossReason, RETRANSMIT_WINDOW};
-use crate::frame::{FlowUpdate, SearchResult};
+use super::search_frames::SearchFrames;
+use super::search_timers::WidenOutcome;
+use super::{BalancerStep, FlowBalancer, FlowReset, FlowShard};
 use crate::packet::{FlowKey, FlowPacket};
-use crate::view::FlowView;
+use crate::view::{FlowRoute, FlowView};
 
-/// Answers to a search that is older than this are ignored.
+/// After this time a search begins again with the client's next packet: its target may have been
+/// listed meanwhile, and silent agents may be back.
 const SEARCH_TTL: Duration = Duration::from_secs(2);
 
+/// How long a flow's absence at a target is taken for granted. A client may open a new flow from the
+/// same port through another balancer, which this one does not notice. A client gives up an opening
+/// after 1.4 s and leaves a port unused for longer than that, whereas after a power loss the view
+/// may be incomplete for some seconds, in which no agent needs to be queried twice.
+const ABSENCE_TTL: Duration = Duration::from_secs(6);
+
 /// Minimum interval between queries for packets without data. A client in the middle of a download
 /// sends dozens of acknowledgements, each covers all before it, and each query costs a datagram to
 /// every agent. Without this limit, an agent received a thousand of them per second after a power
 /// loss.
 const MIN_REQUERY_INTERVAL: Duration = Duration::from_millis(30);
 
+/// An answer that takes longer than this is overdue, so a copy of the client's packet may query its
+/// agent again. Exceeds the time that a delegate waits for others, and a round trip.
+const OVERDUE_TIMEOUT: Duration = Duration::from_millis(75);
+
 /// How long queried agents have for their answer before the search continues without them. A dead
 /// agent never answers; a normal answer takes some milliseconds.
-const QUERY_TIMEOUT: Duration = Duration::from_millis(150);
-
-/// While at most this many of a flow's candidates have not answered, the second phase waits for
-/// them only for a multiple of the time that the others took. An agent that has just stopped never
-/// answers, and the flow may be held elsewhere. After a restart of all processes beside live
-/// targets, two thirds of the searches in a fleet of 136 had such an agent among their candidates
-/// and waited 150 ms for it.
-const EARLY_WIDEN_MAX_SILENT: usize = 4;
-
-/// See [`EARLY_WIDEN_MAX_SILENT`]: the multiple of the time that the slowest of the others took.
-const EARLY_WIDEN_FACTOR: u32 = 4;
-
-/// See [`EARLY_WIDEN_MAX_SILENT`]: the minimum, ten times a normal round trip between availability
-/// zones.
-const EARLY_WIDEN_MIN_WAIT: Duration = Duration::from_millis(20);
-
-/// How long an agent whose target the store no longer lists may stay silent after the second query
-/// before it counts as gone. A live agent answers within some milliseconds, and two datagrams are
-/// rarely lost in a row. Without this limit, a search waited for targets that had left, so no flow
-/// was known to be lost until three seconds after the last target had left.
-const RETRY_TIMEOUT: Duration = Duration::from_millis(250);
+pub(super) const QUERY_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// How long after an inconclusive search the next packet may start another one: the flow's target
 /// may be in the view by then. Less than the 200 ms after which a client retransmits; a client in
 /// the middle of a download sends dozens of packets in that time.
 const RESTART_INTERVAL: Duration = Duration::from_millis(150);
 
-/// How often an inconclusive search checks whether the view has become complete, so that its
-/// answers prove something. A tenth of the time after which a client retransmits; concurrent
-/// searches are checked together.
-const COVERAGE_CHECK_INTERVAL: Duration = Duration::from_millis(25);
-
 /// How long a search without budget to query all holders waits before it tries again.
-const BUDGET_RETRY_INTERVAL: Duration = Duration::from_millis(40);
+pub(super) const BUDGET_RETRY_INTERVAL: Duration = Duration::from_millis(40);
 
 /// The next step of a search that is waiting for answers.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -116,15 +105,6 @@
     },
 }
 
-/// Whether a search could be widened to all possible holders.
-enum WidenOutcome {
-    Query(QueriedAgents),
-    /// The budget is used up for now.
-    BudgetExhausted,
-    /// The flow has more possible holders than a single search may query.
-    TooManyHolders(usize),
-}
-
 impl FlowBalancer {
     /// Queries the possible holders of the packet's flow, except for `except`, which does not hold
     /// it.
@@ -136,394 +116,261 @@
         view: &FlowView,
         now: Moment,
     ) -> BalancerStep {
-        let Some(route) = view.route(&packet.flow) else {
+        let flow = packet.flow;
+        let Some(route) = view.route(&flow) else {
             return BalancerStep::Drop;
         };
-        let mut shard = self.shard(packet.flow.point()).lock();
-        let known = shard.searches.get_mut(&packet.flow);
-        let known = known.filter(|search| !may_restart(search, now));
-        if let Some(search) = known {
-            if search.phase == SearchPhase::Inconclusive {
-                return BalancerStep::Drop;
-            }
-            if now.since(search.last_packet) < MIN_REQUERY_INTERVAL && packet.data_bytes == 0 {
-                return BalancerStep::Drop;
+        let mut shard = self.shard(flow.point()).lock();
+        if let Some(search) = shard.searches.get_mut(&flow) {
+            if !search.may_restart(now) {
+                return self.search_again(packet, bytes, search, view, now);
             }
-            search.last_packet = now;
-            search.acknowledged = packet.acknowledged;
-            let agents = self.agents_to_query(packet.flow, search, view, now);
-            return self.query_step(packet.flow, search, agents, now);
+            search.restart(packet, bytes, now);
+            let step = self.begin_or_wait(flow, search, view, now);
+            return step.unwrap_or(BalancerStep::Drop);
+        }
+        let mut search = FlowSearch::new(packet, bytes, route.idempotent, now);
+        if let Some(agent) = except {
+            search.record_returned(agent, now);
         }
-        let (mut search, agents) = holders::start_search(packet, bytes, except, route, view, now);
-        self.drop_silent(&mut search, view, now);
-        self.reschedule(now + QUERY_TIMEOUT, packet.flow, &mut search);
-        let step = self.query_step(packet.flow, &mut search, agents, now);
-        shard.searches.insert(packet.flow, search, SEARCH_TTL, now);
+        let Some(step) = self.begin_or_wait(flow, &mut search, view, now) else {
+            return BalancerStep::Drop;
+        };
+        shard.searches.insert(flow, search, SEARCH_TTL, now);
         step
     }
 
-    fn query_step(
+    /// Begins a search if the window permits it; otherwise the search waits for its turn. Returns
+    /// `None` if there is no room for it to wait.
+    fn begin_or_wait(
         &self,
         flow: FlowKey,
         search: &mut FlowSearch,
-        agents: QueriedAgents,
+        view: &FlowView,
         now: Moment,
-    ) -> BalancerStep {
-        if agents.is_empty() {
-            return BalancerStep::Drop;
-        }
-        BalancerStep::Search(self.search_frames(flow, search, agents, now))
-    }
-
-    /// Returns the next step of each search that is due.
-    pub fn due_searches(&self, view: &FlowView, now: Moment) -> Vec<DueSearch> {
-        let complete = view.is_complete();
-        if complete != self.view_was_complete.swap(complete, Ordering::Relaxed) && complete {
-            self.resume_retried(now);
+    ) -> Option<BalancerStep> {
+        let mut window = self.window.lock();
+        if window.try_enter_new(flow, now) {
+            drop(window);
+            let agents = self.begin_search(flow, search, view, now);
+            return Some(self.query_step(flow, search, agents, now));
         }
-        let mut due = Vec::new();
-        loop {
-            let next = self.schedule.lock().pop_due(now);
-            let Some(flow) = next else {
-                return due;
-            };
-            due.extend(self.continue_search(flow, view, now));
-        }
-    }
-
-    /// Continues searches that are waiting for silent agents: the view has become complete, and
-    /// shows which of these agents' targets are gone.
-    fn resume_retried(&self, now: Moment) {
-        for shard in &self.shards {
-            shard.lock().searches.visit(|flow, search| {
-                let is_retrying = search.phase == SearchPhase::Retried && now < search.due;
-                if is_retrying && now.since(search.queried_at) >= RETRY_TIMEOUT {
-                    self.reschedule(now, *flow, search);
-                }
-            });
-        }
-    }
-
-    /// Reschedules a search. Only the last due time counts; earlier timers are ignored when they
-    /// fire.
-    fn reschedule(&self, due: Moment, flow: FlowKey, search: &mut FlowSearch) {
-        search.due = due;
-        self.schedule.lock().push(flow, due);
-    }
-
-    fn continue_search(&self, flow: FlowKey, view: &FlowView, now: Moment) -> Option<DueSearch> {
-        let mut shard = self.shard(flow.point()).lock();
-        let search = shard.searches.get_mut(&flow)?;
-        if now < search.due || is_stale(search, now) {
-            return None;
-        }
-        if search.phase == SearchPhase::Inconclusive {
-            if !view.is_complete() {
-                self.reschedule(now + COVERAGE_CHECK_INTERVAL, flow, search);
-                return None;
-            }
-            search.resume();
-        }
-        self.drop_silent(search, view, now);
-        let agents = match search.phase {
-            SearchPhase::Candidates => match self.widen(flow, search, view, now) {
-                WidenOutcome::Query(agents) => agents,
-                WidenOutcome::BudgetExhausted => {
-                    self.reschedule(now + BUDGET_RETRY_INTERVAL, flow, search);
-                    return None;
-                }
-                WidenOutcome::TooManyHolders(holders) => {
-                    search.phase = SearchPhase::Abandoned;
-                    return Some(DueSearch::Abandoned { flow, holders });
-                }
-            },
-            SearchPhase::AllHolders => {
-                search.phase = SearchPhase::Retried;
-                pending_agents(search)
-            }
-            SearchPhase::Retried => {
-                search
-                    .pending
-                    .retain(|query| view.may_have_live_target(query.holder.agent));
-                self.heard_since_query(search)
-            }
-            SearchPhase::Inconclusive | SearchPhase::Abandoned => return None,
-        };
-        if search.pending.is_empty() {
-            return self.end_search(&mut shard, flow, now).map(DueSearch::Lost);
-        }
-        let wait = if search.phase == SearchPhase::Retried {
-            RETRY_TIMEOUT
-        } else {
-            QUERY_TIMEOUT
-        };
-        self.reschedule(now + wait, flow, search);
-        if agents.is_empty() {
+        if !window.push_waiting(flow) {
+            window.record_suppressed();
             return None;
         }
-        search.queried_at = now;
-        let frames = self.search_frames(flow, search, agents, now);
-        let bytes = search.bytes.clone();
-        Some(DueSearch::Query {
-            flow,
-            bytes,
-            frames,
-        })
+        search.is_waiting = true;
+        Some(BalancerStep::Search(SearchFrames::new()))
     }
 
-    fn search_frames(
+    /// Begins a search that is in the window: with the flow's candidates, or with all possible
+    /// holders if there are few or if the candidates were queried before. Returns the agents to
+    /// query.
+    pub(super) fn begin_search(
         &self,
         flow: FlowKey,
         search: &mut FlowSearch,
-        agents: QueriedAgents,
+        view: &FlowView,
         now: Moment,
-    ) -> SearchFrames {
-        let mut loads = self.loads.lock();
-        let mut builder = FrameBuilder {
-            own_address: self.own_address,
-            loads: &loads,
-            budget: &mut self.budget.lock(),
-            now,
+    ) -> QueriedAgents {
+        let Some(route) = view.route(&flow) else {
+            self.window.lock().leave(&flow);
+            return QueriedAgents::new();
         };
-        let frames = builder.build(flow, search, agents);
-        for query in search
-            .pending
-            .iter()
-            .filter(|query| query.delegate.is_none())
-        {
-            loads.record_sent(query.holder.agent, query.holder.service, now);
-        }
-        frames
-    }
-
-    /// Stops waiting for agents that are known to be silent: they were queried long ago, probed
-    /// twice since, and not heard, while others were. The same rule ends known flows of such
-    /// targets. A search on its own takes 400 ms or more to detect this, and would do so again for
-    /// each lost flow.
-    ///
-    /// Once the store no longer lists the target, this silence, or an announced stop of its agent,
-    /// proves that the target is gone. While the target is listed, it counts as unreachable,
-    /// provided that requests may be run again. Machines that never come back after a power loss
-    /// stay listed for three heartbeats (3.6 s); without this, no flow was known to be lost until
-    /// then, and 1.2 s of a fleet's requests on pooled flows failed.
-    fn drop_silent(&self, search: &mut FlowSearch, view: &FlowView, now: Moment) {
-        let loads = self.loads.lock();
-        let FlowSearch {
-            pending,
-            idempotent,
-            holder_unreachable,
-            ..
-        } = search;
-        pending.retain(|query| {
-            let agent = query.holder.agent;
-            if loads.is_gone(agent, GONE_TIMEOUT, now) && !view.may_have_live_target(agent) {
-                return false;
-            }
-            let is_unreachable = *idempotent && loads.is_silent(agent, UNREACHABLE_TIMEOUT, now);
-            *holder_unreachable |= is_unreachable;
-            !is_unreachable
-        });
-    }
-
-    /// Returns agents that have not answered but were heard after the query: their processes have
-    /// restarted and do not know of it.
-    fn heard_since_query(&self, search: &FlowSearch) -> QueriedAgents {
-        let loads = self.loads.lock();
-        let pending = search.pending.iter().map(|query| query.holder);
-        pending
-            .filter(|holder| {
-                let load = loads.load(holder.agent);
-                load.is_some_and(|load| load.last_heard > search.queried_at)
-            })
-            .collect()
-    }
-
-    /// Returns until when a search waits for candidates that have not answered. This is `now` if
-    /// the answers of all of them are overdue, for this search or another.
-    fn widen_due(&self, search: &FlowSearch, now: Moment) -> Moment {
-        let loads = self.loads.lock();
-        let mut pending = search.pending.iter();
-        if pending.all(|query| loads.is_overdue(query.holder.agent, QUERY_TIMEOUT, now)) {
-            return now;
-        }
-        if search.pending.len() > EARLY_WIDEN_MAX_SILENT {
-            return search.due;
+        search.view_complete = view.is_complete();
+        let agents = self.first_agents(flow, search, route, view, now);
+        search.is_repeated = true;
+        self.drop_silent(search, view, now);
+        if agents.is_empty() {
+            self.window.lock().leave(&flow);
         }
-        let response_time = now.since(search.started);
-        search.started + (response_time * EARLY_WIDEN_FACTOR).max(EARLY_WIDEN_MIN_WAIT)
+        let is_delayed = search.phase == SearchPhase::Candidates && agents.is_empty();
+        let wait = match (agents.is_empty(), is_delayed) {
+            (false, _) => QUERY_TIMEOUT,
+            (true, true) => BUDGET_RETRY_INTERVAL,
+            (true, false) => Duration::ZERO,
+        };
+        self.reschedule(now + wait, flow, search);
+        agents
     }
 
-    /// Returns the agents that are shown another packet of a flow that is being searched for: those
-    /// that have not answered and, once they have timed out, also those that have not been queried
-    /// yet.
-    fn agents_to_query(
+    fn first_agents(
         &self,
         flow: FlowKey,
         search: &mut FlowSearch,
+        route: &FlowRoute,
         view: &FlowView,
         now: Moment,
     ) -> QueriedAgents {
-        let awaits_answers =
-            !search.pending.is_empty() && now.since(search.started) < QUERY_TIMEOUT;
-        if awaits_answers || search.phase != SearchPhase::Candidates {
-            return pending_agents(search);
+        if holders::is_small_fleet(view, now) {
+            let all = holders::possible_holders(view, now);
+            return search.query_all(all, route, view, now);
         }
-        match self.widen(flow, search, view, now) {
-            WidenOutcome::Query(agents) => agents,
-            WidenOutcome::BudgetExhausted | WidenOutcome::TooManyHolders(_) => {
-                pending_agents(search)
+        if search.is_repeated {
+            match self.widen(flow, search, view, now) {
+                WidenOutcome::Query(agents) => return agents,
+                WidenOutcome::BudgetExhausted => {
+                    search.phase = SearchPhase::Candidates;
+                    return QueriedAgents::new();
+                }
+                WidenOutcome::TooManyHolders(_) => {}
             }
         }
+        search.phase = SearchPhase::Candidates;
+        let mut agents = pending_agents(search);
+        let mut targets = holders::candidates(flow, route, view);
+        search.exclude_regions(&mut targets, route, view, now);
+        let targets = search.not_queried(targets);
+        agents.extend(search.add_queries(targets.into_iter(), now));
+        agents
     }
 
-    /// Adds all possible holders that were not queried yet. Returns the agents to query now, which
-    /// include those that have not answered.
-    fn widen(
+    /// Handles another packet of a flow that is being searched for.
+    fn search_again(
         &self,
-        flow: FlowKey,
+        packet: &FlowPacket,
+        bytes: &[u8],
         search: &mut FlowSearch,
         view: &FlowView,
         now: Moment,
-    ) -> WidenOutcome {
-        let mut all = holders::possible_holders(view, now);
-        if let Some(route) = view.route(&flow) {
-            search.exclude_regions(&mut all, route, view, now);
+    ) -> BalancerStep {
+        let flow = packet.flow;
+        if search.phase == SearchPhase::Inconclusive {
+            return BalancerStep::Drop;
         }
-        let bytes = delegated_bytes(all.len(), search.bytes.len());
-        let mut budget = self.budget.lock();
-        if !budget.permits(bytes) {
-            return WidenOutcome::TooManyHolders(all.len());
+        let is_acknowledgement = packet.data_bytes == 0;
+        if now.since(search.last_packet) < MIN_REQUERY_INTERVAL && is_acknowledgement {
+            return BalancerStep::Drop;
         }
-        if !budget.has_available(bytes, now) {
-            return WidenOutcome::BudgetExhausted;
+        let is_new = search.record_packet(packet, bytes, now);
+        let mut window = self.window.lock();
+        if search.is_waiting || window.is_busy() {
+            window.record_suppressed();
+            return BalancerStep::Drop;
         }
-        drop(budget);
-        search.phase = SearchPhase::AllHolders;
-        let pending = pending_agents(search);
-        let not_queried = search.not_queried(all);
-        let mut agents = search.add_queries(not_queried.into_iter(), now);
-        agents.extend(pending);
-        self.drop_silent(search, view, now);
-        WidenOutcome::Query(agents)
-    }
-
-    /// Handles an agent's report that it does not hold a flow. Returns a reset if no agent does.
-    pub(super) fn record_absent(&self, update: &FlowUpdate, now: Moment) -> Option<FlowReset> {
-        let agent = update.load.agent;
-        let mut shard = self.shard(update.flow.point()).lock();
-        let known = shard.flows.get(&update.flow);
-        if known.is_some_and(|entry| entry.agent == agent && entry.state != EntryState::Lost) {
-            shard.flows.remove(&update.flow);
+        drop(window);
+        let agents = self.agents_to_query(flow, search, is_new, view, now);
+        if agents.is_empty() {
+            self.window.lock().record_suppressed();
         }
-        let search = shard.searches.get_mut(&update.flow)?;
-        search.pending.retain(|query| query.holder.agent != agent);
-        self.advance_search(&mut shard, update.flow, now)
+        self.query_step(flow, search, agents, now)
     }
 
-    /// Handles the result of a delegated search: all agents that it covered reported the flow as
-    /// absent, except for the silent ones.
-    pub(super) fn record_search_result(
+    /// Returns the agents that are shown another packet of a flow that is being searched for: those
+    /// whose answer is overdue or which have not been shown this data, and, once the candidates have
+    /// timed out, also those that have not been queried yet.
+    fn agents_to_query(
         &self,
-        result: &SearchResult,
+        flow: FlowKey,
+        search: &mut FlowSearch,
+        is_new: bool,
+        view: &FlowView,
         now: Moment,
-    ) -> Option<FlowReset> {
-        let mut shard = self.shard(result.flow.point()).lock();
-        let search = shard.searches.get_mut(&result.flow)?;
-        let delegate = Some(result.delegate);
-        search.pending.retain(|query| {
-            query.delegate != delegate || result.silent.contains(&query.holder.agent)
-        });
-        let mut loads = self.loads.lock();
-        for query in search
-            .pending
-            .iter()
-            .filter(|query| query.delegate == delegate)
+    ) -> QueriedAgents {
+        let awaits_answers =
+            !search.pending.is_empty() && now.since(search.started) < QUERY_TIMEOUT;
+        let may_widen = search.phase == SearchPhase::Candidates && !awaits_answers;
+        if may_widen
+            && self.window.lock().try_enter(flow, now)
+            && let WidenOutcome::Query(agents) = self.widen(flow, search, view, now)
         {
-            loads.record_sent(query.holder.agent, query.holder.service, now);
+            return agents;
+        }
+        if search.phase == SearchPhase::Retried {
+            return self.heard_since_query(search, now);
         }
-        drop(loads);
-        self.advance_search(&mut shard, result.flow, now)
+        let pending = search.pending.iter();
+        let shown =
+            pending.filter(|query| is_new || now.since(query.queried_at) >= OVERDUE_TIMEOUT);
+        shown.map(|query| query.holder).collect()
     }
 
-    /// Ends a search if all agents have answered, or moves on to those that were not queried yet.
-    fn advance_search(
+    fn query_step(
         &self,
-        shard: &mut FlowShard,
         flow: FlowKey,
+        search: &mut FlowSearch,
+        agents: QueriedAgents,
         now: Moment,
-    ) -> Option<FlowReset> {
-        let search = shard.searches.get_mut(&flow)?;
-        if search.phase == SearchPhase::Candidates {
-            let due = self.widen_due(search, now);
-            if due < search.due {
-                self.reschedule(due, flow, search);
-            }
-            return None;
+    ) -> BalancerStep {
+        if agents.is_empty() {
+            return BalancerStep::Drop;
         }
-        self.end_search(shard, flow, now)
+        BalancerStep::Search(self.search_frames(flow, search, agents, now))
     }
 
-    /// Ends a search for a flow that no target holds; `None` while that is not proven.
-    fn end_search(&self, shard: &mut FlowShard, flow: FlowKey, now: Moment) -> Option<FlowReset> {
-        let search = shard.searches.get_mut(&flow)?;
-        if !search.pending.is_empty() || !search.has_queried_all_holders() {
-            return None;
-        }
-        if !search.view_complete || search.holder_excluded {
-            search.phase = SearchPhase::Inconclusive;
-            self.reschedule(now + COVERAGE_CHECK_INTERVAL, flow, search);
-            return None;
-        }
-        let reason = if search.holder_unreachable {
-            LossReason::AgentSilent
-        } else {
-            LossReason::Unheld
-        };
-        Some(shard.record_lost(flow, reason, now))
+    /// Removes the search for a flow, if there is one.
+    pub(super) fn remove_search(
+        &self,
+        shard: &mut FlowShard,
+        flow: &FlowKey,
+    ) -> Option<FlowSearch> {
+        let search = shard.searches.remove(flow)?;
+        self.window.lock().leave(flow);
+        Some(search)
     }
 }
 
-/// Returns whether the flow's next packet starts another search.
-fn may_restart(search: &FlowSearch, now: Moment) -> bool {
-    let is_retryable = search.phase == SearchPhase::Inconclusive
-        && now.since(search.last_packet) >= RESTART_INTERVAL;
-    is_retryable || is_stale(search, now)
-}
-
-/// Returns whether a search is so old that its answers are ignored.
-fn is_stale(search: &FlowSearch, now: Moment) -> bool {
-    now.since(search.started) >= SEARCH_TTL
-}
-
-fn pending_agents(search: &FlowSearch) -> QueriedAgents {
+pub(super) fn pending_agents(search: &FlowSearch) -> QueriedAgents {
     search.pending.iter().map(|query| query.holder).collect()
 }
 
 impl FlowSearch {
-    /// Continues in a complete view, after all holders in an earlier view have reported the flow as
-    /// absent.
-    fn resume(&mut self) {
-        self.view_complete = true;
-        self.phase = SearchPhase::Candidates;
+    /// Returns whether the flow's next packet begins the search again.
+    fn may_restart(&self, now: Moment) -> bool {
+        let is_retryable = self.phase == SearchPhase::Inconclusive
+            && now.since(self.last_packet) >= RESTART_INTERVAL;
+        !self.is_waiting && (is_retryable || self.is_stale(now))
     }
 
-    fn has_queried_all_holders(&self) -> bool {
-        !matches!(self.phase, SearchPhase::Candidates | SearchPhase::Abandoned)
+    /// Returns whether the search is so old that only another packet of the client continues it.
+    pub(super) fn is_stale(&self, now: Moment) -> bool {
+        now.since(self.started) >= SEARCH_TTL
+    }
+
+    /// Returns whether the client has sent nothing for so long that it has given the flow up. A
+    /// client that still waits retransmits after 1.6 s at the latest.
+    pub(super) fn is_deserted(&self, now: Moment) -> bool {
+        now.since(self.last_packet) >= SEARCH_TTL
+    }
+
+    /// Begins the search again for another packet. Absences at targets stay known for
+    /// [`ABSENCE_TTL`].
+    fn restart(&mut self, packet: &FlowPacket, bytes: &[u8], now: Moment) {
+        self.record_packet(packet, bytes, now);
+        self.bytes = bytes.into();
+        self.renew(now);
+    }
+
+    /// Begins the search again for the packet that it has.
+    pub(super) fn renew(&mut self, now: Moment) {
+        self.started = now;
+        self.phase = SearchPhase::Candidates;
+        self.holder_excluded = false;
+        self.holder_unreachable = false;
+        let Self {
+            queried, pending, ..
+        } = self;
+        queried.retain(|queried| {
+            let is_known = queried.absent && now.since(queried.at) < ABSENCE_TTL;
+            let mut pending = pending.iter();
+            is_known || pending.any(|query| query.holder.agent == queried.agent)
+        });
     }
-}
 
-impl FlowShard {
-    /// Ends a search for a flow that no target holds.
-    fn record_lost(&mut self, flow: FlowKey, reason: LossReason, now: Moment) -> FlowReset {
-        let search = self.searches.remove(&flow);
-        let acknowledged = search.map_or(0, |search| search.acknowledged);
-        let mut entry = FlowEntry::lost(now);
-        entry.acknowledged = acknowledged;
-        self.flows.insert(flow, entry, RETRANSMIT_WINDOW * 10, now);
-        FlowReset {
-            flow,
-            acknowledged,
-            reason,
+    /// Records another packet of the client. Returns whether it carries data that this search has
+    /// not shown to agents.
+    fn record_packet(&mut self, packet: &FlowPacket, bytes: &[u8], now: Moment) -> bool {
+        self.last_packet = now;
+        self.acknowledged = packet.acknowledged;
+        let end = packet.end();
+        let is_new = packet.data_bytes > 0 && end.wrapping_sub(self.client_end).cast_signed() > 0;
+        if is_new {
+            if self.is_waiting && !self.has_data {
+                self.bytes = bytes.into();
+            }
+            self.client_end = end;
+            self.has_data = true;
         }
+        is_new
     }
 }
--- a/crates/flows/src/balancer/search_frames.rs
+++ b/crates/flows/src/balancer/search_frames.rs
@@ -3,7 +3,7 @@
 //! A delegate is an agent that queries others for a balancer. A delegated search costs the balancer
 //! one datagram and one answer instead of one of each per agent, and takes one more hop. So a
 //! balancer queries a few agents directly, and also a flow's candidates as long as its budget is at
-//! least half full.
+//! least half full and only a few searches are in flight.
 
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
@@ -30,6 +30,11 @@
 /// ms.
 const DELEGATE_WINDOW: Duration = Duration::from_millis(150);
 
+/// A busy balancer queries candidates through a delegate only if one of them was heard within this
+/// window. After a power loss, the others may never come back. Agents that were sent packets report
+/// four times per second.
+const HEARD_WINDOW: Duration = Duration::from_secs(1);
+
 /// Bytes of a frame without its packet, including the headers below it.
 const FRAME_OVERHEAD_BYTES: usize = 60;
 
@@ -54,6 +59,8 @@
     pub(super) own_address: AgentAddress,
     pub(super) loads: &'a LoadTable,
     pub(super) budget: &'a mut SearchBudget,
+    /// Whether more than a few searches are in flight.
+    pub(super) is_busy: bool,
     pub(super) now: Moment,
 }
 
@@ -69,10 +76,12 @@
         let packet_bytes = search.bytes.len();
         let direct_bytes = agents.len() * (packet_bytes + FRAME_OVERHEAD_BYTES);
         let is_small = agents.len() < MIN_DELEGATED_AGENTS;
-        let within_budget = agents.len() <= SEARCH_CANDIDATES
+        let prefers_delegate = self.is_busy && self.has_heard_any(&agents);
+        let within_budget = !prefers_delegate
+            && agents.len() <= SEARCH_CANDIDATES
             && self.budget.try_spend_direct(direct_bytes, self.now);
         if is_small || within_budget {
-            mark_direct(search, &agents);
+            mark_direct(search, &agents, self.now);
             let frames = agents
                 .iter()
                 .map(|next| (next.agent, query_frame(self.own_address, next)));
@@ -83,6 +92,14 @@
         self.build_delegated(flow, search, agents)
     }
 
+    /// Returns whether one of these agents was heard lately, so that it is likely to be alive.
+    fn has_heard_any(&self, agents: &[ServiceAgent]) -> bool {
+        agents.iter().any(|holder| {
+            let reported_at = self.loads.last_healthy_report(holder.agent);
+            reported_at.is_some_and(|at| self.now.since(at) < HEARD_WINDOW)
+        })
+    }
+
     fn build_delegated(
         &self,
         flow: FlowKey,
@@ -115,7 +132,7 @@
                 delegated_frame(self.own_address, delegate, part),
             ));
         }
-        set_delegates(search, &delegate_of);
+        set_delegates(search, &delegate_of, self.now);
         frames
     }
 
@@ -167,21 +184,21 @@
 }
 
 /// Records that the balancer queries these agents directly.
-fn mark_direct(search: &mut FlowSearch, agents: &[ServiceAgent]) {
+fn mark_direct(search: &mut FlowSearch, agents: &[ServiceAgent], now: Moment) {
     for query in &mut search.pending {
         let mut agents = agents.iter();
         if agents.any(|holder| holder.agent == query.holder.agent) {
-            query.delegate = None;
+            query.record_sent(None, now);
         }
     }
 }
 
 /// Records the delegate of each agent in one pass: a search of thousands of agents has dozens of
 /// delegates.
-fn set_delegates(search: &mut FlowSearch, delegate_of: &DelegateMap) {
+fn set_delegates(search: &mut FlowSearch, delegate_of: &DelegateMap, now: Moment) {
     for query in &mut search.pending {
         if let Some(delegate) = delegate_of.get(&query.holder.agent) {
-            query.delegate = *delegate;
+            query.record_sent(*delegate, now);
         }
     }
 }
--- a/crates/flows/src/lib.rs
+++ b/crates/flows/src/lib.rs
@@ -32,7 +32,7 @@
 };
 pub use balancer::{
     BalancerStep, DueOffer, DueSearch, FlowBalancer, FlowReset, LossReason, PlacedFlow,
-    RefusalReason, SearchFrames, UpdateOutcome,
+    RefusalReason, SearchCounts, SearchFrames, UpdateOutcome,
 };
 pub use explain::{CandidateExplanation, FlowExplanation, FlowStatus};
 pub use frame::{
--- a/crates/flows/src/packet.rs
+++ b/crates/flows/src/packet.rs
@@ -69,4 +69,10 @@
     pub fn opens(&self) -> bool {
         self.flags.syn && !self.flags.ack
     }
+
+    /// Returns the sequence number after the packet's data.
+    #[must_use]
+    pub(crate) fn end(&self) -> u32 {
+        self.sequence.wrapping_add(self.data_bytes.into())
+    }
 }
--- a/crates/flows/tests/all/main.rs
+++ b/crates/flows/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod relay;
 mod ring;
 mod search;
+mod search_load;
 mod search_silence;
 mod search_size;
 mod superseded;
