Matrix: loss of half of the targets with many clients

Adds the fault HalfPowerLost (all agents and balancers are killed, every second target loses power with its machine), a number of clients to OpaqueFleet, and the costs of searches to the history. The scenario bounds the balancers' frames and the queries for each flow, also with lost and late datagrams.

The existing cases of larger fleets keep three clients.

--- a/tests/matrix/src/opaque/fault.rs
+++ b/tests/matrix/src/opaque/fault.rs
@@ -94,6 +94,16 @@
                     self.lose_power(machine);
                 }
             }
+            OpaqueFault::HalfPowerLost => {
+                self.kill_balancers();
+                for machine in 0..self.machines.len() {
+                    if machine % 2 == 0 {
+                        self.lose_power(machine);
+                    } else {
+                        self.kill_agent(machine, RESTART_DELAY_MS, false);
+                    }
+                }
+            }
             OpaqueFault::MachineRemoved => self.remove_machine(holder),
             OpaqueFault::TargetLeaving => self.announce_leaving(holder),
             OpaqueFault::AddressReused => self.remove_machine(holder),
--- a/tests/matrix/src/opaque/history.rs
+++ b/tests/matrix/src/opaque/history.rs
@@ -106,6 +106,17 @@
 #[derive(Clone, Debug, Default)]
 pub struct OpaqueHistory {
     events: Vec<(Moment, OpaqueEvent)>,
+    /// What the searches for each flow have cost.
+    searches: HashMap<FlowKey, SearchCost>,
+}
+
+/// What the balancers have sent to find a flow.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SearchCost {
+    /// Frames that the balancers sent.
+    pub frames: usize,
+    /// Queries that agents received, from balancers or from delegates.
+    pub queries: usize,
 }
 
 type NamedCheck = (&'static str, fn(&OpaqueHistory) -> usize);
@@ -126,6 +137,19 @@
         self.events.push((now, event));
     }
 
+    /// Records a frame that queries `agents` agents for a flow.
+    pub(crate) fn record_query(&mut self, flow: FlowKey, agents: usize) {
+        let cost = self.searches.entry(flow).or_default();
+        cost.frames += 1;
+        cost.queries += agents;
+    }
+
+    /// Returns the costs of the searches, one for each flow that was searched for.
+    #[must_use]
+    pub fn search_costs(&self) -> Vec<SearchCost> {
+        self.searches.values().copied().collect()
+    }
+
     /// Returns the numbers of served and of failed requests.
     #[must_use]
     pub fn outcomes(&self) -> (usize, usize) {
--- a/tests/matrix/src/opaque/mod.rs
+++ b/tests/matrix/src/opaque/mod.rs
@@ -19,7 +19,7 @@
 mod target;
 mod world;
 
-pub use history::{OpaqueEvent, OpaqueHistory, TargetStart};
+pub use history::{OpaqueEvent, OpaqueHistory, SearchCost, TargetStart};
 pub use world::OpaqueWorld;
 
 use crate::plan::FaultPlan;
@@ -60,6 +60,9 @@
     MachinePowerLost,
     /// All targets and all processes lose power and restart without state.
     PowerLost,
+    /// All agents and balancers are killed and restart without state, and every second target loses
+    /// power with its machine.
+    HalfPowerLost,
     /// The machine of the flow's target fails permanently.
     MachineRemoved,
     /// The flow's target announces that it leaves, drains and ends.
@@ -95,7 +98,7 @@
 }
 
 /// All faults of opaque flows.
-pub const OPAQUE_FAULTS: [OpaqueFault; 31] = [
+pub const OPAQUE_FAULTS: [OpaqueFault; 32] = [
     OpaqueFault::Drop,
     OpaqueFault::Duplicate,
     OpaqueFault::Reorder,
@@ -112,6 +115,7 @@
     OpaqueFault::AllProcessesKilled,
     OpaqueFault::MachinePowerLost,
     OpaqueFault::PowerLost,
+    OpaqueFault::HalfPowerLost,
     OpaqueFault::MachineRemoved,
     OpaqueFault::TargetLeaving,
     OpaqueFault::AddressReused,
@@ -193,13 +197,15 @@
     }
 }
 
-/// Number of targets of each service.
+/// Number of targets of each service, and of clients.
 #[derive(Clone, Copy, Debug)]
 pub struct OpaqueFleet {
     /// Targets of `claims`, the service of the first two routes.
     pub claims: u16,
     /// Targets of `vault`, the service of the third route.
     pub vault: u16,
+    /// Clients, which use the three routes in turn.
+    pub clients: u8,
 }
 
 impl Default for OpaqueFleet {
@@ -207,6 +213,7 @@
         Self {
             claims: 4,
             vault: 2,
+            clients: 3,
         }
     }
 }
--- a/tests/matrix/src/opaque/world.rs
+++ b/tests/matrix/src/opaque/world.rs
@@ -182,10 +182,11 @@
             self.balancers.push(balancer);
         }
         self.record_allowed();
-        self.clients = (1..)
-            .zip([true, false, true])
-            .map(|(number, idempotent)| {
-                Client::new(number, address(number), idempotent, REQUESTS_PER_CLIENT)
+        self.clients = (1..=fleet.clients)
+            .map(|number| {
+                let route = (number - 1) % 3 + 1;
+                let idempotent = route != 2;
+                Client::new(number, address(route), idempotent, REQUESTS_PER_CLIENT)
             })
             .collect();
     }
@@ -503,6 +504,10 @@
     /// Sends the queries of a search. With searches disabled, only one agent is queried, the same
     /// in every phase.
     fn search(&mut self, number: usize, frames: SearchFrames, packet: Packet) {
+        for (_, frame) in &frames {
+            let agents = frame.agent_count();
+            self.history.record_query(packet.head.flow, agents);
+        }
         for (to, mut frame) in frames {
             if !self.mechanisms.search {
                 if to != self.single_search_agent(&packet.head.flow) {
--- a/tests/matrix/tests/all/opaque.rs
+++ b/tests/matrix/tests/all/opaque.rs
@@ -72,6 +72,7 @@
             fleet: OpaqueFleet {
                 claims: 20,
                 vault: 9,
+                ..OpaqueFleet::default()
             },
             faults: &OPAQUE_FAULTS,
             steps: &OPAQUE_STEPS,
@@ -80,6 +81,7 @@
             fleet: OpaqueFleet {
                 claims: 240,
                 vault: 60,
+                ..OpaqueFleet::default()
             },
             faults: &[Fault::PowerLost, Fault::AllProcessesKilled],
             steps: &[OpaqueStep::LaterRequest],
@@ -88,6 +90,7 @@
             fleet: OpaqueFleet {
                 claims: 1_600,
                 vault: 400,
+                ..OpaqueFleet::default()
             },
             faults: &[Fault::PowerLost],
             steps: &[OpaqueStep::LaterRequest],
@@ -102,6 +105,79 @@
     }
 }
 
+struct LossCase {
+    name: &'static str,
+    /// The fault of the network beside the loss of power.
+    network: Option<OpaqueFault>,
+    /// Limit on the balancers' frames for a flow, on average.
+    frames: usize,
+    /// Limit on the queries for a flow on average, in multiples of the number of agents.
+    queries: usize,
+}
+
+// Guards against balancers that are busy with searches for seconds after a total loss: all machines
+// and half of the targets lose power, and what is sent for each lost flow grows with the copies of its
+// client's packets, with answers that are late or lost, and with the time until the balancers know all
+// targets.
+#[test]
+fn searches_after_a_loss_of_half_of_the_targets_are_bounded() {
+    let fleet = OpaqueFleet {
+        claims: 30,
+        vault: 12,
+        clients: 150,
+    };
+    let agents = usize::from(fleet.claims + fleet.vault);
+    let cases = [
+        LossCase {
+            name: "normal network",
+            network: None,
+            frames: 10,
+            queries: 2,
+        },
+        LossCase {
+            name: "a third of the datagrams are lost",
+            network: Some(OpaqueFault::Drop),
+            frames: 30,
+            queries: 4,
+        },
+        LossCase {
+            name: "datagrams are late",
+            network: Some(OpaqueFault::Delay),
+            frames: 16,
+            queries: 5,
+        },
+    ];
+    for (case, seed) in cases
+        .iter()
+        .flat_map(|case| (0..2).map(move |seed| (case, seed)))
+    {
+        let faults = [Some(OpaqueFault::HalfPowerLost), case.network];
+        let faults = faults.into_iter().flatten();
+        let plan = FaultPlan {
+            faults: faults
+                .map(|fault| (fault, OpaqueStep::LaterRequest))
+                .collect(),
+            seed,
+        };
+        let history = run_opaque_fleet(&plan, OpaqueMechanisms::default(), fleet);
+        let violations = history.violations();
+        let costs = history.search_costs();
+        let flows = costs.len();
+        let frames: usize = costs.iter().map(|cost| cost.frames).sum();
+        let queries: usize = costs.iter().map(|cost| cost.queries).sum();
+        assert!(violations.is_empty(), "{}: {violations:?}", case.name);
+        // Some clients open new flows before a search for their lost one begins.
+        assert!(flows >= 100, "{}: {flows} flows", case.name);
+        assert!(
+            frames <= case.frames * flows,
+            "{}: {frames} frames",
+            case.name
+        );
+        let most = case.queries * flows * agents;
+        assert!(queries <= most, "{}: {queries} queries", case.name);
+    }
+}
+
 struct RegressionPlan {
     cause: &'static str,
     faults: [(OpaqueFault, OpaqueStep); 2],
