Choose targets by expected wait and work at their own speed

Callers waited at slow targets: a target of speed 0.6 got nearly as many long flows as one of speed 1.6, because a balancer counted requests and flows without regard to the time that a target needs for them.

The agent learns its target's mean service time, from requests that started at once and from the intervals between answers while all slots are busy. Rejections do not count, the mean has little noise but follows a change by a third within 2 s of load, and a restart discards it. It is learned only for services with a request policy.

The balancer keeps the geometric mean of each service with each report. Where it is known, a score is the expected wait in mean service times, plus the excess of the expected work of long flows over the least loaded candidate of the same zone. Expected work no longer decides about zones: flows leave the zone only for a shorter wait. A target at max_flows is not a first choice, and a report older than a second blends into the mean of the service. Without learned values the score is unchanged.

ServiceEstimate of crates/placement is public and gets a method with an explicit weight, which record uses.

--- a/crates/flows/src/agent.rs
+++ b/crates/flows/src/agent.rs
@@ -8,6 +8,7 @@
 mod health;
 mod inbound;
 mod outbound;
+mod service_time;
 mod warmup;
 mod zone;
 
@@ -18,6 +19,7 @@
 
 use self::entry::{AbsentFlow, EntryState, FlowEntry, TentativeDelivery};
 use self::health::TargetHealth;
+use self::service_time::ServiceTimes;
 use self::warmup::WarmupGate;
 use self::zone::ZoneState;
 use crate::delegated_search::DelegatedSearches;
@@ -195,6 +197,7 @@
     health: TargetHealth,
     zone: ZoneState,
     warmup: WarmupGate,
+    service_times: ServiceTimes,
     leaving: bool,
     subscribers: HashMap<AgentAddress, ReportSubscriber>,
     /// The response time of the last answered request, until `take_response_time` returns it.
@@ -229,6 +232,7 @@
             health: TargetHealth::new(),
             zone: ZoneState::default(),
             warmup: WarmupGate::new(settings.warmup, now),
+            service_times: ServiceTimes::default(),
             leaving: false,
             subscribers: HashMap::new(),
             response_time: None,
@@ -310,6 +314,7 @@
         self.flows.expire_idle(idle, now);
         self.absent.expire_idle(idle, now);
         let (mut waiting, mut open) = (0_u16, 0_u32);
+        let mut requests = 0_u16;
         self.flows.visit(|_, entry| {
             let opening = matches!(entry.state, EntryState::Offered | EntryState::Answered);
             let timeout = if opening {
@@ -320,10 +325,15 @@
             let timed_out = |since| now.since(since) > timeout;
             if entry.waiting_since.is_some_and(timed_out) {
                 entry.waiting_since = None;
+                entry.request = None;
             }
+            let request = entry.request.as_ref();
+            let counts = request.is_some_and(|request| self.service_times.counts(request));
+            requests = requests.saturating_add(u16::from(counts));
             waiting = waiting.saturating_add(u16::from(entry.waiting_since.is_some()));
             open += u32::from(entry.state == EntryState::Open);
         });
+        self.service_times.set_unanswered(requests);
         self.in_progress = waiting;
         self.open = open;
     }
@@ -363,6 +373,9 @@
         if entry.waiting_since.is_some() {
             self.in_progress = self.in_progress.saturating_sub(1);
         }
+        if let Some(request) = &entry.request {
+            self.service_times.record_abandoned(request);
+        }
         if entry.state == EntryState::Open {
             self.open = self.open.saturating_sub(1);
         }
@@ -397,7 +410,7 @@
             evacuated: self.zone.evacuated,
             room: self.warmup.room(now),
             waiting: 0,
-            service_time_us: None,
+            service_time_us: self.service_times.mean_us(),
         }
     }
 
--- a/crates/flows/src/agent/entry.rs
+++ b/crates/flows/src/agent/entry.rs
@@ -3,6 +3,7 @@
 use lovagelatch_domain::{AgentAddress, Moment, ServiceId};
 use smallvec::SmallVec;
 
+use super::service_time::DeliveredRequest;
 use crate::flow_table::LastActive;
 use crate::frame::{Candidate, FramePurpose, PacketFrame, RequestClass};
 
@@ -32,6 +33,8 @@
     pub(super) client_end: Option<u32>,
     /// When the request in progress was sent to the target; `None` without one.
     pub(super) waiting_since: Option<Moment>,
+    /// The request in progress, if the target's service time is learned.
+    pub(super) request: Option<DeliveredRequest>,
 }
 
 impl LastActive for FlowEntry {
@@ -50,6 +53,7 @@
             notified: false,
             client_end: None,
             waiting_since: None,
+            request: None,
         }
     }
 }
--- a/crates/flows/src/agent/inbound.rs
+++ b/crates/flows/src/agent/inbound.rs
@@ -132,6 +132,10 @@
         packet: &FlowPacket,
         now: Moment,
     ) -> (AgentStep, Option<(AgentAddress, FlowUpdate)>) {
+        if frame.class.is_some() {
+            let address = packet.flow.service_address;
+            self.service_times.record_offer(address, frame.slots);
+        }
         let known = self.flows.get(&packet.flow).map(|entry| entry.state);
         let failing = self.health.is_failing(self.in_progress, now);
         let unavailable =
@@ -284,6 +288,7 @@
             return;
         }
         entry.client_end = Some(end);
+        self.service_times.record_delivery(&mut entry.request, now);
         if entry.waiting_since.replace(now).is_none() {
             self.change_in_progress(1, now);
         }
--- a/crates/flows/src/agent/outbound.rs
+++ b/crates/flows/src/agent/outbound.rs
@@ -19,6 +19,7 @@
     ) -> (AgentStep, Option<(AgentAddress, FlowUpdate)>) {
         if !self.is_responsive(now) {
             self.warmup.record_down(now);
+            self.service_times.forget();
         }
         if !packet.flags.returned {
             self.warmup.record_up(now);
@@ -43,6 +44,7 @@
     pub fn handle_connection_refused(&mut self, now: Moment) {
         self.refused_until = now + REFUSED_BACKOFF;
         self.warmup.record_down(now);
+        self.service_times.forget();
     }
 
     pub(super) fn take_tentative(&mut self, tag: u32) -> Option<TentativeDelivery> {
@@ -66,6 +68,7 @@
                 if self.in_progress == 0 {
                     // The target is idle, so it is not full: it has just ended or started.
                     self.warmup.record_down(now);
+                    self.service_times.forget();
                 }
             } else {
                 let lifetime = self.settings.flow_lifetime;
@@ -113,6 +116,14 @@
             return self.record_offer_answer(packet, now);
         }
         let answered = packet.data_bytes > 0 || packet.flags.fin || packet.flags.rst;
+        if let Some(request) = entry.request.take_if(|_| answered) {
+            if packet.data_bytes > 0 {
+                let address = flow.service_address;
+                self.service_times.record_answer(&request, address, now);
+            } else {
+                self.service_times.record_abandoned(&request);
+            }
+        }
         let waiting_since = if answered {
             entry.waiting_since.take()
         } else {
--- a/crates/flows/src/balancer/offer.rs
+++ b/crates/flows/src/balancer/offer.rs
@@ -7,7 +7,7 @@
 use super::{BalancerStep, DueOffer, FlowBalancer, PendingOffer, PlacedFlow, RefusalReason};
 use super::{LAST_RESORT_WINDOW, MAX_ALTERNATIVES, MAX_OFFERS, OFFER_TIMEOUT, RETRANSMIT_WINDOW};
 use crate::frame::{Candidate, FramePurpose, PacketFrame};
-use crate::load::LoadTable;
+use crate::load::{LoadTable, excess_work_cost};
 use crate::packet::{FlowKey, FlowPacket};
 use crate::ring::{
     FlowStanding, FlowTarget, PLACEMENT_CANDIDATES, SEARCH_CANDIDATES, ServiceTargets,
@@ -213,11 +213,13 @@
             return SmallVec::new();
         };
         let loads = self.loads.lock();
-        let mut ranked: SmallVec<[(u8, f32, &FlowTarget); SEARCH_CANDIDATES]> = SmallVec::new();
+        let mean = loads.service_mean(service);
+        let max_flows = view.max_flows_of(service);
+        let mut ranked: SmallVec<[RankedTarget; SEARCH_CANDIDATES]> = SmallVec::new();
         for target in targets.clockwise_from(point) {
             let is_known = ranked
                 .iter()
-                .any(|(_, _, known)| known.agent == target.agent);
+                .any(|known| known.target.agent == target.agent);
             if is_known || tried.iter().any(|other| other.agent == target.agent) {
                 continue;
             }
@@ -226,19 +228,30 @@
             }
             if let Some(tier) = tier_of(target, route, view, &loads, now) {
                 let near = view.zones.is_near(target.zone);
-                let score = loads.score(target, near, tie_breaker(point, target), now);
-                ranked.push((tier, score, target));
+                let random = tie_breaker(point, target);
+                let (score, work) = loads.score_with(target, mean, near, random, now);
+                let full = max_flows.is_some_and(|max| loads.is_at_limit(target.agent, max));
+                ranked.push(RankedTarget {
+                    tier: if full { tier.max(1) } else { tier },
+                    score,
+                    work,
+                    near,
+                    target,
+                });
             }
         }
+        if mean.is_some() {
+            add_excess_work(&mut ranked);
+        }
         drop(loads);
-        ranked.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        ranked.sort_by(|a, b| a.tier.cmp(&b.tier).then(a.score.total_cmp(&b.score)));
         // A leaving target is not a useful alternative: include only targets that may be chosen
         // now.
-        let best = ranked.first().map_or(0, |first| first.0);
+        let best = ranked.first().map_or(0, |first| first.tier);
         ranked
             .into_iter()
-            .filter(|&(tier, ..)| tier <= best.max(1))
-            .map(|(_, score, target)| (score, target))
+            .filter(|ranked| ranked.tier <= best.max(1))
+            .map(|ranked| (ranked.score, ranked.target))
             .collect()
     }
 
@@ -256,6 +269,37 @@
     }
 }
 
+/// A target that may get a flow.
+#[derive(Clone, Copy, Debug)]
+struct RankedTarget<'v> {
+    tier: u8,
+    score: f32,
+    /// The expected work of the target's open flows.
+    work: f32,
+    near: bool,
+    target: &'v FlowTarget,
+}
+
+/// Adds the cost of excess work to the scores. Targets are compared within their zone only: whether
+/// flows leave the zone depends on the expected wait there, not on how evenly its targets are used.
+fn add_excess_work(ranked: &mut [RankedTarget<'_>]) {
+    for near in [true, false] {
+        let (mut count, mut sum, mut least) = (0.0, 0.0, f32::INFINITY);
+        let first_choices = ranked.iter().filter(|known| known.tier == 0);
+        for known in first_choices.filter(|known| known.near == near) {
+            count += 1.0;
+            sum += known.work;
+            least = least.min(known.work);
+        }
+        if count == 0.0 {
+            continue;
+        }
+        for known in ranked.iter_mut().filter(|known| known.near == near) {
+            known.score += excess_work_cost(known.work, least, sum / count);
+        }
+    }
+}
+
 /// Saturates a small count to 16 bits.
 fn saturating_u16(count: usize) -> u16 {
     u16::try_from(count).unwrap_or(u16::MAX)
--- a/crates/flows/src/lib.rs
+++ b/crates/flows/src/lib.rs
@@ -25,6 +25,7 @@
 mod load;
 mod packet;
 mod ring;
+mod service_load;
 mod view;
 
 pub use agent::{
--- a/crates/flows/src/load.rs
+++ b/crates/flows/src/load.rs
@@ -2,6 +2,7 @@
 //! chooses.
 
 use std::collections::HashMap;
+use std::num::NonZeroU32;
 use std::time::Duration;
 
 use lovagelatch_catalog::{AgentStop, RESTART_GRACE};
@@ -9,6 +10,7 @@
 
 use crate::frame::LoadReport;
 use crate::ring::FlowTarget;
+use crate::service_load::{ServiceLoads, ServiceMean};
 
 /// An agent that was silent for this long after an offer is suspected. Agents report every 250 ms
 /// to balancers that send to them, so two reports must have been lost as well.
@@ -60,6 +62,19 @@
 /// How much longer requests take at a cold target.
 const WARMUP_FACTOR: f32 = 1.6;
 
+/// Cost of the excess of a target's expected work over that of the least loaded target in the same
+/// zone, as a multiple of the excess over the mean. A long flow stays where it is placed, so an
+/// excess of a tenth is worth more than the requests that are in progress by chance.
+const EXCESS_WORK_COST: f32 = 8.0;
+
+/// Upper bound of the cost of excess work. A target that was just added has no flows, and must not
+/// get all new ones.
+const MAX_EXCESS_WORK_COST: f32 = 1.0;
+
+/// Age from which a report loses its weight; it has half of it at twice the age. Agents report
+/// every 250 ms, to eight balancers in turn.
+const FULL_WEIGHT_AGE: Duration = Duration::from_secs(1);
+
 /// Range of the random part of a score. Several balancers see the same reports; without it
 /// all of them would send their next flows to the same target.
 const SCORE_JITTER: f32 = 0.35;
@@ -124,6 +139,7 @@
 pub struct LoadTable {
     loads: HashMap<AgentAddress, TargetLoad>,
     stops: HashMap<AgentAddress, StopNotice>,
+    services: ServiceLoads,
     /// Every stop of an agent since this moment is known.
     stops_known_since: Moment,
 }
@@ -142,8 +158,11 @@
 
     /// Records a report, and with it whether its agent is stopping.
     pub fn record_report(&mut self, report: &LoadReport, now: Moment) {
-        self.loads
+        let former = self
+            .loads
             .insert(report.agent, TargetLoad::new(*report, now));
+        let former = former.as_ref().map(|load| &load.report);
+        self.services.replace(former, Some(report));
         if report.leaving {
             let notice = StopNotice {
                 at: now,
@@ -372,12 +391,48 @@
         unresponsive || self.is_restarting(agent, now)
     }
 
-    /// Returns the cost of one more flow at a target: requests in progress per slot, plus the costs
-    /// of open flows, warm-up and zone. `random` is between 0 and 1 and breaks ties.
+    /// Returns whether a target holds as many flows as it can, according to its last report and
+    /// the offers since.
+    #[must_use]
+    pub fn is_at_limit(&self, agent: AgentAddress, max_flows: NonZeroU32) -> bool {
+        self.loads.get(&agent).is_some_and(|load| {
+            let offered = u32::from(load.offers_since_report);
+            load.report.flows.saturating_add(offered) >= max_flows.get()
+        })
+    }
+
+    /// Returns the mean of the targets of a service; `None` if none of them reports a service
+    /// time.
+    pub(crate) fn service_mean(&self, service: ServiceId) -> Option<&ServiceMean> {
+        self.services.mean(service)
+    }
+
+    /// Returns the cost of one more flow at a target: the expected wait in service times of the
+    /// mean target of its service, plus the costs of open flows, warm-up and zone. `random` is
+    /// between 0 and 1 and breaks ties.
     #[must_use]
     pub fn score(&self, target: &FlowTarget, near: bool, random: f32, now: Moment) -> f32 {
+        let mean = self.service_mean(target.service);
+        self.score_with(target, mean, near, random, now).0
+    }
+
+    /// Returns the [`score`](Self::score) of a target whose service has this mean, and the expected
+    /// work of the target's open flows, which [`excess_work_cost`] compares.
+    pub(crate) fn score_with(
+        &self,
+        target: &FlowTarget,
+        mean: Option<&ServiceMean>,
+        near: bool,
+        random: f32,
+        now: Moment,
+    ) -> (f32, f32) {
         let load = self.loads.get(&target.agent);
-        let requests = load.map_or(0.0, weighted_requests);
+        let expected = match (load, mean) {
+            (Some(load), Some(mean)) => ExpectedLoad::relative(load, mean, now),
+            (Some(load), None) => ExpectedLoad::counted(load),
+            (None, Some(mean)) => ExpectedLoad::of_mean(mean),
+            (None, None) => ExpectedLoad::IDLE,
+        };
         let slots = f32::from(target.slots.max(1));
         let warmup = if now < target.warm_at {
             WARMUP_FACTOR
@@ -385,7 +440,12 @@
             1.0
         };
         let cross_zone = if near { 0.0 } else { CROSS_ZONE_COST };
-        (requests + 1.0) / slots * warmup + cross_zone + random * SCORE_JITTER
+        let wait = match mean {
+            Some(_) => (expected.requests + 1.0 - slots).max(0.0) / slots * expected.time_factor,
+            None => (expected.requests + expected.flows * OPEN_FLOW_COST + 1.0) / slots,
+        } * warmup;
+        let work = expected.flows / slots * expected.time_factor;
+        (wait + cross_zone + random * SCORE_JITTER, work)
     }
 
     /// Removes targets that were not heard for `idle`.
@@ -394,8 +454,14 @@
             load.awaiting_since
                 .is_some_and(|since| now.since(since) < idle)
         };
+        let services = &mut self.services;
         self.loads.retain(|_, load| {
-            now.since(load.last_heard) < idle || now < load.avoid_until || awaits_answer(load)
+            let kept =
+                now.since(load.last_heard) < idle || now < load.avoid_until || awaits_answer(load);
+            if !kept {
+                services.replace(Some(&load.report), None);
+            }
+            kept
         });
         self.stops
             .retain(|_, notice| now.since(notice.at) < RESTART_GRACE);
@@ -408,11 +474,77 @@
     }
 }
 
-/// Returns the load of a target in requests: the mean of the current and the average number in
-/// progress, plus the cost of its open flows.
-#[allow(clippy::cast_precision_loss)]
-fn weighted_requests(load: &TargetLoad) -> f32 {
-    let current = f32::from(load.report.in_progress) + f32::from(load.offers_since_report);
-    let average = load.report.average_milli as f32 / 1_000.0;
-    (current + average) / 2.0 + load.report.flows as f32 * OPEN_FLOW_COST
+/// Returns the cost of `work`, the expected work of a target, among targets of the same zone whose
+/// least and mean work are given.
+pub(crate) fn excess_work_cost(work: f32, least: f32, mean: f32) -> f32 {
+    if mean <= 0.0 {
+        return 0.0;
+    }
+    ((work - least) / mean * EXCESS_WORK_COST).clamp(0.0, MAX_EXCESS_WORK_COST)
+}
+
+/// The load that a target is expected to have now.
+#[derive(Clone, Copy, Debug)]
+struct ExpectedLoad {
+    /// The mean of the current and the average number of requests in progress and waiting.
+    requests: f32,
+    /// Open flows.
+    flows: f32,
+    /// Service time as a multiple of the mean of the service.
+    time_factor: f32,
+}
+
+impl ExpectedLoad {
+    const IDLE: Self = Self {
+        requests: 0.0,
+        flows: 0.0,
+        time_factor: 1.0,
+    };
+
+    /// Returns the load assumed for a target that was not heard, in a service with this mean.
+    fn of_mean(mean: &ServiceMean) -> Self {
+        Self {
+            requests: mean.requests,
+            flows: mean.flows,
+            time_factor: 1.0,
+        }
+    }
+
+    /// Returns the load according to the last report and the offers since.
+    #[allow(clippy::cast_precision_loss)]
+    fn counted(load: &TargetLoad) -> Self {
+        let report = &load.report;
+        let offers = f32::from(load.offers_since_report);
+        let current = f32::from(report.in_progress) + offers;
+        let average = report.average_milli as f32 / 1_000.0;
+        Self {
+            requests: (current + average) / 2.0 + f32::from(report.waiting),
+            flows: report.flows as f32,
+            time_factor: 1.0,
+        }
+    }
+
+    /// Returns the load in relation to the mean of the service. An old report counts only in part,
+    /// and the mean of the service for the rest.
+    fn relative(load: &TargetLoad, mean: &ServiceMean, now: Moment) -> Self {
+        let counted = Self::counted(load);
+        let offers = f32::from(load.offers_since_report);
+        let flows = counted.flows + offers;
+        let time_factor = mean.time_factor(&load.report);
+        let age = now.since(load.last_heard);
+        if age <= FULL_WEIGHT_AGE {
+            return Self {
+                flows,
+                time_factor,
+                ..counted
+            };
+        }
+        let weight = FULL_WEIGHT_AGE.as_secs_f32() / age.as_secs_f32();
+        let blend = |own: f32, mean: f32| mean + (own - mean) * weight;
+        Self {
+            requests: blend(counted.requests, mean.requests + offers),
+            flows: blend(flows, mean.flows + offers),
+            time_factor: blend(time_factor, 1.0),
+        }
+    }
 }
--- a/crates/flows/tests/all/main.rs
+++ b/crates/flows/tests/all/main.rs
@@ -1,10 +1,12 @@
 //! Tests of the decisions about flows of opaque packets.
 
 mod agent;
+mod balance;
 mod balancer;
 mod delegated_search;
 mod empty_fleet;
 mod explain;
+mod fleet;
 mod frame;
 mod load;
 mod loss;
@@ -14,6 +16,7 @@
 mod search;
 mod search_silence;
 mod search_size;
+mod service_time;
 mod superseded;
 mod support;
 mod view;
--- a/crates/placement/src/estimate.rs
+++ b/crates/placement/src/estimate.rs
@@ -17,28 +17,39 @@
 
 /// A moving mean of service times that is robust against outliers.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) struct ServiceEstimate {
+pub struct ServiceEstimate {
     /// In seconds. Invariant: finite and at least `MIN_MEAN_SECONDS`.
     mean: f64,
     samples: f64,
 }
 
 impl ServiceEstimate {
-    pub(crate) fn new(initial: Duration) -> Self {
+    /// Creates an estimate whose initial value counts as [`PRIOR_SAMPLES`] samples.
+    #[must_use]
+    pub fn new(initial: Duration) -> Self {
         Self {
             mean: initial.as_secs_f64().max(MIN_MEAN_SECONDS),
             samples: PRIOR_SAMPLES,
         }
     }
 
-    pub(crate) fn record(&mut self, sample: Duration) {
+    /// Records how long one request held a slot.
+    pub fn record(&mut self, sample: Duration) {
+        self.record_weighted(sample, MIN_SAMPLE_WEIGHT);
+    }
+
+    /// Records how long one request held a slot, with a weight in the moving mean from 0 to 1. The
+    /// first samples have a higher weight, so that they count equally.
+    pub fn record_weighted(&mut self, sample: Duration, weight: f64) {
         let sample = sample.as_secs_f64().min(self.mean * SAMPLE_CLIP_FACTOR);
         self.samples += 1.0;
-        let weight = (1.0 / self.samples).max(MIN_SAMPLE_WEIGHT);
+        let weight = (1.0 / self.samples).max(weight);
         self.mean = (self.mean + weight * (sample - self.mean)).max(MIN_MEAN_SECONDS);
     }
 
-    pub(crate) fn mean(&self) -> f64 {
+    /// Returns the mean in seconds.
+    #[must_use]
+    pub fn mean(&self) -> f64 {
         self.mean
     }
 }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -37,6 +37,7 @@
 mod verdict;
 
 pub use budget::{AgencyBudgets, AllowanceError, AttemptAllowance, RetryBudget};
+pub use estimate::ServiceEstimate;
 pub use explain::GateCost;
 pub use gate::RequestGate;
 pub use health::{HealthStatus, PassiveHealth, trusted_status};
