Look up the load of a candidate once, and test failures of the choice

A balancer looked up the load of each candidate five times for a new flow. It does so once now, which pays for the choice by service time. Scores and means move to load/score.rs and load/service.rs.

The benchmark gets a case with 1,000 targets that report service times.

--- a/crates/flows/benches/decision.rs
+++ b/crates/flows/benches/decision.rs
@@ -2,6 +2,7 @@
 
 use std::hint::black_box;
 use std::net::{Ipv4Addr, SocketAddrV4};
+use std::num::NonZeroU32;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -119,24 +120,51 @@
 
 fn new_flow(criterion: &mut Criterion) {
     for targets in [7, 42, 1_000] {
-        let (balancer, view) = (balancer(), view(targets));
-        let mut count = 0_u64;
         let name = format!("new flow, {targets} targets");
-        criterion.bench_function(&name, |bencher| {
-            bencher.iter(|| {
-                count += 1;
-                let packet = packet(u16::try_from(count % 50_000).unwrap_or(0), true);
-                let now = Moment::from_millis(count * 2);
-                if count.is_multiple_of(1_000) {
-                    black_box(balancer.due_offers(&view, now + Duration::from_secs(9)));
-                    balancer.expire_idle(Duration::from_secs(1), now);
-                }
-                black_box(balancer.handle_packet(&packet, b"packet", &view, now))
-            });
-        });
+        new_flow_with(criterion, &name, targets, |_, _| {});
+    }
+    new_flow_with(criterion, "new flow, 1000 reporting targets", 1_000, report);
+}
+
+/// Reports the load of every target, with a learned service time.
+fn report(balancer: &FlowBalancer, now: Moment) {
+    for number in 0..1_000 {
+        let load = LoadReport {
+            in_progress: number % 5,
+            flows: 20 + u32::from(number % 7),
+            average_milli: 1_000,
+            service_time_us: NonZeroU32::new(20_000 + u32::from(number)),
+            ..LoadReport::idle(agent(number), service().id())
+        };
+        balancer.record_load(&load, now);
     }
 }
 
+/// Measures new flows, with a call of `refresh` after each thousand.
+fn new_flow_with(
+    criterion: &mut Criterion,
+    name: &str,
+    targets: u16,
+    refresh: fn(&FlowBalancer, Moment),
+) {
+    let (balancer, view) = (balancer(), view(targets));
+    let mut count = 0_u64;
+    refresh(&balancer, Moment::ZERO);
+    criterion.bench_function(name, |bencher| {
+        bencher.iter(|| {
+            count += 1;
+            let packet = packet(u16::try_from(count % 50_000).unwrap_or(0), true);
+            let now = Moment::from_millis(count * 2);
+            if count.is_multiple_of(1_000) {
+                black_box(balancer.due_offers(&view, now + Duration::from_secs(9)));
+                balancer.expire_idle(Duration::from_secs(1), now);
+                refresh(&balancer, now);
+            }
+            black_box(balancer.handle_packet(&packet, b"packet", &view, now))
+        });
+    });
+}
+
 fn unknown_flow(criterion: &mut Criterion) {
     for targets in [7, 42, 1_000] {
         let (balancer, view) = (balancer(), view(targets));
--- a/crates/flows/src/balancer/offer.rs
+++ b/crates/flows/src/balancer/offer.rs
@@ -1,5 +1,7 @@
 //! New flows: which target gets the first offer, and which the next.
 
+use std::num::NonZeroU32;
+
 use lovagelatch_domain::{AgentAddress, Moment, ServiceId};
 use smallvec::SmallVec;
 
@@ -7,7 +9,7 @@
 use super::{BalancerStep, DueOffer, FlowBalancer, PendingOffer, PlacedFlow, RefusalReason};
 use super::{LAST_RESORT_WINDOW, MAX_ALTERNATIVES, MAX_OFFERS, OFFER_TIMEOUT, RETRANSMIT_WINDOW};
 use crate::frame::{Candidate, FramePurpose, PacketFrame};
-use crate::load::{LoadTable, excess_work_cost};
+use crate::load::{TargetLoad, excess_work_cost, score_target};
 use crate::packet::{FlowKey, FlowPacket};
 use crate::ring::{
     FlowStanding, FlowTarget, PLACEMENT_CANDIDATES, SEARCH_CANDIDATES, ServiceTargets,
@@ -226,13 +228,13 @@
             if ranked.len() == PLACEMENT_CANDIDATES {
                 break;
             }
-            if let Some(tier) = tier_of(target, route, view, &loads, now) {
+            let load = loads.load(target.agent);
+            if let Some(tier) = tier_of(target, route, view, load, max_flows, now) {
                 let near = view.zones.is_near(target.zone);
                 let random = tie_breaker(point, target);
-                let (score, work) = loads.score_with(target, mean, near, random, now);
-                let full = max_flows.is_some_and(|max| loads.is_at_limit(target.agent, max));
+                let (score, work) = score_target(target, load, mean, near, random, now);
                 ranked.push(RankedTarget {
-                    tier: if full { tier.max(1) } else { tier },
+                    tier,
                     score,
                     work,
                     near,
@@ -337,21 +339,23 @@
     target: &FlowTarget,
     route: &FlowRoute,
     view: &FlowView,
-    loads: &LoadTable,
+    load: Option<&TargetLoad>,
+    max_flows: Option<NonZeroU32>,
     now: Moment,
 ) -> Option<u8> {
     let zones = &view.zones;
     if !view.allows_new_flows(route, target) {
         return None;
     }
-    if zones.is_evacuated(target.zone) || loads.knows_evacuated(target.agent, zones.revision) {
-        return None;
-    }
-    if target.superseded || loads.is_reassigned(target, now) {
+    let excluded = load.is_some_and(|load| {
+        load.knows_evacuated(zones.revision) || load.is_reassigned(target, now)
+    });
+    if excluded || zones.is_evacuated(target.zone) || target.superseded {
         return None;
     }
+    let is_first_choice = load.is_none_or(|load| load.is_first_choice(max_flows, now));
     match target.standing {
-        FlowStanding::Serving if loads.is_eligible(target.agent, now) => Some(0),
+        FlowStanding::Serving if is_first_choice => Some(0),
         FlowStanding::Serving | FlowStanding::Lapsed => Some(1),
         FlowStanding::Unreadable => None,
         FlowStanding::Leaving => {
--- a/crates/flows/src/lib.rs
+++ b/crates/flows/src/lib.rs
@@ -25,7 +25,6 @@
 mod load;
 mod packet;
 mod ring;
-mod service_load;
 mod view;
 
 pub use agent::{
--- a/crates/flows/src/load.rs
+++ b/crates/flows/src/load.rs
@@ -1,5 +1,7 @@
-//! What a balancer knows about the load and health of each target, and the score by which it
-//! chooses.
+//! What a balancer knows about the load and health of each target.
+
+mod score;
+mod service;
 
 use std::collections::HashMap;
 use std::num::NonZeroU32;
@@ -10,7 +12,9 @@
 
 use crate::frame::LoadReport;
 use crate::ring::FlowTarget;
-use crate::service_load::{ServiceLoads, ServiceMean};
+
+pub(crate) use self::score::{excess_work_cost, score_target};
+use self::service::{ServiceLoads, ServiceMean};
 
 /// An agent that was silent for this long after an offer is suspected. Agents report every 250 ms
 /// to balancers that send to them, so two reports must have been lost as well.
@@ -51,34 +55,6 @@
 /// of a former agent never excludes the target that follows.
 const SERVICE_REPORT_TTL: Duration = Duration::from_secs(2);
 
-/// Cost of another zone in the score, in requests in progress per slot. Traffic between zones is
-/// paid for; avoiding a wait of half a request's time is worth more.
-const CROSS_ZONE_COST: f32 = 0.35;
-
-/// Cost of one open flow in a target's load, in requests in progress. A long flow carries a
-/// request of some tens of milliseconds about once a second, whatever is in progress at the moment.
-const OPEN_FLOW_COST: f32 = 0.03;
-
-/// How much longer requests take at a cold target.
-const WARMUP_FACTOR: f32 = 1.6;
-
-/// Cost of the excess of a target's expected work over that of the least loaded target in the same
-/// zone, as a multiple of the excess over the mean. A long flow stays where it is placed, so an
-/// excess of a tenth is worth more than the requests that are in progress by chance.
-const EXCESS_WORK_COST: f32 = 8.0;
-
-/// Upper bound of the cost of excess work. A target that was just added has no flows, and must not
-/// get all new ones.
-const MAX_EXCESS_WORK_COST: f32 = 1.0;
-
-/// Age from which a report loses its weight; it has half of it at twice the age. Agents report
-/// every 250 ms, to eight balancers in turn.
-const FULL_WEIGHT_AGE: Duration = Duration::from_secs(1);
-
-/// Range of the random part of a score. Several balancers see the same reports; without it
-/// all of them would send their next flows to the same target.
-const SCORE_JITTER: f32 = 0.35;
-
 /// What is known about one target and its agent.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct TargetLoad {
@@ -115,6 +91,44 @@
         }
     }
 
+    /// Returns whether the target should be skipped for new flows at the moment.
+    fn is_suspected(&self, now: Moment) -> bool {
+        let report = &self.report;
+        now < self.avoid_until || !report.responsive || report.failing || report.leaving
+    }
+
+    /// Returns whether a cold target has room for one more flow according to its last report and
+    /// the offers since; always true where no limit applies.
+    fn has_room(&self, now: Moment) -> bool {
+        let fresh = now.since(self.last_heard) < ROOM_TTL;
+        let room = self.report.room.filter(|_| fresh);
+        room.is_none_or(|room| room > self.offers_since_report)
+    }
+
+    /// Returns whether the target is among the first choices: it is not suspected, has room if it
+    /// is cold, and holds fewer than `max_flows` flows according to its last report and the offers
+    /// since.
+    pub(crate) fn is_first_choice(&self, max_flows: Option<NonZeroU32>, now: Moment) -> bool {
+        let flows = self.report.flows;
+        let flows = flows.saturating_add(self.offers_since_report.into());
+        let is_full = max_flows.is_some_and(|max_flows| flows >= max_flows.get());
+        !is_full && self.has_room(now) && !self.is_suspected(now)
+    }
+
+    /// Returns whether the agent recently reported that its target belongs to another service; see
+    /// [`LoadTable::is_reassigned`].
+    pub(crate) fn is_reassigned(&self, target: &FlowTarget, now: Moment) -> bool {
+        self.report.service != target.service
+            && self.last_heard > target.standing_since
+            && now.since(self.last_heard) < SERVICE_REPORT_TTL
+    }
+
+    /// Returns whether the agent reports its zone as evacuated, at a store revision later than
+    /// `revision`.
+    pub(crate) fn knows_evacuated(&self, revision: u64) -> bool {
+        self.report.evacuated && self.report.zones_revision > revision
+    }
+
     /// Returns whether the agent was sent frames for `timeout`, including probes, and was not heard
     /// since.
     fn is_unheard(&self, timeout: Duration, now: Moment) -> bool {
@@ -331,10 +345,8 @@
     /// Returns whether the target should be skipped for new flows at the moment.
     #[must_use]
     pub fn is_suspected(&self, agent: AgentAddress, now: Moment) -> bool {
-        self.loads.get(&agent).is_some_and(|load| {
-            let report = &load.report;
-            now < load.avoid_until || !report.responsive || report.failing || report.leaving
-        })
+        let load = self.loads.get(&agent);
+        load.is_some_and(|load| load.is_suspected(now))
     }
 
     /// Returns whether the agent at a target's address recently reported that its target belongs to
@@ -342,11 +354,8 @@
     /// is that of the former target. The agent refuses all flows of the former service.
     #[must_use]
     pub fn is_reassigned(&self, target: &FlowTarget, now: Moment) -> bool {
-        self.loads.get(&target.agent).is_some_and(|load| {
-            load.report.service != target.service
-                && load.last_heard > target.standing_since
-                && now.since(load.last_heard) < SERVICE_REPORT_TTL
-        })
+        let load = self.loads.get(&target.agent);
+        load.is_some_and(|load| load.is_reassigned(target, now))
     }
 
     /// Returns whether an agent reports its zone as evacuated, at a store revision later than
@@ -354,20 +363,7 @@
     #[must_use]
     pub fn knows_evacuated(&self, agent: AgentAddress, revision: u64) -> bool {
         let load = self.loads.get(&agent);
-        load.is_some_and(|load| load.report.evacuated && load.report.zones_revision > revision)
-    }
-
-    /// Returns whether a target is among the first choices: it is not suspected, and if it is cold,
-    /// it has room for one more flow according to its last report and the offers since.
-    #[must_use]
-    pub fn is_eligible(&self, agent: AgentAddress, now: Moment) -> bool {
-        let load = self.loads.get(&agent);
-        let has_room = load.is_none_or(|load| {
-            let fresh = now.since(load.last_heard) < ROOM_TTL;
-            let room = load.report.room.filter(|_| fresh);
-            room.is_none_or(|room| room > load.offers_since_report)
-        });
-        has_room && !self.is_suspected(agent, now)
+        load.is_some_and(|load| load.knows_evacuated(revision))
     }
 
     /// Returns when an agent was last heard; `None` if it never was, or if it last reported that it
@@ -391,16 +387,6 @@
         unresponsive || self.is_restarting(agent, now)
     }
 
-    /// Returns whether a target holds as many flows as it can, according to its last report and
-    /// the offers since.
-    #[must_use]
-    pub fn is_at_limit(&self, agent: AgentAddress, max_flows: NonZeroU32) -> bool {
-        self.loads.get(&agent).is_some_and(|load| {
-            let offered = u32::from(load.offers_since_report);
-            load.report.flows.saturating_add(offered) >= max_flows.get()
-        })
-    }
-
     /// Returns the mean of the targets of a service; `None` if none of them reports a service
     /// time.
     pub(crate) fn service_mean(&self, service: ServiceId) -> Option<&ServiceMean> {
@@ -412,40 +398,9 @@
     /// between 0 and 1 and breaks ties.
     #[must_use]
     pub fn score(&self, target: &FlowTarget, near: bool, random: f32, now: Moment) -> f32 {
-        let mean = self.service_mean(target.service);
-        self.score_with(target, mean, near, random, now).0
-    }
-
-    /// Returns the [`score`](Self::score) of a target whose service has this mean, and the expected
-    /// work of the target's open flows, which [`excess_work_cost`] compares.
-    pub(crate) fn score_with(
-        &self,
-        target: &FlowTarget,
-        mean: Option<&ServiceMean>,
-        near: bool,
-        random: f32,
-        now: Moment,
-    ) -> (f32, f32) {
         let load = self.loads.get(&target.agent);
-        let expected = match (load, mean) {
-            (Some(load), Some(mean)) => ExpectedLoad::relative(load, mean, now),
-            (Some(load), None) => ExpectedLoad::counted(load),
-            (None, Some(mean)) => ExpectedLoad::of_mean(mean),
-            (None, None) => ExpectedLoad::IDLE,
-        };
-        let slots = f32::from(target.slots.max(1));
-        let warmup = if now < target.warm_at {
-            WARMUP_FACTOR
-        } else {
-            1.0
-        };
-        let cross_zone = if near { 0.0 } else { CROSS_ZONE_COST };
-        let wait = match mean {
-            Some(_) => (expected.requests + 1.0 - slots).max(0.0) / slots * expected.time_factor,
-            None => (expected.requests + expected.flows * OPEN_FLOW_COST + 1.0) / slots,
-        } * warmup;
-        let work = expected.flows / slots * expected.time_factor;
-        (wait + cross_zone + random * SCORE_JITTER, work)
+        let mean = self.service_mean(target.service);
+        score_target(target, load, mean, near, random, now).0
     }
 
     /// Removes targets that were not heard for `idle`.
@@ -473,78 +428,3 @@
         entry.or_insert(TargetLoad::new(report, Moment::ZERO))
     }
 }
-
-/// Returns the cost of `work`, the expected work of a target, among targets of the same zone whose
-/// least and mean work are given.
-pub(crate) fn excess_work_cost(work: f32, least: f32, mean: f32) -> f32 {
-    if mean <= 0.0 {
-        return 0.0;
-    }
-    ((work - least) / mean * EXCESS_WORK_COST).clamp(0.0, MAX_EXCESS_WORK_COST)
-}
-
-/// The load that a target is expected to have now.
-#[derive(Clone, Copy, Debug)]
-struct ExpectedLoad {
-    /// The mean of the current and the average number of requests in progress and waiting.
-    requests: f32,
-    /// Open flows.
-    flows: f32,
-    /// Service time as a multiple of the mean of the service.
-    time_factor: f32,
-}
-
-impl ExpectedLoad {
-    const IDLE: Self = Self {
-        requests: 0.0,
-        flows: 0.0,
-        time_factor: 1.0,
-    };
-
-    /// Returns the load assumed for a target that was not heard, in a service with this mean.
-    fn of_mean(mean: &ServiceMean) -> Self {
-        Self {
-            requests: mean.requests,
-            flows: mean.flows,
-            time_factor: 1.0,
-        }
-    }
-
-    /// Returns the load according to the last report and the offers since.
-    #[allow(clippy::cast_precision_loss)]
-    fn counted(load: &TargetLoad) -> Self {
-        let report = &load.report;
-        let offers = f32::from(load.offers_since_report);
-        let current = f32::from(report.in_progress) + offers;
-        let average = report.average_milli as f32 / 1_000.0;
-        Self {
-            requests: (current + average) / 2.0 + f32::from(report.waiting),
-            flows: report.flows as f32,
-            time_factor: 1.0,
-        }
-    }
-
-    /// Returns the load in relation to the mean of the service. An old report counts only in part,
-    /// and the mean of the service for the rest.
-    fn relative(load: &TargetLoad, mean: &ServiceMean, now: Moment) -> Self {
-        let counted = Self::counted(load);
-        let offers = f32::from(load.offers_since_report);
-        let flows = counted.flows + offers;
-        let time_factor = mean.time_factor(&load.report);
-        let age = now.since(load.last_heard);
-        if age <= FULL_WEIGHT_AGE {
-            return Self {
-                flows,
-                time_factor,
-                ..counted
-            };
-        }
-        let weight = FULL_WEIGHT_AGE.as_secs_f32() / age.as_secs_f32();
-        let blend = |own: f32, mean: f32| mean + (own - mean) * weight;
-        Self {
-            requests: blend(counted.requests, mean.requests + offers),
-            flows: blend(flows, mean.flows + offers),
-            time_factor: blend(time_factor, 1.0),
-        }
-    }
-}
--- a/crates/flows/tests/all/balance.rs
+++ b/crates/flows/tests/all/balance.rs
@@ -6,6 +6,7 @@
 use lovagelatch_flows::LoadReport;
 
 use crate::fleet::{Fleet, FleetSettings, FleetTarget, MEAN_WORK};
+use crate::support::{agent, claims, service};
 
 const SPEEDS: [f64; 3] = [0.6, 1.0, 1.6];
 
@@ -200,3 +201,82 @@
     assert!(shares[1] > 0.28, "excess load leaves: {shares:?}");
     assert!(shares[2] < 0.1, "flows return: {shares:?}");
 }
+
+// Guards against connections above the limit of a target, which it resets: with a limit, fast
+// targets cannot hold the flows that match their speed.
+#[test]
+fn flows_stay_below_the_limit_while_other_targets_have_room() {
+    let mut fleet = Fleet::new(FleetSettings {
+        max_flows: NonZeroU32::new(30),
+        ..mixed_fleet(0.4, 1)
+    });
+    for _ in 0..60 {
+        fleet.run(Duration::from_secs(1));
+        let flows = fleet.targets.iter().map(|target| target.flows);
+        let flows: Vec<_> = flows.collect();
+        // Each of the four balancers may add a flow that the reports of the others do not show yet.
+        assert!(flows.iter().all(|&flows| flows <= 34), "{flows:?}");
+    }
+}
+
+// Guards against flows that are reset although a target may have a free place: reports lag behind,
+// and only the agent knows.
+#[test]
+fn flows_are_offered_when_all_targets_are_at_their_limit() {
+    let mut fleet = Fleet::new(FleetSettings {
+        max_flows: NonZeroU32::new(10),
+        ..mixed_fleet(0.4, 1)
+    });
+    fleet.run(Duration::from_secs(30));
+    let flows: u32 = fleet.targets.iter().map(|target| target.flows).sum();
+    assert!(flows > 24 * 20, "only {flows} flows are open");
+}
+
+// Guards against a view that becomes unusable while the store is away: targets of the service end
+// and start, the balancers keep the old view, and the loads of new targets disturb the mean.
+#[test]
+fn an_old_view_stays_usable_while_targets_change() {
+    let mut fleet = Fleet::new(mixed_fleet(0.4, 1));
+    fleet.run(Duration::from_secs(30));
+    let ended = [0, 7, 14];
+    for target in ended {
+        fleet.stop_target(target);
+    }
+    // Agents of targets that the view does not list, and one that reports for another service.
+    let stranger = |number, micros| LoadReport {
+        service_time_us: NonZeroU32::new(micros),
+        ..LoadReport::idle(agent(number), claims())
+    };
+    let moved = LoadReport {
+        service: service("maps").id(),
+        ..stranger(20, 30_000)
+    };
+    for balancer in &fleet.balancers {
+        for report in [stranger(100, 1), stranger(101, u32::MAX), moved] {
+            balancer.record_load(&report, fleet.now);
+        }
+    }
+    fleet.run(Duration::from_secs(30));
+    fleet.reset_counts();
+    fleet.run(Duration::from_secs(60));
+    let started = fleet.targets.iter().map(|target| target.started);
+    let started: Vec<_> = started.collect();
+    assert!(
+        ended.iter().all(|&target| started[target] == 0),
+        "{started:?}"
+    );
+    assert!(
+        fleet.failed_opens < 40,
+        "{} of the openings failed",
+        fleet.failed_opens
+    );
+    // The load of the targets that ended is spread over the others.
+    let running = fleet.targets.iter().enumerate();
+    let running = running.filter(|(number, _)| !ended.contains(number));
+    let work: Vec<_> = running
+        .map(|(_, target)| f64::from(target.started) / target.speed)
+        .collect();
+    let mean = work.iter().sum::<f64>() / 21.0;
+    let busiest = work.iter().copied().fold(0.0, f64::max);
+    assert!(busiest <= mean * MAX_DISTURBED_IMBALANCE, "{work:?}");
+}
--- a/crates/flows/tests/all/fleet.rs
+++ b/crates/flows/tests/all/fleet.rs
@@ -80,6 +80,8 @@
     pub(crate) rejected: u32,
     /// Open flows.
     pub(crate) flows: u32,
+    /// Whether the target and its agent have ended.
+    stopped: bool,
 }
 
 struct FleetClient {
@@ -114,6 +116,8 @@
     scheduled: u64,
     /// Flows opened so far.
     flows: u32,
+    /// First packets without an answer since the counts were reset.
+    pub(crate) failed_opens: u32,
     random: SmallRng,
     pub(crate) now: Moment,
 }
@@ -160,6 +164,7 @@
             started: 0,
             rejected: 0,
             flows: 0,
+            stopped: false,
         });
         let mut fleet = Self {
             view,
@@ -171,6 +176,7 @@
             reports: VecDeque::new(),
             scheduled: 0,
             flows: 0,
+            failed_opens: 0,
             random: SmallRng::seed_from_u64(settings.seed),
             now: at(0),
             settings,
@@ -232,6 +238,15 @@
         self.now = end;
     }
 
+    /// Ends a target and its agent. Their clients notice it with their next packet.
+    pub(crate) fn stop_target(&mut self, target: usize) {
+        let target = &mut self.targets[target];
+        target.stopped = true;
+        target.running = 0;
+        target.flows = 0;
+        target.queue.clear();
+    }
+
     /// Returns the ratio of the busiest target to the mean, by work over speed since the counts
     /// were reset.
     pub(crate) fn imbalance(&self) -> f64 {
@@ -257,6 +272,7 @@
             target.started = 0;
             target.rejected = 0;
         }
+        self.failed_opens = 0;
     }
 
     fn schedule(&mut self, delay: Duration, event: FleetEvent) {
@@ -278,6 +294,9 @@
     }
 
     fn report(&mut self, agent: usize) {
+        if self.targets[agent].stopped {
+            return;
+        }
         let (balancers, mut report) = self.agents[agent].load_report(self.now);
         (self.settings.forge)(agent, &mut report);
         for address in balancers {
@@ -334,6 +353,7 @@
             self.target_sends(target, &answer);
             self.request(client);
         } else {
+            self.failed_opens += 1;
             self.schedule(Duration::from_millis(100), FleetEvent::Open(client));
         }
     }
@@ -348,6 +368,9 @@
         let (mut to, mut frame) = (to, frame);
         loop {
             let number = usize::from(to.0.ip().octets()[3]) - 1;
+            if self.targets[number].stopped {
+                return None;
+            }
             let (step, update) = self.agents[number].handle_frame(frame, packet, self.now);
             if let Some((balancer, mut update)) = update {
                 (self.settings.forge)(number, &mut update.load);
@@ -377,6 +400,10 @@
     fn request(&mut self, client: usize) {
         let state = &mut self.clients[client];
         let (flow, target) = (state.flow, state.target);
+        if self.targets[target].stopped {
+            self.schedule(Duration::from_millis(20), FleetEvent::Open(client));
+            return;
+        }
         if self.now >= state.closes_at || client >= self.settings.clients {
             let last = packet(flow, false, 0);
             let last = FlowPacket {
@@ -425,6 +452,10 @@
     }
 
     fn answer(&mut self, target: usize, client: usize) {
+        if self.targets[target].stopped {
+            self.schedule_request(client);
+            return;
+        }
         self.targets[target].running -= 1;
         self.target_sends(target, &packet(self.clients[client].flow, false, 200));
         if let Some(next) = self.targets[target].queue.pop_front() {
--- a/crates/flows/tests/all/load.rs
+++ b/crates/flows/tests/all/load.rs
@@ -1,5 +1,6 @@
 //! The load and health of targets as a balancer sees them.
 
+use std::num::NonZeroU32;
 use std::time::Duration;
 
 use lovagelatch_flows::{FlowTarget, LoadReport, LoadTable, ZoneIndex};
@@ -39,6 +40,10 @@
             name: "more on average",
             change: |_, load| load.average_milli = 4_000,
         },
+        ScoreCase {
+            name: "more requests waiting at the agent",
+            change: |_, load| load.waiting = 4,
+        },
         ScoreCase {
             name: "more flows",
             change: |_, load| load.flows = 60,
@@ -72,6 +77,95 @@
     }
 }
 
+/// A report of a target with a learned service time in milliseconds and requests in progress.
+fn learned_load(number: u8, millis: u32, in_progress: u16) -> LoadReport {
+    LoadReport {
+        in_progress,
+        average_milli: u32::from(in_progress) * 1_000,
+        service_time_us: NonZeroU32::new(millis * 1_000),
+        ..idle_load(agent(number))
+    }
+}
+
+// Guards against a slow target that gets as many requests as a fast one.
+#[test]
+fn requests_at_a_slow_target_cost_more() {
+    let targets = targets();
+    let mut loads = LoadTable::default();
+    loads.record_report(&learned_load(1, 20, 6), at(0));
+    loads.record_report(&learned_load(2, 60, 6), at(0));
+    let [fast, slow] = [0, 1].map(|index| score(&loads, &targets[index], 10));
+    assert!(slow > 2.9 * fast, "{fast} {slow}");
+}
+
+// Guards against a new target, which has no learned service time yet, that is taken for a fast or a
+// slow one.
+#[test]
+fn a_target_without_a_service_time_counts_as_the_mean() {
+    let targets = targets();
+    let mut loads = LoadTable::default();
+    loads.record_report(&learned_load(1, 20, 6), at(0));
+    loads.record_report(&learned_load(2, 80, 6), at(0));
+    // Of agents that the view does not list: the geometric mean is 40 ms.
+    loads.record_report(&learned_load(3, 40, 6), at(0));
+    let mean = LoadReport {
+        service_time_us: None,
+        ..learned_load(1, 20, 6)
+    };
+    loads.record_report(&mean, at(0));
+    loads.record_report(&learned_load(4, 20, 6), at(0));
+    let unknown = score(&loads, &targets[0], 10);
+    loads.record_report(&learned_load(1, 40, 6), at(0));
+    let known = score(&loads, &targets[0], 10);
+    assert!((unknown - known).abs() < 0.01, "{unknown} {known}");
+}
+
+// Guards against a mean that drifts or breaks as targets come, change their service and go.
+#[test]
+fn the_mean_of_a_service_follows_its_reports() {
+    let targets = targets();
+    let mut loads = LoadTable::default();
+    let expected = {
+        let mut loads = LoadTable::default();
+        loads.record_report(&learned_load(1, 20, 6), at(90_000));
+        loads.record_report(&learned_load(2, 60, 6), at(90_000));
+        score(&loads, &targets[0], 90_000)
+    };
+    for round in 0..1_000_u32 {
+        let number = u8::try_from(3 + round % 40).expect("a small number");
+        loads.record_report(&learned_load(number, 1 + round, 3), at(u64::from(round)));
+        if round % 3 == 0 {
+            let moved = LoadReport {
+                service: crate::support::service("maps").id(),
+                ..learned_load(number, 1 + round, 3)
+            };
+            loads.record_report(&moved, at(u64::from(round)));
+        }
+    }
+    loads.expire_idle(Duration::from_secs(15), at(90_000));
+    loads.record_report(&learned_load(1, 20, 6), at(90_000));
+    loads.record_report(&learned_load(2, 60, 6), at(90_000));
+    let now = score(&loads, &targets[0], 90_000);
+    assert!((now - expected).abs() < f32::EPSILON, "{now} {expected}");
+}
+
+// Guards against a target that is avoided, or preferred, for as long as its reports are lost.
+#[test]
+fn an_old_report_loses_its_weight_gradually() {
+    let targets = targets();
+    let mut loads = LoadTable::default();
+    loads.record_report(&learned_load(1, 20, 0), at(0));
+    loads.record_report(&learned_load(2, 60, 12), at(0));
+    let differences = [1_000, 2_000, 4_000, 8_000].map(|millis| {
+        let [idle, busy] = [0, 1].map(|index| score(&loads, &targets[index], millis));
+        busy - idle
+    });
+    let decreases = differences.windows(2).all(|pair| pair[1] < pair[0]);
+    assert!(decreases, "{differences:?}");
+    assert!(differences[1] > differences[0] * 0.3, "{differences:?}");
+    assert!(differences[3] < differences[0] * 0.2, "{differences:?}");
+}
+
 // Guards against a quarter of a second in which all new flows go to one target and its requests
 // queue: it reports no load, and the score ignores flows placed since that report.
 #[test]
