Log values of the configuration for which a default is used

Operators got no sign that a priority, an objective, a time-out or a connection limit of the configuration was not usable: the decoder applied a default silently. It now lists up to eight such values beside the configuration. The balancer that read the configuration from the store writes one line for each when the configuration takes effect; the others, which get it by gossip, write none.

--- a/bins/balancer/src/opaque/catalog.rs
+++ b/bins/balancer/src/opaque/catalog.rs
@@ -8,9 +8,9 @@
 use lovagelatch_adapter::{StoreClient, StoreSettings};
 use lovagelatch_catalog::{
     AgentStop, Catalog, CatalogAction, CatalogMember, CatalogMessage, CatalogNotice, MEMBER_TICK,
-    StoreAnswer, StoreCall, StoreFailure,
+    StoreAnswer, StoreCall, StoreFailure, UnusableValue, ValueOwner,
 };
-use lovagelatch_domain::{Moment, StorePosition};
+use lovagelatch_domain::{ConfigRevision, Moment, StorePosition};
 use lovagelatch_flows::{FlowViewBuilder, SupersededTargets};
 use lovagelatch_network::{read_frame, write_frame};
 use lovagelatch_operations::ReadyFlag;
@@ -409,6 +409,7 @@
                 "targets_revision" => targets.revision,
                 "from" => from.map_or_else(|| "store".to_owned(), |peer| peer.to_string()));
         }
+        CatalogNotice::DefaultUsed { version, value } => log_default(log, *version, value),
         CatalogNotice::Refused(error) => warn!(log, "catalog change refused";
             "decision" => DecisionKind::ConfigRefused, "error" => error.to_string()),
         CatalogNotice::Conflict(peer) => warn!(log, "another content of the same revision";
@@ -424,3 +425,18 @@
         CatalogNotice::Members(members) => info!(log, "balancers known"; "members" => members),
     }
 }
+
+/// Logs that a default is used instead of a value of the configuration in force.
+fn log_default(log: &Logger, version: ConfigRevision, value: &UnusableValue) {
+    let (kind, name) = match &value.owner {
+        ValueOwner::Route(name) => ("route", name.as_str()),
+        ValueOwner::Service(name) => ("service", name.as_str()),
+    };
+    warn!(log, "value of the configuration cannot be used: default used";
+        "decision" => DecisionKind::ConfigTaken,
+        "version" => version.0,
+        "of" => kind,
+        "name" => name.to_owned(),
+        "field" => value.field.to_string(),
+        "default" => value.default.to_string());
+}
--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -12,6 +12,7 @@
 use crate::message::{CatalogDelta, CatalogHead, ConfigDelta};
 use crate::record::{EvacuatedZone, PublishedConfig, PublishedRoute, TargetName, TargetRow};
 use crate::table::{TableUpdate, replace_rows};
+use crate::unusable::{MAX_UNUSABLE_VALUES, UnusableValue};
 
 /// Why a change was rejected. The current state stays in force.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
@@ -125,6 +126,9 @@
     zones: TableIndex<ZoneName>,
     /// Changes since the last call of [`take_changes`](Self::take_changes).
     changes: CatalogChanges,
+    /// Unusable values of the configuration in force that were not taken yet. Empty if the
+    /// configuration came from another balancer.
+    unusable: Vec<UnusableValue>,
 }
 
 impl CatalogTables {
@@ -155,6 +159,12 @@
         std::mem::take(&mut self.changes)
     }
 
+    /// Returns the unusable values of the configuration that was last applied from the store, and
+    /// clears them.
+    pub fn take_unusable(&mut self) -> Vec<UnusableValue> {
+        std::mem::take(&mut self.unusable)
+    }
+
     /// Returns the changes since a head.
     #[must_use]
     pub fn delta_since(&self, head: &CatalogHead) -> CatalogDelta {
@@ -409,6 +419,8 @@
         self.catalog.version = config.version;
         self.catalog.idle_timeout = config.idle_timeout;
         self.catalog.unrouted = config.unrouted.into();
+        self.unusable = config.unusable;
+        self.unusable.truncate(MAX_UNUSABLE_VALUES);
         true
     }
 }
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -22,6 +22,7 @@
 mod record;
 mod stops;
 mod table;
+mod unusable;
 
 pub use answer::{StoreAnswer, StoreCall, StoreEvent, StoreFailure};
 pub use catalog::{Catalog, CatalogChanges, CatalogError, CatalogTables};
@@ -37,3 +38,4 @@
     TargetName, TargetRow, TargetStart, WarmupRule,
 };
 pub use stops::{AgentStop, RESTART_GRACE, StopList, StopUpdate};
+pub use unusable::{MAX_UNUSABLE_VALUES, UnusableValue, ValueDefault, ValueOwner};
--- a/crates/catalog/src/member.rs
+++ b/crates/catalog/src/member.rs
@@ -15,6 +15,7 @@
 use crate::peers::{LARGE_FLEET_FANOUT, PeerTable, SMALL_FLEET_FANOUT};
 use crate::reader::{ReadReason, ReaderInputs, ReaderState};
 use crate::stops::{AgentStop, StopList, StopTable, StopUpdate};
+use crate::unusable::UnusableValue;
 
 /// How often [`CatalogMember::advance`] must be called, in addition to the moments that
 /// [`CatalogMember::next_due`] returns.
@@ -73,6 +74,14 @@
         /// The balancer that sent it; `None` if it was read from the store.
         from: Option<SocketAddrV4>,
     },
+    /// A configuration that this balancer read from the store is in force, and a default is used
+    /// instead of one of its values.
+    DefaultUsed {
+        /// The operator's version number of the configuration.
+        version: ConfigRevision,
+        /// The value that cannot be used.
+        value: UnusableValue,
+    },
     /// A change or value was rejected.
     Refused(CatalogError),
     /// Another balancer has different content for the same revision.
@@ -429,6 +438,10 @@
         if changed {
             self.publish(None, now);
         }
+        let version = self.tables.catalog().version;
+        for value in self.tables.take_unusable() {
+            self.notice(CatalogNotice::DefaultUsed { version, value });
+        }
     }
 
     /// Records a return of the store from a copy if `position`, which this process or another read,
--- a/crates/catalog/src/record.rs
+++ b/crates/catalog/src/record.rs
@@ -9,6 +9,8 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
+use crate::unusable::UnusableValue;
+
 /// The name of a backend server in the store. A restarted server usually gets another name; if it
 /// keeps the name, [`TargetStart`] tells the two apart.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -171,4 +173,8 @@
     /// The services that it lists without sending flows of any route to them. Targets of services
     /// that the configuration does not list belong to another system.
     pub unrouted: Vec<ServiceName>,
+    /// Values that cannot be used, for the log. Invariant: at most [`MAX_UNUSABLE_VALUES`].
+    ///
+    /// [`MAX_UNUSABLE_VALUES`]: crate::MAX_UNUSABLE_VALUES
+    pub unusable: Vec<UnusableValue>,
 }
--- a/crates/catalog/tests/all/member.rs
+++ b/crates/catalog/tests/all/member.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use lovagelatch_catalog::{
-    CatalogAction, CatalogMember, CatalogMessage, CatalogNotice, HeadMessage, MemberSettings,
-    StoreAnswer, StoreCall, StoreEvent, StoreFailure,
+    CatalogAction, CatalogMember, CatalogMessage, CatalogNotice, HeadMessage, MAX_UNUSABLE_VALUES,
+    MemberSettings, PublishedConfig, StoreAnswer, StoreCall, StoreEvent, StoreFailure,
+    UnusableValue, ValueDefault, ValueOwner,
 };
 use lovagelatch_domain::{Moment, StoreEra};
 use smallvec::smallvec;
@@ -413,6 +414,54 @@
     }
 }
 
+// Guards against a default that is used without a trace, or is logged by all balancers of a fleet.
+#[test]
+fn values_that_cannot_be_used_are_noted_by_the_reader_when_they_take_effect() {
+    let mut group = settled(8);
+    let value = UnusableValue {
+        owner: ValueOwner::Route("r-80".to_owned()),
+        field: "priority".into(),
+        default: ValueDefault::Priority(255),
+    };
+    let noted = |group: &Group| -> Vec<_> {
+        let nodes = group.nodes.iter();
+        let notices = nodes.flat_map(|(at, node)| node.notices.iter().map(move |it| (at, it)));
+        let defaults = notices.filter_map(|(at, notice)| match notice {
+            CatalogNotice::DefaultUsed { version, value } => {
+                Some((at.ip().octets()[3], version.0, value.clone()))
+            }
+            _ => None,
+        });
+        defaults.collect()
+    };
+    group.store.write(StoreEvent::Config(PublishedConfig {
+        unusable: vec![value.clone(); MAX_UNUSABLE_VALUES + 5],
+        ..config(4, &[80])
+    }));
+    group.run(Duration::from_secs(5));
+    assert!(group.versions().iter().all(|version| *version == 4));
+    let readers = group.readers();
+    let first = noted(&group);
+    assert!(!first.is_empty());
+    for &reader in &readers {
+        let lines = first.iter().filter(|(at, ..)| *at == reader).count();
+        assert!(lines == 0 || lines == MAX_UNUSABLE_VALUES, "{lines} lines");
+    }
+    assert!(
+        first
+            .iter()
+            .all(|(at, version, noted)| readers.contains(at) && *version == 4 && *noted == value),
+        "{first:?}"
+    );
+    // The same configuration is not noted again, an older one does not take effect.
+    group.store.write(StoreEvent::Config(PublishedConfig {
+        unusable: vec![value],
+        ..config(3, &[80])
+    }));
+    group.run(Duration::from_secs(10));
+    assert_eq!(noted(&group).len(), first.len());
+}
+
 struct OverdueCase {
     name: &'static str,
     /// When another balancer reports an answer of the store, in milliseconds after the start of the
--- a/crates/catalog/tests/all/support.rs
+++ b/crates/catalog/tests/all/support.rs
@@ -51,6 +51,7 @@
         idle_timeout: Duration::from_secs(15),
         routes: ports.iter().map(route).collect(),
         unrouted: Vec::new(),
+        unusable: Vec::new(),
     }
 }
 
--- a/crates/flows/benches/memory.rs
+++ b/crates/flows/benches/memory.rs
@@ -92,6 +92,7 @@
         version: ConfigRevision(1),
         idle_timeout: Duration::from_secs(15),
         unrouted: Vec::new(),
+        unusable: Vec::new(),
         routes: (0_u16..).zip(routes).map(with_port).collect(),
     });
     StoreAnswer {
--- a/crates/flows/tests/all/view_changes.rs
+++ b/crates/flows/tests/all/view_changes.rs
@@ -70,6 +70,7 @@
             idle_timeout: Duration::from_secs(15),
             routes,
             unrouted: vec![service("claims"), service("vault")],
+            unusable: Vec::new(),
         })
     };
     match step {
--- a/standins/soak/src/fleet.rs
+++ b/standins/soak/src/fleet.rs
@@ -400,6 +400,7 @@
             idle_timeout: Duration::from_secs(15),
             routes: routes.collect(),
             unrouted: (0..2).map(service_name).collect(),
+            unusable: Vec::new(),
         };
         drop(allowed);
         self.store.put_config(&config);
