--- a/crates/flows/src/load.rs
+++ b/crates/flows/src/load.rs
@@ -1,7 +1,10 @@
-//! What a balancer knows about the load and health of each target, and the score by which it
-//! chooses.
+//! What a balancer knows about the load and health of each target.
+
+mod score;
+mod service;
 
 use std::collections::HashMap;
+use std::num::NonZeroU32;
 use std::time::Duration;
 
 use lovagelatch_catalog::{AgentStop, RESTART_GRACE};
@@ -10,6 +13,9 @@
 use crate::frame::LoadReport;
 use crate::ring::FlowTarget;
 
+pub(crate) use self::score::{excess_work_cost, score_target};
+use self::service::{ServiceLoads, ServiceMean};
+
 /// An agent that was silent for this long after an offer is suspected. Agents report every 250 ms
 /// to balancers that send to them, so two reports must have been lost as well.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(600);
@@ -49,21 +55,6 @@
 /// of a former agent never excludes the target that follows.
 const SERVICE_REPORT_TTL: Duration = Duration::from_secs(2);
 
-/// Cost of another zone in the score, in requests in progress per slot. Traffic between zones is
-/// paid for; avoiding a wait of half a request's time is worth more.
-const CROSS_ZONE_COST: f32 = 0.35;
-
-/// Cost of one open flow in a target's load, in requests in progress. A long flow carries a
-/// request of some tens of milliseconds about once a second, whatever is in progress at the moment.
-const OPEN_FLOW_COST: f32 = 0.03;
-
-/// How much longer requests take at a cold target.
-const WARMUP_FACTOR: f32 = 1.6;
-
-/// Range of the random part of a score. Several balancers see the same reports; without it
-/// all of them would send their next flows to the same target.
-const SCORE_JITTER: f32 = 0.35;
-
 /// What is known about one target and its agent.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct TargetLoad {
@@ -100,6 +91,44 @@
         }
     }
 
+    /// Returns whether the target should be skipped for new flows at the moment.
+    fn is_suspected(&self, now: Moment) -> bool {
+        let report = &self.report;
+        now < self.avoid_until || !report.responsive || report.failing || report.leaving
+    }
+
+    /// Returns whether a cold target has room for one more flow according to its last report and
+    /// the offers since; always true where no limit applies.
+    fn has_room(&self, now: Moment) -> bool {
+        let fresh = now.since(self.last_heard) < ROOM_TTL;
+        let room = self.report.room.filter(|_| fresh);
+        room.is_none_or(|room| room > self.offers_since_report)
+    }
+
+    /// Returns whether the target is among the first choices: it is not suspected, has room if it
+    /// is cold, and holds fewer than `max_flows` flows according to its last report and the offers
+    /// since.
+    pub(crate) fn is_first_choice(&self, max_flows: Option<NonZeroU32>, now: Moment) -> bool {
+        let flows = self.report.flows;
+        let flows = flows.saturating_add(self.offers_since_report.into());
+        let is_full = max_flows.is_some_and(|max_flows| flows >= max_flows.get());
+        !is_full && self.has_room(now) && !self.is_suspected(now)
+    }
+
+    /// Returns whether the agent recently reported that its target belongs to another service; see
+    /// [`LoadTable::is_reassigned`].
+    pub(crate) fn is_reassigned(&self, target: &FlowTarget, now: Moment) -> bool {
+        self.report.service != target.service
+            && self.last_heard > target.standing_since
+            && now.since(self.last_heard) < SERVICE_REPORT_TTL
+    }
+
+    /// Returns whether the agent reports its zone as evacuated, at a store revision later than
+    /// `revision`.
+    pub(crate) fn knows_evacuated(&self, revision: u64) -> bool {
+        self.report.evacuated && self.report.zones_revision > revision
+    }
+
     /// Returns whether the agent was sent frames for `timeout`, including probes, and was not heard
     /// since.
     fn is_unheard(&self, timeout: Duration, now: Moment) -> bool {
@@ -124,6 +153,7 @@
 pub struct LoadTable {
     loads: HashMap<AgentAddress, TargetLoad>,
     stops: HashMap<AgentAddress, StopNotice>,
+    services: ServiceLoads,
     /// Every stop of an agent since this moment is known.
     stops_known_since: Moment,
 }
@@ -142,8 +172,11 @@
 
     /// Records a report, and with it whether its agent is stopping.
     pub fn record_report(&mut self, report: &LoadReport, now: Moment) {
-        self.loads
+        let former = self
+            .loads
             .insert(report.agent, TargetLoad::new(*report, now));
+        let former = former.as_ref().map(|load| &load.report);
+        self.services.replace(former, Some(report));
         if report.leaving {
             let notice = StopNotice {
                 at: now,
@@ -312,10 +345,8 @@
     /// Returns whether the target should be skipped for new flows at the moment.
     #[must_use]
     pub fn is_suspected(&self, agent: AgentAddress, now: Moment) -> bool {
-        self.loads.get(&agent).is_some_and(|load| {
-            let report = &load.report;
-            now < load.avoid_until || !report.responsive || report.failing || report.leaving
-        })
+        let load = self.loads.get(&agent);
+        load.is_some_and(|load| load.is_suspected(now))
     }
 
     /// Returns whether the agent at a target's address recently reported that its target belongs to
@@ -323,11 +354,8 @@
     /// is that of the former target. The agent refuses all flows of the former service.
     #[must_use]
     pub fn is_reassigned(&self, target: &FlowTarget, now: Moment) -> bool {
-        self.loads.get(&target.agent).is_some_and(|load| {
-            load.report.service != target.service
-                && load.last_heard > target.standing_since
-                && now.since(load.last_heard) < SERVICE_REPORT_TTL
-        })
+        let load = self.loads.get(&target.agent);
+        load.is_some_and(|load| load.is_reassigned(target, now))
     }
 
     /// Returns whether an agent reports its zone as evacuated, at a store revision later than
@@ -335,20 +363,7 @@
     #[must_use]
     pub fn knows_evacuated(&self, agent: AgentAddress, revision: u64) -> bool {
         let load = self.loads.get(&agent);
-        load.is_some_and(|load| load.report.evacuated && load.report.zones_revision > revision)
-    }
-
-    /// Returns whether a target is among the first choices: it is not suspected, and if it is cold,
-    /// it has room for one more flow according to its last report and the offers since.
-    #[must_use]
-    pub fn is_eligible(&self, agent: AgentAddress, now: Moment) -> bool {
-        let load = self.loads.get(&agent);
-        let has_room = load.is_none_or(|load| {
-            let fresh = now.since(load.last_heard) < ROOM_TTL;
-            let room = load.report.room.filter(|_| fresh);
-            room.is_none_or(|room| room > load.offers_since_report)
-        });
-        has_room && !self.is_suspected(agent, now)
+        load.is_some_and(|load| load.knows_evacuated(revision))
     }
 
     /// Returns when an agent was last heard; `None` if it never was, or if it last reported that it
@@ -372,20 +387,20 @@
         unresponsive || self.is_restarting(agent, now)
     }
 
-    /// Returns the cost of one more flow at a target: requests in progress per slot, plus the costs
-    /// of open flows, warm-up and zone. `random` is between 0 and 1 and breaks ties.
+    /// Returns the mean of the targets of a service; `None` if none of them reports a service
+    /// time.
+    pub(crate) fn service_mean(&self, service: ServiceId) -> Option<&ServiceMean> {
+        self.services.mean(service)
+    }
+
+    /// Returns the cost of one more flow at a target: the expected wait in service times of the
+    /// mean target of its service, plus the costs of open flows, warm-up and zone. `random` is
+    /// between 0 and 1 and breaks ties.
     #[must_use]
     pub fn score(&self, target: &FlowTarget, near: bool, random: f32, now: Moment) -> f32 {
         let load = self.loads.get(&target.agent);
-        let requests = load.map_or(0.0, weighted_requests);
-        let slots = f32::from(target.slots.max(1));
-        let warmup = if now < target.warm_at {
-            WARMUP_FACTOR
-        } else {
-            1.0
-        };
-        let cross_zone = if near { 0.0 } else { CROSS_ZONE_COST };
-        (requests + 1.0) / slots * warmup + cross_zone + random * SCORE_JITTER
+        let mean = self.service_mean(target.service);
+        score_target(target, load, mean, near, random, now).0
     }
 
     /// Removes targets that were not heard for `idle`.
@@ -394,8 +409,14 @@
             load.awaiting_since
                 .is_some_and(|since| now.since(since) < idle)
         };
+        let services = &mut self.services;
         self.loads.retain(|_, load| {
-            now.since(load.last_heard) < idle || now < load.avoid_until || awaits_answer(load)
+            let kept =
+                now.since(load.last_heard) < idle || now < load.avoid_until || awaits_answer(load);
+            if !kept {
+                services.replace(Some(&load.report), None);
+            }
+            kept
         });
         self.stops
             .retain(|_, notice| now.since(notice.at) < RESTART_GRACE);
@@ -407,12 +428,3 @@
         entry.or_insert(TargetLoad::new(report, Moment::ZERO))
     }
 }
-
-/// Returns the load of a target in requests: the mean of the current and the average number in
-/// progress, plus the cost of its open flows.
-#[allow(clippy::cast_precision_loss)]
-fn weighted_requests(load: &TargetLoad) -> f32 {
-    let current = f32::from(load.report.in_progress) + f32::from(load.offers_since_report);
-    let average = load.report.average_milli as f32 / 1_000.0;
-    (current + average) / 2.0 + load.report.flows as f32 * OPEN_FLOW_COST
-}
