flows: an address whose leaving target vanished gets no new flows

What callers saw: new flows at a target that had announced its end more than 3.5 s before, cut when it ends, after the store came back from a copy.

Cause: the copy lists the dead predecessor of a leaving target and no longer the target itself. Of the entries at an address only those that the store has decide about new flows, so the predecessor's did; both lead to one agent. When the target was listed again, the predecessor still superseded it, as an entry that comes back counts as the older one: new flows went on, and searches for the leaving target's flows could ask for the predecessor's service.

Change: while entries are restored after a failure of the store, the address of an announced target that vanishes gets no new flows, and the target supersedes what was listed meanwhile if it is listed again in that time. Changes to the targets of a view have a module of their own, view/edits.rs.

--- a/crates/flows/src/balancer/offer.rs
+++ b/crates/flows/src/balancer/offer.rs
@@ -303,7 +303,7 @@
     if zones.is_evacuated(target.zone) || loads.knows_evacuated(target.agent, zones.revision) {
         return None;
     }
-    if target.superseded || loads.is_reassigned(target, now) {
+    if target.superseded || view.is_withheld(target) || loads.is_reassigned(target, now) {
         return None;
     }
     match target.standing {
--- a/crates/flows/src/view.rs
+++ b/crates/flows/src/view.rs
@@ -5,8 +5,10 @@
 
 mod builder;
 mod coverage;
+mod edits;
 mod regions;
 mod superseded;
+mod withheld;
 mod zones;
 
 use std::collections::{HashMap, HashSet};
@@ -29,6 +31,8 @@
 pub use self::superseded::SupersededTargets;
 pub use self::zones::{ZoneIndex, ZoneTable};
 
+use self::withheld::WithheldList;
+
 /// Routes by the service address that clients send to.
 type RouteMap = HashMap<SocketAddrV4, Arc<FlowRoute>>;
 
@@ -108,6 +112,8 @@
     configured: Arc<HashSet<ServiceId>>,
     /// Targets that the store no longer lists, beside agents without a listed target.
     unlisted: Vec<FlowTarget>,
+    /// Agents beside leaving targets whose entries vanished around a store failure.
+    withheld: WithheldList,
 }
 
 impl FlowView {
@@ -168,6 +174,12 @@
         agents.filter(|agent| !differs(*agent)).collect()
     }
 
+    /// Returns whether a target gets no new flows because a leaving one runs at its address that
+    /// the store does not list, or lists again since a moment ago.
+    pub(crate) fn is_withheld(&self, target: &FlowTarget) -> bool {
+        self.withheld.covers(target)
+    }
+
     /// Returns whether a route allows new flows in the target's region.
     pub(crate) fn allows_new_flows(&self, route: &FlowRoute, target: &FlowTarget) -> bool {
         route.regions.as_ref().is_none_or(|regions| {
--- a/crates/flows/src/view/builder.rs
+++ b/crates/flows/src/view/builder.rs
@@ -19,10 +19,11 @@
 use smallvec::SmallVec;
 
 use super::coverage::{CoverageTracker, UNREADABLE_TIMEOUT, ViewCoverage};
+use super::edits::{EditContext, ServiceEdits, TargetEdit, TrackedTargets, push};
 use super::regions::{RegionList, RegionMap, RouteRegions};
 use super::superseded::{ComparedAgents, SharedAddresses, SupersededTargets};
 use super::zones::{ZoneIndex, ZoneNames};
-use super::{FlowRoute, FlowView, RouteMap, ServiceMap};
+use super::{FlowRoute, FlowView, RouteMap};
 use crate::ring::{FlowStanding, FlowTarget, NameKey, ServiceTargets, TargetKey};
 
 /// The settings that a view depends on besides the catalog.
@@ -45,16 +46,6 @@
 /// Former services of a route, with the time when each expires.
 type FormerServices = Vec<(ServiceId, Moment)>;
 
-/// A target that the store no longer lists.
-#[derive(Clone, Copy, Debug)]
-struct UnlistedTarget {
-    key: TargetKey,
-    service: ServiceId,
-    unlisted_at: Moment,
-    /// Whether it announced before that it is leaving.
-    announced: bool,
-}
-
 /// Evacuated zones that are not in force yet.
 #[derive(Clone, Debug)]
 struct PendingZones {
@@ -64,31 +55,13 @@
     due: Moment,
 }
 
-/// A change to one target of a service.
-enum TargetEdit {
-    /// The store lists the target.
-    Listed(FlowTarget),
-    /// The store no longer lists the target.
-    Unlisted(TargetKey),
-    /// The target's entry cannot be read: it may be alive, but it is unusable.
-    Unreadable(TargetKey),
-    /// The target moved to another service, restarted, or is past its retention.
-    Removed(TargetKey),
-    /// The target was missing for so long that it is presumed gone.
-    PresumedGone(TargetKey),
-}
-
-/// Target changes by service.
-type ServiceEdits = HashMap<ServiceId, Vec<TargetEdit>>;
-
 /// Builds views from catalogs and their changes.
 #[derive(Clone, Debug)]
 pub struct FlowViewBuilder {
     settings: ViewSettings,
     /// The next view. It shares its parts with the views built so far.
     view: FlowView,
-    /// Invariant: contains exactly the targets of the view that are not listed.
-    unlisted: HashMap<NameKey, UnlistedTarget>,
+    tracked: TrackedTargets,
     former: HashMap<SocketAddrV4, FormerServices>,
     shared: SharedAddresses,
     /// The services in the configuration that no route sends flows to.
@@ -116,7 +89,7 @@
             zones: ZoneNames::default(),
             pending_zones: None,
             without_region: Vec::new(),
-            unlisted: HashMap::new(),
+            tracked: TrackedTargets::default(),
             former: HashMap::new(),
             shared: SharedAddresses::default(),
             unrouted: Arc::default(),
@@ -290,16 +263,20 @@
         unrouted.chain(known).collect()
     }
 
-    /// Returns when the next target with a lapsed or unreadable entry is presumed gone, or the next
-    /// evacuation ends that the store no longer lists.
+    /// Returns when the next target with a lapsed or unreadable entry is presumed gone, the next
+    /// address of a vanished target may get flows again, or the next evacuation ends that the store
+    /// no longer lists.
     #[must_use]
     pub fn next_expiry(&self) -> Option<Moment> {
         let pending = self.pending_zones.as_ref().map(|zones| zones.due);
-        self.next_target_expiry().into_iter().chain(pending).min()
+        let withheld = &self.tracked.withheld;
+        let withheld = withheld.next_expiry(|since| self.coverage.lapse_end(since));
+        let target = self.next_target_expiry();
+        [target, withheld, pending].into_iter().flatten().min()
     }
 
     fn next_target_expiry(&self) -> Option<Moment> {
-        let unlisted = self.unlisted.values();
+        let unlisted = self.tracked.unlisted.values();
         let targets = unlisted.filter_map(|known| self.target(known.service, known.key));
         targets
             .filter_map(|target| self.presumed_gone_at(target))
@@ -348,12 +325,13 @@
         self.expire(now);
         self.view.coverage = self.coverage(now);
         self.view.unlisted = self.targets_of_unlisted_agents();
+        self.view.withheld = self.tracked.withheld.agents(now);
         self.view.clone()
     }
 
     /// Returns the unlisted targets beside agents without a listed target.
     fn targets_of_unlisted_agents(&self) -> Vec<FlowTarget> {
-        let unlisted = self.unlisted.values();
+        let unlisted = self.tracked.unlisted.values();
         let targets = unlisted.filter_map(|known| self.target(known.service, known.key));
         let mut unlisted: Vec<FlowTarget> = targets.copied().collect();
         if unlisted.is_empty() {
@@ -423,7 +401,7 @@
         if !self.view.names.contains_key(&target.service) {
             Arc::make_mut(&mut self.view.names).insert(target.service, row.service.clone());
         }
-        let before = self.unlisted.get(&target.name);
+        let before = self.tracked.unlisted.get(&target.name);
         let identity = (target.key, target.service);
         if let Some(before) = before.filter(|before| (before.key, before.service) != identity) {
             push(edits, before.service, TargetEdit::Removed(before.key));
@@ -442,6 +420,8 @@
         let zone = self.zone_index(&row.zone);
         let known = self.target(service, key);
         let standing_since = match known {
+            // Its entry comes back, and those that were listed meanwhile are former ones.
+            Some(known) if self.tracked.withheld.is_missing(known.key) => now,
             // Its entry comes back. It was there before any other target that was seen at its
             // address since, and if it is leaving, that is no news.
             Some(known) if !known.may_be_alive() => Moment::ZERO,
@@ -480,7 +460,7 @@
         if known.listed {
             return known.standing == FlowStanding::Leaving;
         }
-        let unlisted = self.unlisted.get(&known.name);
+        let unlisted = self.tracked.unlisted.get(&known.name);
         unlisted.is_some_and(|unlisted| unlisted.key == key && unlisted.announced)
     }
 
@@ -488,18 +468,15 @@
         if edits.is_empty() {
             return;
         }
-        let store_failed = self.coverage.has_recent_failure(now);
+        let context = EditContext {
+            now,
+            store_failed: self.coverage.has_recent_failure(now),
+            is_recovering: self.coverage.is_recovering(now),
+        };
         let agents = self.agents_to_compare(&edits);
         let services = Arc::make_mut(&mut self.view.services);
         for (service, edits) in edits {
-            edit_service(
-                services,
-                service,
-                edits,
-                store_failed,
-                &mut self.unlisted,
-                now,
-            );
+            self.tracked.edit_service(services, service, edits, context);
         }
         self.shared
             .mark_superseded(&mut self.view.services, &agents);
@@ -632,13 +609,16 @@
         if let Some(zones) = self.pending_zones.take_if(|zones| now >= zones.due) {
             self.view.zones.apply(zones.revision, zones.evacuated, now);
         }
+        let coverage = &self.coverage;
+        let withheld = &mut self.tracked.withheld;
+        withheld.expire(|since| coverage.lapse_end(since), now);
         self.expire_targets(now);
         self.expire_former_services(now);
     }
 
     fn expire_targets(&mut self, now: Moment) {
         let mut edits = ServiceEdits::new();
-        for known in self.unlisted.values() {
+        for known in self.tracked.unlisted.values() {
             let key = known.key;
             let Some(target) = self.target(known.service, key) else {
                 continue;
@@ -680,10 +660,6 @@
     TargetKey::of(&row.name.0, row.start)
 }
 
-fn push(edits: &mut ServiceEdits, service: ServiceId, edit: TargetEdit) {
-    edits.entry(service).or_default().push(edit);
-}
-
 /// Sets or removes the limit of a service. Copies the map only if the limit changes.
 fn set_limit<L: Copy + PartialEq>(
     limits: &mut Arc<HashMap<ServiceId, L>>,
@@ -707,74 +683,3 @@
         None => routes.remove(&address),
     };
 }
-
-/// Replaces the ring of a service with one that has these edits applied.
-fn edit_service(
-    services: &mut ServiceMap,
-    service: ServiceId,
-    edits: Vec<TargetEdit>,
-    store_failed: bool,
-    unlisted: &mut HashMap<NameKey, UnlistedTarget>,
-    now: Moment,
-) {
-    let known = services.get(&service);
-    let mut targets: HashMap<TargetKey, FlowTarget> = known
-        .into_iter()
-        .flat_map(|ring| ring.targets())
-        .map(|target| (target.key, *target))
-        .collect();
-    for edit in edits {
-        match edit {
-            TargetEdit::Listed(target) => {
-                remove_unlisted(unlisted, &target);
-                targets.insert(target.key, target);
-            }
-            TargetEdit::Unlisted(key) | TargetEdit::Unreadable(key) => {
-                let readable = matches!(edit, TargetEdit::Unlisted(_));
-                if let Some(target) = targets.get_mut(&key) {
-                    let served = target.standing == FlowStanding::Serving && !target.superseded;
-                    let lapses = store_failed && served;
-                    let announced = target.standing == FlowStanding::Leaving;
-                    target.listed = false;
-                    target.standing = match (readable, lapses) {
-                        (false, _) => FlowStanding::Unreadable,
-                        (true, true) => FlowStanding::Lapsed,
-                        (true, false) => FlowStanding::Leaving,
-                    };
-                    target.standing_since = now;
-                    let record = UnlistedTarget {
-                        key,
-                        service,
-                        unlisted_at: now,
-                        announced,
-                    };
-                    unlisted.insert(target.name, record);
-                }
-            }
-            TargetEdit::PresumedGone(key) => {
-                if let Some(target) = targets.get_mut(&key) {
-                    target.standing = FlowStanding::Leaving;
-                }
-            }
-            TargetEdit::Removed(key) => {
-                if let Some(target) = targets.remove(&key) {
-                    remove_unlisted(unlisted, &target);
-                }
-            }
-        }
-    }
-    if targets.is_empty() {
-        services.remove(&service);
-    } else {
-        let targets = targets.into_values().collect();
-        services.insert(service, Arc::new(ServiceTargets::new(targets)));
-    }
-}
-
-fn remove_unlisted(unlisted: &mut HashMap<NameKey, UnlistedTarget>, target: &FlowTarget) {
-    let known = unlisted.get(&target.name);
-    let identity = (target.key, target.service);
-    if known.is_some_and(|known| (known.key, known.service) == identity) {
-        unlisted.remove(&target.name);
-    }
-}
--- a/crates/flows/src/view/coverage.rs
+++ b/crates/flows/src/view/coverage.rs
@@ -126,6 +126,15 @@
             .is_some_and(|at| now.since(at) < STORE_FAILURE_WINDOW)
     }
 
+    /// Returns whether live targets may still be about to restore their entries after a store
+    /// failure.
+    pub(super) fn is_recovering(&self, now: Moment) -> bool {
+        let recovered = self
+            .recovered_at
+            .is_some_and(|at| now.since(at) >= RECOVERY_WINDOW);
+        self.has_recent_failure(now) && !recovered
+    }
+
     /// Returns until when a live target whose entry vanished at `since` may be missing from the
     /// list.
     pub(super) fn lapse_end(&self, since: Moment) -> Moment {
@@ -152,10 +161,7 @@
         if !self.informed {
             return ViewCoverage::Doubtful(DoubtReason::NotInformed);
         }
-        let recovered = self
-            .recovered_at
-            .is_some_and(|at| now.since(at) >= RECOVERY_WINDOW);
-        if self.has_recent_failure(now) && !recovered {
+        if self.is_recovering(now) {
             return ViewCoverage::Doubtful(DoubtReason::StoreTrouble);
         }
         let mut unlocated = self.unreadable.values().flatten();
--- a/crates/flows/tests/all/superseded.rs
+++ b/crates/flows/tests/all/superseded.rs
@@ -283,3 +283,125 @@
     let step = balancer.handle_packet(&opening(flow(1)), b"syn", &view, now);
     assert_eq!(step, BalancerStep::Reset(RefusalReason::NoTarget));
 }
+
+struct VanishedCase {
+    name: &'static str,
+    /// Whether the store failed before it listed the former entry alone.
+    store_fails: bool,
+    /// The lists after that, with the time of each in milliseconds.
+    later: Vec<(u64, Vec<PublishedTarget>)>,
+    /// The time of the new flow in milliseconds.
+    opens_at: u64,
+    /// The agent that gets the new flow; `None` if it is refused.
+    expected: Option<u8>,
+}
+
+// Guards against new flows at a leaving target when its entry is written again after a restore, and
+// against an address that gets none although the leaving target has ended.
+#[test]
+fn an_address_of_a_vanished_leaving_target_gets_flows_once_it_has_ended() {
+    let case = |name, opens_at, expected, later: &[(u64, &[PublishedTarget])]| VanishedCase {
+        name,
+        store_fails: true,
+        later: later
+            .iter()
+            .map(|&(millis, targets)| (millis, targets.to_vec()))
+            .collect(),
+        opens_at,
+        expected,
+    };
+    let third = PublishedTarget {
+        name: TargetName("i-third".into()),
+        ..former()
+    };
+    let returned = [former(), leaving(successor())];
+    let replaced = [former(), leaving(successor()), third.clone()];
+    let cases = [
+        case("its entry is missing", 6_900, None, &[]),
+        case("its entry was not restored in time", 7_000, Some(1), &[]),
+        case(
+            "its entry has just been restored",
+            5_810,
+            None,
+            &[(5_800, &returned)],
+        ),
+        case("its entry is restored", 9_000, None, &[(5_800, &returned)]),
+        case(
+            "another target starts while its restored entry remains",
+            9_000,
+            Some(1),
+            &[(5_800, &returned), (8_500, &replaced)],
+        ),
+        case(
+            "another target starts after its restored entry is removed",
+            9_000,
+            Some(1),
+            &[
+                (5_800, &returned),
+                (8_000, &[]),
+                (8_500, std::slice::from_ref(&third)),
+            ],
+        ),
+        VanishedCase {
+            store_fails: false,
+            ..case("the store did not fail", 5_010, Some(1), &[])
+        },
+    ];
+    for case in cases {
+        let balancer = FlowBalancer::new(balancer());
+        let mut builder = builder();
+        builder.apply(&catalog(vec![leaving(successor())]), at(0));
+        if case.store_fails {
+            builder.record_store_failure(at(5_000));
+            builder.set_store_recovered_at(Some(at(5_000)));
+        }
+        builder.apply(&catalog(vec![former()]), at(5_000));
+        for (millis, targets) in case.later {
+            builder.apply(&catalog(targets), at(millis));
+        }
+        let now = at(case.opens_at);
+        let view = builder.build(now);
+        let step = balancer.handle_packet(&opening(flow(1)), b"syn", &view, now);
+        let Some(expected) = case.expected else {
+            let refused = BalancerStep::Reset(RefusalReason::NoTarget);
+            assert_eq!(step, refused, "{}", case.name);
+            continue;
+        };
+        assert_eq!(sent(step).0, agent(expected), "{}", case.name);
+    }
+}
+
+// Guards against a view that keeps an address without flows because nothing publishes a new one.
+#[test]
+fn the_end_of_a_withheld_address_is_due() {
+    let mut builder = builder();
+    builder.apply(&catalog(vec![leaving(successor())]), at(0));
+    builder.record_store_failure(at(5_000));
+    builder.set_store_recovered_at(Some(at(5_000)));
+    builder.apply(&catalog(vec![former()]), at(5_000));
+    assert_eq!(builder.next_expiry(), Some(at(7_000)));
+    builder.build(at(7_000));
+    assert_eq!(builder.next_expiry(), None);
+}
+
+// Guards against searches for the flows of a leaving target that ask for the service of a former
+// target at its address, whose agent reports them as absent.
+#[test]
+fn a_restored_leaving_target_supersedes_the_entries_listed_meanwhile() {
+    let former = PublishedTarget {
+        service: "vault".parse().expect("a service"),
+        ..former()
+    };
+    let mut builder = builder();
+    builder.apply(&catalog(vec![leaving(successor())]), at(0));
+    builder.record_store_failure(at(5_000));
+    builder.apply(&catalog(vec![former.clone()]), at(5_000));
+    builder.apply(&catalog(vec![former, leaving(successor())]), at(5_800));
+    let view = builder.build(at(5_800));
+    let is_superseded = |name: &str| {
+        let ring = view.service(service(name).id()).expect("a ring");
+        ring.targets()[0].superseded
+    };
+    assert!(is_superseded("vault"));
+    assert!(!is_superseded("claims"));
+}
