catalog: a new fleet doubts the list of a store that was restored

What callers saw: resets of open flows whose targets run, when all balancers are killed as the store comes back from a copy.

Cause: balancers that have all started since know neither the former era nor a failure of the store. They take the copy for the list of all live targets, and every other target's flows for lost.

Change: a fleet treats an era above the first one as begun when one of its balancers first read the store in it, and tells no lost flows for 2 s from then (doubt reason `restore possible`). Heads carry the rest of that time, so a balancer that starts beside others knows that the era is old; they vouch only for an era that they have read. Where the store is in its first era, or names none, heads say nothing and no list is doubted. Messages between balancers have version 0x84: two releases side by side do not exchange the catalog meanwhile.

Four new tests in restored.rs and one in view.rs guard the rule. One test's literal head has the new field.

--- a/bins/balancer/src/opaque/catalog.rs
+++ b/bins/balancer/src/opaque/catalog.rs
@@ -169,6 +169,7 @@
         let (ready, last_failure) = (member.is_ready(), member.last_store_failure());
         let informed = member.is_informed(now);
         let recovered_at = member.store_recovered_at();
+        let restore_possible_until = member.restore_possible_until();
         let zones_read_at = member.zones_read_at();
         let stops_known_since = member.stops_known_since();
         let cut_off = member.is_cut_off(now);
@@ -180,6 +181,7 @@
         let mut builder = self.state.builder.lock();
         builder.set_informed(informed);
         builder.set_store_recovered_at(recovered_at);
+        builder.set_restore_possible_until(restore_possible_until);
         builder.set_zones_read_at(zones_read_at);
         if cut_off != builder.is_cut_off() {
             builder.set_cut_off(cut_off);
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -15,6 +15,7 @@
 
 mod answer;
 mod catalog;
+mod era;
 mod member;
 mod message;
 mod peers;
--- a/crates/catalog/src/member.rs
+++ b/crates/catalog/src/member.rs
@@ -11,6 +11,7 @@
 
 use crate::answer::{StoreAnswer, StoreCall, StoreFailure};
 use crate::catalog::{Catalog, CatalogChanges, CatalogError, CatalogTables};
+use crate::era::EraSighting;
 use crate::message::{CatalogDelta, CatalogHead, CatalogMessage, HeadMessage, ReaderStatus};
 use crate::peers::{LARGE_FLEET_FANOUT, PeerTable, SMALL_FLEET_FANOUT};
 use crate::reader::{ReadReason, ReaderInputs, ReaderState};
@@ -166,6 +167,7 @@
     recovered_at: Option<Moment>,
     /// When the current evacuated zones were read from the store, by this process or another.
     zones_read_at: Moment,
+    sighting: EraSighting,
     stops: StopTable,
     /// When the call in flight, or the last one, was made.
     called_at: Moment,
@@ -199,6 +201,7 @@
             reader_lost_at: None,
             elected: false,
             zones_read_at: now,
+            sighting: EraSighting::default(),
             stops: StopTable::new(now),
             called_at: now,
             next_head_at: now,
@@ -262,6 +265,15 @@
             .filter(|at| self.last_failure.is_some_and(|failure| *at >= failure))
     }
 
+    /// Returns until when the catalog may be that of a copy from which the store has just been
+    /// restored; `None` if the store was never restored. Balancers that all start around a restore
+    /// know no earlier era, so their first reads do not show that the store came back. Entries that
+    /// the copy lacks are written again within [`RECOVERY_WINDOW`](crate::RECOVERY_WINDOW).
+    #[must_use]
+    pub fn restore_possible_until(&self) -> Option<Moment> {
+        self.sighting.settles_at()
+    }
+
     /// Returns the time since which this process would know of any stopping agent: its own start,
     /// or that of another balancer that sent it a [`StopUpdate`].
     #[must_use]
@@ -435,6 +447,7 @@
     /// shows one. It counts as a failure of the store: entries that the copy lacks may be those of
     /// live targets, which are about to write them again.
     fn record_position(&mut self, position: StorePosition, now: Moment) {
+        self.sighting.record_read(position.era, now);
         let known = self.tables.position();
         if known.revision == 0 || position.era <= known.era {
             return;
@@ -505,6 +518,10 @@
             self.reader_lost_at = Some(now);
         }
         self.last_failure = self.last_failure.max(message.trouble.map(|age| now - age));
+        if let Some(remaining) = message.era_settles_in {
+            let position = StorePosition::from_table_revision(message.head.targets.revision);
+            self.sighting.record_settling(position.era, now + remaining);
+        }
         let (known, offered) = (self.tables.head(), message.head);
         if offered == known {
             self.confirm(message.age, now);
@@ -726,12 +743,21 @@
             age: self.age(now).unwrap_or(Duration::MAX),
             reads: own_status.reads,
             trouble: self.last_failure.map(|at| now.since(at)),
+            era_settles_in: self.era_settles_in(now),
             leaving: own_status.leaving,
             peers: self.peers.sample(now, &mut self.random),
             readers: self.peers.reader_statuses(&own_status, now),
         }
     }
 
+    /// Returns the remaining time in which the era of the catalog may have begun recently; `None` in
+    /// the first era.
+    fn era_settles_in(&self, now: Moment) -> Option<Duration> {
+        let settles_at = self.sighting.settles_at()?;
+        let is_current = self.sighting.era() == self.tables.position().era;
+        is_current.then(|| settles_at.since(now))
+    }
+
     fn send(&mut self, to: SocketAddrV4, message: CatalogMessage) {
         self.actions.push(CatalogAction::Send { to, message });
     }
--- a/crates/catalog/src/message.rs
+++ b/crates/catalog/src/message.rs
@@ -21,7 +21,7 @@
 use crate::stops::StopUpdate;
 
 /// First byte of an encoded message. The first byte of the unversioned format before it was 0 to 4.
-const MESSAGE_VERSION: u8 = 0x83;
+const MESSAGE_VERSION: u8 = 0x84;
 
 /// Why a message could not be decoded.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
@@ -78,6 +78,10 @@
     /// vanish around that time prove nothing, and a process that has started since cannot know of
     /// the failure otherwise.
     pub trouble: Option<Duration>,
+    /// Remaining time in which the era of `head` may have begun so recently that live targets are
+    /// missing from the list, as far as the sender knows; `None` in the first era. A process that
+    /// has started since cannot know otherwise how old the era is.
+    pub era_settles_in: Option<Duration>,
     /// Whether the sender is shutting down.
     pub leaving: bool,
     /// A sample of other balancers that the sender has heard recently.
--- a/crates/catalog/tests/all/member.rs
+++ b/crates/catalog/tests/all/member.rs
@@ -471,6 +471,7 @@
                 age: Duration::ZERO,
                 reads: true,
                 trouble: None,
+                era_settles_in: None,
                 leaving: false,
                 peers: smallvec![address(1)],
                 readers: smallvec![],
--- a/crates/catalog/tests/all/restored.rs
+++ b/crates/catalog/tests/all/restored.rs
@@ -230,3 +230,83 @@
         }
     }
 }
+
+/// Returns for each balancer whether the store may have been restored so recently that its list
+/// lacks live targets.
+fn doubts(group: &Group) -> Vec<bool> {
+    let members = group.nodes.values().map(|node| &node.member);
+    members
+        .map(|member| {
+            let until = member.restore_possible_until();
+            until.is_some_and(|until| group.now < until)
+        })
+        .collect()
+}
+
+/// Replaces all balancers by new ones that have read the store once.
+fn replace_all(group: &mut Group, size: u8) {
+    group.nodes.clear();
+    for number in 1..=size {
+        group.add(number);
+    }
+    group.run(Duration::from_millis(200));
+}
+
+// Guards against resets of open flows: all balancers start as the store comes back from a copy, and
+// take the copy for the list of all live targets.
+#[test]
+fn a_new_fleet_doubts_the_list_of_a_store_that_was_restored() {
+    for size in SIZES {
+        let mut group = Group::settled(size, Duration::from_secs(8));
+        group.store.restore(group.store.revision - 1);
+        replace_all(&mut group, size);
+        assert_eq!(doubts(&group), vec![true; size.into()]);
+        group.run(Duration::from_millis(1_600));
+        assert_eq!(doubts(&group), vec![true; size.into()]);
+        group.run(Duration::from_millis(300));
+        assert_eq!(doubts(&group), vec![false; size.into()]);
+    }
+}
+
+// Guards against lost flows that are reported late after every loss of power, although the store
+// was never restored.
+#[test]
+fn a_new_fleet_trusts_the_list_of_a_store_that_was_never_restored() {
+    for size in SIZES {
+        let mut group = Group::settled(size, Duration::from_secs(8));
+        replace_all(&mut group, size);
+        assert_eq!(doubts(&group), vec![false; size.into()]);
+    }
+}
+
+// Guards against lost flows that are reported late by each balancer that restarts, although the
+// others know that the store was restored long ago.
+#[test]
+fn a_new_balancer_learns_that_the_store_was_restored_long_ago() {
+    for size in SIZES {
+        let mut group = Group::settled(size, Duration::from_secs(8));
+        group.store.restore(group.store.revision - 1);
+        group.run(Duration::from_secs(4));
+        assert_eq!(doubts(&group), vec![false; size.into()]);
+        group.add(99);
+        group.run(Duration::from_millis(200));
+        assert_eq!(doubts(&group), vec![false; usize::from(size) + 1]);
+    }
+}
+
+// Guards against a new balancer that trusts the list of a copy because the others, which have not
+// read the store since its return, vouch for an earlier era.
+#[test]
+fn balancers_vouch_only_for_the_era_that_they_read() {
+    let mut group = Group::settled(2, Duration::from_secs(8));
+    group.store.restore(group.store.revision - 1);
+    group.run(Duration::from_secs(4));
+    group.node(1).store_cut = true;
+    group.node(2).store_cut = true;
+    group.store.restore(group.store.revision);
+    group.add(99);
+    group.run(Duration::from_millis(300));
+    let now = group.now;
+    let until = group.node(99).member.restore_possible_until();
+    assert!(until.is_some_and(|until| now < until));
+}
--- a/crates/flows/src/view/builder.rs
+++ b/crates/flows/src/view/builder.rs
@@ -126,6 +126,12 @@
         self.coverage.set_store_recovered_at(recovered_at);
     }
 
+    /// Sets until when the list may be that of a copy from which the store has just been restored;
+    /// `None` if the store was never restored.
+    pub fn set_restore_possible_until(&mut self, until: Option<Moment>) {
+        self.coverage.set_restore_possible_until(until);
+    }
+
     /// Sets whether this process would know of store failures before its start.
     pub fn set_informed(&mut self, informed: bool) {
         self.coverage.set_informed(informed);
--- a/crates/flows/src/view/coverage.rs
+++ b/crates/flows/src/view/coverage.rs
@@ -34,6 +34,9 @@
     NotInformed,
     /// The store is failing or failed recently: entries of live targets may have expired.
     StoreTrouble,
+    /// The store has been restored from a copy, and no process knows that this happened long ago:
+    /// entries of live targets may be missing from the copy.
+    RestorePossible,
     /// An unreadable entry may belong to a live target.
     UnreadableEntry,
 }
@@ -45,6 +48,7 @@
         match self {
             Self::NotInformed => "not informed",
             Self::StoreTrouble => "store trouble",
+            Self::RestorePossible => "restore possible",
             Self::UnreadableEntry => "unreadable entry",
         }
     }
@@ -76,6 +80,8 @@
     recovered_at: Option<Moment>,
     /// Whether this process would know of store failures before its start.
     informed: bool,
+    /// Until when the list may be that of a copy from which the store has just been restored.
+    restore_possible_until: Option<Moment>,
     /// Unreadable entries. If the target's address is unknown, holds the time when the entry was
     /// first seen: until [`UNREADABLE_TIMEOUT`] has passed it may belong to a live target.
     unreadable: HashMap<NameKey, Option<Moment>>,
@@ -87,6 +93,7 @@
             last_failure: None,
             recovered_at: None,
             informed: true,
+            restore_possible_until: None,
             unreadable: HashMap::new(),
         }
     }
@@ -99,6 +106,10 @@
         self.recovered_at = recovered_at;
     }
 
+    pub(super) fn set_restore_possible_until(&mut self, until: Option<Moment>) {
+        self.restore_possible_until = until;
+    }
+
     pub(super) fn set_informed(&mut self, informed: bool) {
         self.informed = informed;
     }
@@ -153,6 +164,7 @@
         let unlocated = self.unreadable.values().flatten();
         let timeouts = unlocated.map(|&since| since + UNREADABLE_TIMEOUT);
         let changes = failure.into_iter().chain(recovery).chain(timeouts);
+        let changes = changes.chain(self.restore_possible_until);
         changes.filter(|at| *at > now).min()
     }
 
@@ -164,6 +176,9 @@
         if self.is_recovering(now) {
             return ViewCoverage::Doubtful(DoubtReason::StoreTrouble);
         }
+        if self.restore_possible_until.is_some_and(|until| now < until) {
+            return ViewCoverage::Doubtful(DoubtReason::RestorePossible);
+        }
         let mut unlocated = self.unreadable.values().flatten();
         if unlocated.any(|&since| now.since(since) < UNREADABLE_TIMEOUT) {
             return ViewCoverage::Doubtful(DoubtReason::UnreadableEntry);
--- a/crates/flows/tests/all/view.rs
+++ b/crates/flows/tests/all/view.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddrV4;
 
 use lovagelatch_catalog::{Catalog, PublishedTarget, TargetName, TargetRow, TargetStart};
-use lovagelatch_flows::{BalancerStep, FlowBalancer, FlowStanding, FlowView, RefusalReason};
+use lovagelatch_flows::{
+    BalancerStep, DoubtReason, FlowBalancer, FlowStanding, FlowView, RefusalReason, ViewCoverage,
+};
 
 use crate::support::{
     at, balancer, builder, catalog, claims, claims_address, flow, opening, route, service, target,
@@ -464,3 +466,17 @@
     assert!(warm_at.contains(&at(5_000)), "{warm_at:?}");
     assert!(warm_at.contains(&at(4_000)), "{warm_at:?}");
 }
+
+// Guards against lost flows that are reported while the store may just have been restored from a
+// copy that lacks live targets.
+#[test]
+fn a_view_is_incomplete_while_the_store_may_just_have_been_restored() {
+    let mut builder = builder();
+    builder.apply(&catalog(vec![target(1, "claims")]), at(1_000));
+    builder.set_restore_possible_until(Some(at(3_000)));
+    let doubt = ViewCoverage::Doubtful(DoubtReason::RestorePossible);
+    assert_eq!(builder.build(at(2_999)).coverage, doubt);
+    assert_eq!(builder.next_change(at(2_999)), Some(at(3_000)));
+    assert_eq!(builder.build(at(3_000)).coverage, ViewCoverage::Complete);
+    assert_eq!(builder.next_change(at(3_000)), None);
+}
