--- a/crates/flows/src/balancer/offer.rs
+++ b/crates/flows/src/balancer/offer.rs
@@ -350,7 +350,8 @@
     let excluded = load.is_some_and(|load| {
         load.knows_evacuated(zones.revision) || load.is_reassigned(target, now)
     });
-    if excluded || zones.is_evacuated(target.zone) || target.superseded {
+    if excluded || zones.is_evacuated(target.zone) || target.superseded || view.is_withheld(target)
+    {
         return None;
     }
     let is_first_choice = load.is_none_or(|load| load.is_first_choice(max_flows, now));
