Soak: targets of limited capacity, rushes and checks under load

The fault soak sent less than its targets can serve, so it could not see what callers observe when requests outnumber the slots: waiting, rejections, flows over the limit and the time after a rush.

Routes then carry a request policy and services a limit of flows. A target runs four requests at once, queues four more, rejects any further one with an error that it has not run, has a speed of 0.6, 1 or 1.6, and resets flows over its limit. Requests are two packets that carry the time and balancer of each copy and a check value over data, flow and sequence number.

- flow_over_limit: an agent lets its target get more flows than the limit;
- packet_held: a copy takes longer than 150 ms plus a margin to its target;
- bytes_reordered: a packet arrives after a later one by the same balancer;
- bytes_changed: a packet is not as its client sent it;
- copy_ran: a request runs twice on one flow;
- slow_after_rush: a request that begins 3 s after a rush fails or takes 1 s.

A report lists up to ten findings of each guarantee instead of ten in all, because one guarantee can hide the others.

--- a/standins/soak/src/addresses.rs
+++ b/standins/soak/src/addresses.rs
@@ -66,6 +66,12 @@
         self.ip(4, number)
     }
 
+    /// Returns the address of a client that is active only in rushes.
+    pub(crate) fn rush_client(self, number: u16) -> Ipv4Addr {
+        let [low, high] = number.to_le_bytes();
+        Ipv4Addr::new(127, self.0, 8 + high, low)
+    }
+
     pub(crate) fn store(self) -> SocketAddrV4 {
         SocketAddrV4::new(self.ip(5, 0), STORE_PORT)
     }
--- a/standins/soak/src/availability.rs
+++ b/standins/soak/src/availability.rs
@@ -4,7 +4,8 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::{Duration, Instant};
 
-use crate::check::{DISTURBANCE_WINDOW, StartNumber};
+use crate::check::DISTURBANCE_WINDOW;
+use crate::event::StartNumber;
 
 /// Time for which a balancer may fail to open every flow of a service address whose service has an
 /// available target. The platform allows packets of an open flow to stray for as long.
--- a/standins/soak/src/check.rs
+++ b/standins/soak/src/check.rs
@@ -1,6 +1,6 @@
 //! Checks the guarantees on what callers and backend servers observe.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -8,6 +8,8 @@
 use lovagelatch_flows::FlowKey;
 
 use crate::availability::ServiceAvailability;
+use crate::event::{LoadFigures, SoakEvent, SoakFinding, StartNumber};
+use crate::load_check::LoadCheck;
 
 /// Time after its announcement to leave in which a target may still receive new flows. Includes an
 /// allowance for scheduling delays of the soak's own threads.
@@ -25,118 +27,6 @@
 /// A balancer that is killed leaves the rotation within a second.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Number of one start of a target, unique in the run.
-pub type StartNumber = u32;
-
-/// An observation that is recorded in the [`SoakLog`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum SoakEvent {
-    /// A target received the first packet of a flow.
-    Accepted {
-        /// Flow of the packet.
-        flow: FlowKey,
-        /// Target that received it.
-        target: StartNumber,
-        /// Whether any configuration so far routed the flow's service address to the target's
-        /// service.
-        allowed: bool,
-    },
-    /// A flow opened at a target.
-    Opened {
-        /// Flow that opened.
-        flow: FlowKey,
-        /// Target that holds it.
-        target: StartNumber,
-    },
-    /// A target of a service started, and was written to the store.
-    TargetStarted {
-        /// Target that started.
-        target: StartNumber,
-        /// Index of its service.
-        service: u8,
-    },
-    /// A target ended, and its flows with it.
-    TargetEnded(StartNumber),
-    /// A target announced that it is leaving.
-    TargetLeaving(StartNumber),
-    /// The store's entry of a target cannot be read any more.
-    EntryUnreadable(StartNumber),
-    /// The store's entry of a target that is not leaving can be read again.
-    EntryRestored(StartNumber),
-    /// A configuration that sends the new flows of a service address to a service was published.
-    RoutePublished {
-        /// Service address.
-        address: SocketAddrV4,
-        /// Index of the service.
-        service: u8,
-    },
-    /// A client's attempt to open a flow ended.
-    OpeningEnded {
-        /// Service address of the flow.
-        address: SocketAddrV4,
-        /// Balancer that the last copy of the first packet was sent to.
-        balancer: Ipv4Addr,
-        /// Time of the first copy.
-        since: Instant,
-        /// Whether the flow opened.
-        opened: bool,
-    },
-    /// A target, its agent or the network path to them is disturbed.
-    TargetDisturbed(StartNumber),
-    /// All targets are disturbed.
-    AllTargetsDisturbed,
-    /// A balancer is disturbed: it was killed, or its connection to the store is disturbed.
-    BalancerDisturbed(Ipv4Addr),
-    /// The store is disturbed.
-    StoreDisturbed,
-    /// A packet of an open flow reached the target that holds the flow.
-    PacketReached(FlowKey),
-    /// A client sent a request on an open flow and received no response before its timeout.
-    Silent {
-        /// Flow of the request.
-        flow: FlowKey,
-        /// Time of the client's first packet.
-        since: Instant,
-        /// Balancer that the client's last packet was sent to.
-        balancer: Ipv4Addr,
-    },
-    /// A client received a reset of its open flow, which no target sends.
-    ResetOpen(FlowKey),
-    /// A client received a reset of a flow that was not open yet.
-    ResetBeforeOpen(FlowKey),
-    /// A target started a request.
-    Ran {
-        /// Request number. Odd numbers must run at most once.
-        request: u64,
-        /// Flow that carried the request.
-        flow: FlowKey,
-    },
-    /// A client received a response.
-    Served {
-        /// Request number.
-        request: u64,
-        /// Whether the response was complete and belonged to the request.
-        own: bool,
-    },
-    /// A client gave up on a request.
-    Failed(u64),
-    /// The fleet has had enough time to recover: requests must not fail from now on.
-    CalmStarted,
-    /// A fault was injected.
-    FaultInjected,
-}
-
-/// A violated guarantee.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct SoakFinding {
-    /// Name of the guarantee.
-    pub guarantee: &'static str,
-    /// Event that violates it.
-    pub event: SoakEvent,
-    /// Time of the event, in milliseconds from the creation of the log.
-    pub at_ms: u64,
-}
-
 #[derive(Debug, Default)]
 struct LogState {
     /// Target that each open flow belongs to.
@@ -156,7 +46,10 @@
     /// Flows that were reset before they opened.
     refused: HashMap<FlowKey, Instant>,
     availability: ServiceAvailability,
+    load: LoadCheck,
     runs: HashMap<u64, u32>,
+    /// Requests with the flows that they ran on.
+    runs_on_flows: HashSet<(u64, FlowKey)>,
     calm: bool,
     served: u64,
     failed: u64,
@@ -214,6 +107,18 @@
         self.lock().findings.clone()
     }
 
+    /// Returns the time of the log's creation.
+    #[must_use]
+    pub fn start(&self) -> Instant {
+        self.start
+    }
+
+    /// Returns the figures of the load so far.
+    #[must_use]
+    pub fn load_figures(&self) -> LoadFigures {
+        self.lock().load.figures()
+    }
+
     /// Returns the number of requests served and of requests failed.
     #[must_use]
     pub fn outcomes(&self) -> (u64, u64) {
@@ -229,6 +134,9 @@
 impl LogState {
     /// Applies an event and returns the guarantee that it violates, if any.
     fn check(&mut self, event: SoakEvent, now: Instant) -> Option<&'static str> {
+        if event.is_disturbance() {
+            self.load.record_disturbed(now);
+        }
         match event {
             SoakEvent::Accepted {
                 flow,
@@ -319,6 +227,32 @@
                 self.failed += 1;
                 return self.calm.then_some("not_recovered");
             }
+            SoakEvent::AgentStarted(target) => self.load.record_agent_started(target, now),
+            SoakEvent::BalancerStarted(balancer) => {
+                self.load.record_balancer_started(balancer, now);
+            }
+            SoakEvent::RushActive => {
+                self.load.record_rush(now);
+                self.availability.record_all_disturbed(now);
+            }
+            SoakEvent::TargetFull(target) => self.availability.record_disturbed(target, now),
+            SoakEvent::Rejected(_) => self.load.record_rejected(),
+            SoakEvent::OverLimit { target, oldest, .. } => {
+                return self.load.check_over_limit(target, oldest, now);
+            }
+            SoakEvent::SegmentReached {
+                flow,
+                target,
+                balancer,
+                sent,
+            } => {
+                let disturbed = self.is_path_disturbed(target, balancer, now);
+                return self
+                    .load
+                    .check_segment(&flow, balancer, sent, disturbed, now);
+            }
+            SoakEvent::DataChanged { .. } => return Some("bytes_changed"),
+            SoakEvent::Slow { since, .. } => return self.load.check_slow(since),
             SoakEvent::CalmStarted => self.calm = true,
             SoakEvent::FaultInjected => self.calm = false,
         }
@@ -393,9 +327,22 @@
         if *runs > 1 && request % 2 == 1 {
             return Some("ran_twice");
         }
+        // A client sends a request once on each flow, so only a copy can run there again.
+        if !self.runs_on_flows.insert((request, *flow)) {
+            return Some("copy_ran");
+        }
         self.refused.contains_key(flow).then_some("refused_but_ran")
     }
 
+    /// Returns whether a packet's target, the target's agent or the balancer was disturbed or
+    /// started within [`DISTURBANCE_WINDOW`].
+    fn is_path_disturbed(&self, target: StartNumber, balancer: Ipv4Addr, now: Instant) -> bool {
+        let recent = |at: &Instant| now.saturating_duration_since(*at) < DISTURBANCE_WINDOW;
+        self.is_disturbed(target, now)
+            || self.disturbed_balancers.get(&balancer).is_some_and(recent)
+            || self.load.has_restarted(target, balancer, now)
+    }
+
     /// Returns whether a target was disturbed within [`DISTURBANCE_WINDOW`].
     fn is_disturbed(&self, target: StartNumber, now: Instant) -> bool {
         let recent = |at: &Instant| now.saturating_duration_since(*at) < DISTURBANCE_WINDOW;
--- a/standins/soak/src/client.rs
+++ b/standins/soak/src/client.rs
@@ -12,9 +12,12 @@
 use lovagelatch_flows::{FlowKey, FlowPacket, PacketFlags};
 
 use crate::addresses::PACKETS_PORT;
-use crate::check::{SoakEvent, SoakLog};
+use crate::check::SoakLog;
+use crate::event::SoakEvent;
+use crate::load::RushControl;
 use crate::router::Router;
-use crate::target::response_check;
+use crate::segment::{RequestSegment, SEGMENT_BYTES, SEGMENT_COUNT};
+use crate::target::{rejection_check, response_check};
 
 /// Times at which a flow's first packet is retransmitted, from its first transmission.
 const OPENING_RETRANSMITS: [Duration; 2] = [Duration::from_millis(200), Duration::from_millis(600)];
@@ -23,7 +26,7 @@
 const OPEN_TIMEOUT: Duration = Duration::from_millis(1_400);
 
 /// Timeout of a request, including its retries.
-const REQUEST_TIMEOUT: Duration = Duration::from_millis(2_500);
+pub(crate) const REQUEST_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Delay before a request's packet is retransmitted for the first time; doubles each time.
 const RETRANSMIT_BACKOFF: Duration = Duration::from_millis(200);
@@ -34,6 +37,23 @@
 /// Pause between two requests.
 const REQUEST_PAUSE: Duration = Duration::from_millis(40);
 
+/// Pause between two requests of a client that is active only in rushes.
+const RUSH_PAUSE: Duration = Duration::from_millis(10);
+
+/// Pause of such a client after a request that failed. A client that tries again at once after each
+/// refusal sends thousands of openings a second.
+const FAILURE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Interval at which such a client checks whether a rush has started.
+const RUSH_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Duration from which a request counts as slow: several times the longest that one takes without
+/// overload, including the retransmission of a lost packet.
+const SLOW_REQUEST: Duration = Duration::from_millis(1_000);
+
+/// Sequence number of a flow's first data byte.
+const FIRST_SEQUENCE: u32 = 1_000;
+
 /// Maximum distance of a reset's sequence number from the expected one.
 const RESET_WINDOW: u32 = 76_800;
 
@@ -41,20 +61,43 @@
 const MAX_FLOW_AGE: Duration = Duration::from_secs(40);
 
 /// Parameters of a client.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct ClientPlan {
     pub(crate) ip: Ipv4Addr,
-    pub(crate) number: u8,
+    pub(crate) number: u16,
+    /// Index of the route that its requests take.
+    pub(crate) route: u8,
     pub(crate) service_address: SocketAddrV4,
     /// Whether its requests may run more than once.
     pub(crate) idempotent: bool,
     /// Whether it sends many requests on one flow.
     pub(crate) long_flows: bool,
+    /// Whether its requests are [`RequestSegment`]s, and it tells targets when it ends a flow.
+    pub(crate) hard_load: bool,
+    /// Set for a client that sends requests only during rushes on its route.
+    pub(crate) rush: Option<RushControl>,
+}
+
+impl ClientPlan {
+    fn is_active(&self) -> bool {
+        let rush = self.rush.as_ref();
+        rush.is_none_or(|rush| rush.is_active(self.route.into()))
+    }
+
+    fn pause(&self, served: bool) -> Duration {
+        match self.rush {
+            Some(_) if served => RUSH_PAUSE,
+            Some(_) => FAILURE_PAUSE,
+            None => REQUEST_PAUSE,
+        }
+    }
 }
 
 /// Outcome of an attempt.
 enum AttemptOutcome {
     Served,
+    /// The target reported that the request did not run.
+    Rejected,
     /// The flow ended, or could not be opened.
     FlowEnded {
         opened: bool,
@@ -92,13 +135,19 @@
         sent_bytes: 0,
     };
     Ok(std::thread::spawn(move || {
-        let first = u64::from(client.plan.number) * 1_000_000 + u64::from(!plan.idempotent);
+        let parity = u64::from(!client.plan.idempotent);
+        let first = u64::from(client.plan.number) * 1_000_000 + parity;
         for request in (first..).step_by(2) {
             if shutdown.load(Ordering::Relaxed) {
                 return;
             }
-            client.run_request(request);
-            std::thread::sleep(REQUEST_PAUSE);
+            if client.plan.is_active() {
+                let served = client.run_request(request);
+                std::thread::sleep(client.plan.pause(served));
+            } else {
+                client.end_flow();
+                std::thread::sleep(RUSH_CHECK_INTERVAL);
+            }
         }
     }))
 }
@@ -111,29 +160,57 @@
         }
     }
 
-    /// Runs one request with its retries.
-    fn run_request(&mut self, request: u64) {
-        let until = Instant::now() + REQUEST_TIMEOUT;
+    /// Runs one request with its retries. Returns whether it was served.
+    fn run_request(&mut self, request: u64) -> bool {
+        let since = Instant::now();
+        let until = since + REQUEST_TIMEOUT;
         let expired = self
             .open
             .is_some_and(|(_, since)| since.elapsed() > MAX_FLOW_AGE);
         if !self.plan.long_flows || expired {
-            self.open = None;
+            self.end_flow();
+        }
+        let served = self.run_attempts(request, until);
+        if !served {
+            self.end_flow();
+            self.log.record(SoakEvent::Failed(request));
         }
+        if self.plan.hard_load && (!served || since.elapsed() > SLOW_REQUEST) {
+            self.log.record(SoakEvent::Slow { request, since });
+        }
+        served
+    }
+
+    /// Returns whether one of the attempts was served.
+    fn run_attempts(&mut self, request: u64, until: Instant) -> bool {
         for _ in 0..=MAX_RETRIES {
             match self.attempt(request, until) {
-                AttemptOutcome::Served => return,
-                AttemptOutcome::TimedOut => break,
+                AttemptOutcome::Served => return true,
+                AttemptOutcome::TimedOut => return false,
+                AttemptOutcome::Rejected => self.end_flow(),
                 AttemptOutcome::FlowEnded { opened } => {
                     self.open = None;
                     if opened && !self.plan.idempotent {
-                        break;
+                        return false;
                     }
                 }
             }
         }
-        self.open = None;
-        self.log.record(SoakEvent::Failed(request));
+        false
+    }
+
+    /// Ends the open flow, if there is one. Without `--hard-load`, targets are not told.
+    fn end_flow(&mut self) {
+        let Some((number, _)) = self.open.take().filter(|_| self.plan.hard_load) else {
+            return;
+        };
+        let flags = PacketFlags {
+            ack: true,
+            fin: true,
+            ..PacketFlags::default()
+        };
+        let sequence = FIRST_SEQUENCE + self.sent_bytes;
+        self.send(flags, sequence, number.wrapping_add(1), &[]);
     }
 
     fn attempt(&mut self, request: u64, until: Instant) -> AttemptOutcome {
@@ -146,7 +223,11 @@
         let Some((number, _)) = self.open else {
             return AttemptOutcome::FlowEnded { opened: false };
         };
-        self.sent_bytes += 8;
+        self.sent_bytes += if self.plan.hard_load {
+            u32::from(SEGMENT_COUNT) * SEGMENT_BYTES
+        } else {
+            8
+        };
         let since = Instant::now();
         let mut backoff = RETRANSMIT_BACKOFF;
         loop {
@@ -198,7 +279,11 @@
             // A delayed copy of an earlier response on this flow.
             return None;
         }
-        let own = read_number(data, 8) == Some(response_check(request));
+        let check = read_number(data, 8);
+        if self.plan.hard_load && check == Some(rejection_check(request)) {
+            return Some(AttemptOutcome::Rejected);
+        }
+        let own = check == Some(response_check(request));
         self.log.record(SoakEvent::Served { request, own });
         Some(AttemptOutcome::Served)
     }
@@ -279,7 +364,7 @@
             syn: true,
             ..PacketFlags::default()
         };
-        self.send(flags, copy, &[])
+        self.send(flags, FIRST_SEQUENCE, copy, &[])
     }
 
     /// Sends a request and returns the balancer that it was sent to.
@@ -288,14 +373,38 @@
             ack: true,
             ..PacketFlags::default()
         };
-        self.send(flags, number.wrapping_add(1), &request.to_le_bytes())
+        let (end, acknowledged) = (FIRST_SEQUENCE + self.sent_bytes, number.wrapping_add(1));
+        if !self.plan.hard_load {
+            return self.send(flags, end, acknowledged, &request.to_le_bytes());
+        }
+        let mut balancer = None;
+        for part in 0..SEGMENT_COUNT {
+            let flow = self.flow();
+            balancer = self.router.choose(&flow);
+            let segment = RequestSegment {
+                request,
+                part,
+                sent: self.log.start().elapsed(),
+                balancer: *balancer?.ip(),
+            };
+            let sequence = end - u32::from(SEGMENT_COUNT - part) * SEGMENT_BYTES;
+            let data = segment.encode(&flow, sequence);
+            self.send(flags, sequence, acknowledged, &data);
+        }
+        balancer
     }
 
-    fn send(&self, flags: PacketFlags, acknowledged: u32, data: &[u8]) -> Option<SocketAddrV4> {
+    fn send(
+        &self,
+        flags: PacketFlags,
+        sequence: u32,
+        acknowledged: u32,
+        data: &[u8],
+    ) -> Option<SocketAddrV4> {
         let packet = FlowPacket {
             flow: self.flow(),
             flags,
-            sequence: 1_000 + self.sent_bytes,
+            sequence,
             acknowledged,
             data_bytes: u16::try_from(data.len()).unwrap_or(u16::MAX),
             tag: 0,
--- a/standins/soak/src/fault.rs
+++ b/standins/soak/src/fault.rs
@@ -1,5 +1,6 @@
 //! The schedule of faults, drawn from a seed. Faults may overlap.
 
+use std::ops::Range;
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -76,8 +77,24 @@
     /// Makes the store hang and then come back from a copy some seconds old. What was written since
     /// is written again a moment later.
     RestoreStore,
+    /// Several times as many clients of a route send requests.
+    Rush,
+    /// Moves a route to the smaller service, which another route shares, in a rush on that route.
+    RushAndMove,
+    /// Exchanges the priorities of the two routes that share a service, and exchanges them back.
+    ExchangePriorities,
+    /// Makes the work of a target take several times as long.
+    SlowTarget,
 }
 
+/// Faults that [`SoakPlan::add_load`] draws from, and that need targets of limited capacity.
+const LOAD_FAULTS: [SoakFault; 4] = [
+    SoakFault::Rush,
+    SoakFault::RushAndMove,
+    SoakFault::ExchangePriorities,
+    SoakFault::SlowTarget,
+];
+
 /// Faults that [`SoakPlan::add_extra`] draws from. They are drawn separately, so that the seeds of
 /// earlier runs still give the same plans.
 const EXTRA_FAULTS: [SoakFault; 3] = [
@@ -132,11 +149,25 @@
         let faults = SOAK_FAULTS.into_iter().chain(EXTRA_FAULTS);
         faults
             .chain(EXPLICIT_FAULTS)
+            .chain(LOAD_FAULTS)
             .find(|fault| format!("{fault:?}") == name)
             .ok_or_else(|| UnknownFault(name.to_owned()))
     }
 }
 
+impl SoakFault {
+    /// Returns whether the fault has an effect only with `--hard-load`.
+    #[must_use]
+    pub fn needs_hard_load(self) -> bool {
+        LOAD_FAULTS.contains(&self)
+    }
+
+    /// Returns whether the fault sends more requests than the targets can serve.
+    pub(crate) fn is_rush(self) -> bool {
+        matches!(self, Self::Rush | Self::RushAndMove)
+    }
+}
+
 /// A fault with its time and duration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ScheduledFault {
@@ -150,6 +181,13 @@
     pub selector: u32,
 }
 
+impl ScheduledFault {
+    /// Returns the index of the route that a rush is on.
+    pub(crate) fn route(&self) -> usize {
+        self.selector as usize % 3
+    }
+}
+
 /// The faults of one run, ordered by time.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SoakPlan {
@@ -191,13 +229,26 @@
 
     /// Adds faults of the kinds that [`Self::draw`] leaves out, one every 1 to 4 s.
     pub fn add_extra(&mut self, seed: u64, duration: Duration) {
-        let mut rng = SmallRng::seed_from_u64(!seed);
+        self.add_from(&EXTRA_FAULTS, !seed, duration, 300..3_000);
+    }
+
+    /// Adds faults that concern load, one every 1 to 4 s, each for 1 to 4 s.
+    pub fn add_load(&mut self, seed: u64, duration: Duration) {
+        // Differs from the seeds of the other draws, so that the plans are independent.
+        let load_seed = seed.rotate_left(32) ^ 0x6c6f_6164;
+        self.add_from(&LOAD_FAULTS, load_seed, duration, 1_000..4_000);
+    }
+
+    /// Draws faults of these kinds from `seed`, which last for a number of milliseconds in `range`,
+    /// and adds them.
+    fn add_from(&mut self, kinds: &[SoakFault], seed: u64, duration: Duration, range: Range<u64>) {
+        let mut rng = SmallRng::seed_from_u64(seed);
         let mut at = Duration::from_millis(rng.random_range(0..1_000));
         while at < duration {
-            let fault = EXTRA_FAULTS.choose(&mut rng).copied();
+            let fault = kinds.choose(&mut rng).copied();
             self.faults.extend(fault.map(|fault| ScheduledFault {
                 at,
-                duration: Duration::from_millis(rng.random_range(300..3_000)),
+                duration: Duration::from_millis(rng.random_range(range.clone())),
                 fault,
                 selector: rng.random(),
             }));
--- a/standins/soak/src/fleet.rs
+++ b/standins/soak/src/fleet.rs
@@ -21,7 +21,10 @@
     APP_PORT, FRAMES_PORT, GOSSIP_PORT, OPERATIONS_PORT, OUTBOUND_PORT, PACKETS_PORT, READY_PORT,
     RunNetwork,
 };
-use crate::check::{SoakEvent, SoakLog};
+use crate::check::SoakLog;
+use crate::client::REQUEST_TIMEOUT;
+use crate::event::SoakEvent;
+use crate::load::{FLOW_LIFETIME, MAX_FLOWS, PRIORITIES, SLOTS, TargetProfile, request_policy};
 use crate::process::SoakProcess;
 use crate::proxy::{ProxyControl, spawn_datagram_proxy, spawn_stream_proxy};
 use crate::target::{AllowedRoutes, Target};
@@ -33,6 +36,15 @@
 /// Time for which the entry of a dead target stays in the store: three heartbeats.
 pub(crate) const ENTRY_TTL: Duration = Duration::from_millis(3_600);
 
+/// Slots in the store entries of targets that accept everything.
+const UNLIMITED_SLOTS: u16 = 8;
+
+/// Time for which processes remember an idle flow.
+const LONG_LIFETIME: Duration = Duration::from_secs(60);
+
+/// Idle timeout of the configuration, for targets that accept everything.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+
 /// A balancer under test.
 pub(crate) struct TestBalancer {
     pub(crate) ip: Ipv4Addr,
@@ -72,6 +84,10 @@
     directory: PathBuf,
     /// Whether processes are started with SIGHUP ignored.
     ignore_hangup: bool,
+    /// Whether routes have policies and targets a limited capacity.
+    pub(crate) hard_load: bool,
+    /// Priority of each route.
+    pub(crate) priorities: [u8; 3],
     /// Number of target starts so far.
     starts: u32,
     /// Version of the last published configuration.
@@ -87,6 +103,7 @@
         balancers: u8,
         machines: u8,
         ignore_hangup: bool,
+        hard_load: bool,
         log: Arc<SoakLog>,
     ) -> io::Result<Self> {
         let (network, store) = RunNetwork::claim(StoreStandin::start)?;
@@ -100,6 +117,8 @@
             allowed: Arc::new(Mutex::default()),
             directory: directory.to_owned(),
             ignore_hangup,
+            hard_load,
+            priorities: PRIORITIES,
             starts: 0,
             version: 0,
             routes: [0, 0, 1],
@@ -156,7 +175,36 @@
         });
         let at = self.machines.len() - 1;
         self.start_target(at)?;
-        self.machines[at].process.start()
+        self.start_agent(at)
+    }
+
+    /// Starts the process of an agent.
+    pub(crate) fn start_agent(&mut self, at: usize) -> io::Result<()> {
+        let machine = &mut self.machines[at];
+        if let Some(target) = &machine.target {
+            self.log.record(SoakEvent::AgentStarted(target.start));
+        }
+        machine.process.start()
+    }
+
+    /// Starts the process of a balancer.
+    pub(crate) fn start_balancer(&mut self, number: usize) -> io::Result<()> {
+        let balancer = &mut self.balancers[number];
+        self.log.record(SoakEvent::BalancerStarted(balancer.ip));
+        balancer.process.start()
+    }
+
+    /// Exchanges the priorities of the routes that initially share a service, and publishes them.
+    pub(crate) fn exchange_priorities(&mut self) {
+        self.priorities.swap(0, 1);
+        self.publish_routes();
+    }
+
+    /// Sets the factor by which the work of a machine's target takes longer.
+    pub(crate) fn slow_target(&self, at: usize, factor: u32) {
+        if let Some(target) = &self.machines[at].target {
+            target.control.slow_factor.store(factor, Ordering::Relaxed);
+        }
     }
 
     fn agent_process(
@@ -187,11 +235,17 @@
         ip: Ipv4Addr,
         section: &str,
     ) -> io::Result<SoakProcess> {
+        let lifetime = if self.hard_load {
+            FLOW_LIFETIME
+        } else {
+            LONG_LIFETIME
+        };
         let text = format!(
             "[process]\nname = {name}\nzone = hall-a\ntraffic = opaque\n\
              [network]\nframes = {ip}:{FRAMES_PORT}\npackets = {ip}:{PACKETS_PORT}\n\
              ready = {ip}:{READY_PORT}\noperations = {ip}:{OPERATIONS_PORT}\n\
-             [limits]\nflow_lifetime_s = 60\nstop_s = 6\n{section}"
+             [limits]\nflow_lifetime_s = {}\nstop_s = 6\n{section}",
+            lifetime.as_secs()
         );
         let settings = self.directory.join(format!("{name}.ini"));
         fs::write(&settings, text)?;
@@ -240,7 +294,13 @@
         machine.names.insert(target_name(machine.name));
         let (ip, service) = (machine.ip, machine.service);
         let allowed = Arc::clone(&self.allowed);
-        let target = Target::spawn(ip, start, service, allowed, Arc::clone(&self.log))?;
+        let profile = if self.hard_load {
+            TargetProfile::limited(machine.number)
+        } else {
+            TargetProfile::unlimited()
+        };
+        let log = Arc::clone(&self.log);
+        let target = Target::spawn(ip, start, service, profile, allowed, log)?;
         machine.target = Some(target);
         let service_name = SERVICES[usize::from(service)];
         let fields = json!({ "machine": at, "target": start, "service": service_name });
@@ -265,7 +325,11 @@
             service: service_name(machine.service),
             address: SocketAddrV4::new(self.network.machine_proxy(machine.number), APP_PORT),
             zone: "hall-a".parse().expect("valid zone name"),
-            slots: 8,
+            slots: if self.hard_load {
+                SLOTS
+            } else {
+                UNLIMITED_SLOTS
+            },
             leaving,
             warming_ms: 0,
             start: TargetStart(if name_reused { target.start.into() } else { 0 }),
@@ -294,7 +358,7 @@
             service: "elsewhere".parse().expect("valid service name"),
             address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9),
             zone: "hall-a".parse().expect("valid zone name"),
-            slots: 8,
+            slots: UNLIMITED_SLOTS,
             leaving: false,
             warming_ms: 0,
             start: TargetStart::default(),
@@ -375,6 +439,7 @@
 
     fn write_routes(&mut self) {
         let mut allowed = self.allowed.lock().expect("routes");
+        let (hard_load, priorities) = (self.hard_load, self.priorities);
         let routes = (0..).zip(self.routes).map(|(number, service)| {
             let address = RunNetwork::route(number);
             let services = allowed.entry(address).or_default();
@@ -385,19 +450,26 @@
                 address,
                 name: format!("r-{number}"),
                 idempotent: number != 1,
-                policy: None,
+                policy: hard_load.then(|| {
+                    let route = usize::from(number);
+                    request_policy(route, priorities[route], REQUEST_TIMEOUT)
+                }),
                 homes: Box::default(),
                 shares: smallvec![RouteShare {
                     service: service_name(service),
                     weight: 1,
                     warmup: None,
-                    max_flows: None,
+                    max_flows: hard_load.then_some(MAX_FLOWS),
                 }],
             }
         });
         let config = PublishedConfig {
             version: ConfigRevision(self.version),
-            idle_timeout: Duration::from_secs(15),
+            idle_timeout: if hard_load {
+                FLOW_LIFETIME
+            } else {
+                IDLE_TIMEOUT
+            },
             routes: routes.collect(),
             unrouted: (0..2).map(service_name).collect(),
         };
--- a/standins/soak/src/lib.rs
+++ b/standins/soak/src/lib.rs
@@ -16,18 +16,24 @@
 
 mod addresses;
 mod availability;
+mod capacity;
 mod check;
 mod client;
+mod event;
 mod fault;
 mod fleet;
+mod load;
+mod load_check;
 mod process;
 mod proxy;
 mod router;
 mod run;
+mod segment;
 mod target;
 mod timeline;
 
 pub use addresses::RunNetwork;
-pub use check::{SoakEvent, SoakFinding, SoakLog, StartNumber};
+pub use check::SoakLog;
+pub use event::{LoadFigures, SoakEvent, SoakFinding, StartNumber};
 pub use fault::{SOAK_FAULTS, ScheduledFault, SoakFault, SoakPlan};
 pub use run::{SoakError, SoakReport, SoakSettings, run_soak};
--- a/standins/soak/src/main.rs
+++ b/standins/soak/src/main.rs
@@ -27,6 +27,9 @@
     further: bool,
     /// Start processes with SIGHUP ignored, as a supervisor must if it may send SIGHUP at any time
     hangup_ignored: bool,
+    /// Limit what targets can serve, set policies for the routes, and add faults of load; implied if
+    /// `--only` names one of these
+    hard_load: bool,
     /// Inject only this fault, such as `StopAgent`; may be given more than once
     #[bpaf(argument("FAULT"))]
     only: Vec<SoakFault>,
@@ -55,6 +58,7 @@
             processes: line.processes,
             extra_faults: line.further,
             ignore_hangup: line.hangup_ignored,
+            hard_load: line.hard_load || line.only.iter().any(|fault| fault.needs_hard_load()),
             only: line.only.clone(),
             agent_restart: Duration::from_millis(line.agent_restart_ms),
             programs: programs.clone(),
@@ -74,12 +78,23 @@
                     report.store_calls,
                     report.findings.len()
                 );
-                for finding in report.findings.iter().take(10) {
+                if settings.hard_load {
                     println!(
-                        "  seed {seed}: {} at {} ms: {:?}",
-                        finding.guarantee, finding.at_ms, finding.event
+                        "  seed {seed}: {} rejected, {} flows over the limit, longest transit {} ms",
+                        report.load.rejected,
+                        report.load.over_limit,
+                        report.load.longest_transit.as_millis()
                     );
                 }
+                for (guarantee, findings) in report.findings_by_guarantee() {
+                    println!("  seed {seed}: {guarantee}: {} findings", findings.len());
+                    for finding in findings.iter().take(10) {
+                        println!(
+                            "  seed {seed}: {guarantee} at {} ms: {:?}",
+                            finding.at_ms, finding.event
+                        );
+                    }
+                }
                 if report.is_sound() && !line.keep_logs {
                     // A failure to remove it leaves only a directory of logs behind.
                     let _removed = std::fs::remove_dir_all(&directory);
--- a/standins/soak/src/run.rs
+++ b/standins/soak/src/run.rs
@@ -1,6 +1,8 @@
 //! One run: starts the fleet, injects and heals faults, and reports the violations.
 
+use std::collections::BTreeMap;
 use std::io;
+use std::net::Ipv4Addr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -12,10 +14,12 @@
 use thiserror::Error;
 
 use crate::addresses::RunNetwork;
-use crate::check::{SoakEvent, SoakFinding, SoakLog, StartNumber};
+use crate::check::SoakLog;
 use crate::client::{ClientPlan, spawn_client};
+use crate::event::{LoadFigures, SoakEvent, SoakFinding, StartNumber};
 use crate::fault::{ScheduledFault, SoakFault, SoakPlan};
 use crate::fleet::{Fleet, TestBalancer, TestMachine};
+use crate::load::{RUSH_CLIENTS, RushControl, SLOW_FACTOR};
 use crate::proxy::ProxyMode;
 use crate::router::Router;
 
@@ -69,6 +73,9 @@
     /// Whether processes are started with SIGHUP ignored, as by a supervisor that may send SIGHUP
     /// at any time.
     pub ignore_hangup: bool,
+    /// Whether routes have policies, targets a limited capacity, and the plan includes
+    /// [`SoakPlan::add_load`].
+    pub hard_load: bool,
     /// Kinds of faults to inject; if empty, those of [`SOAK_FAULTS`](crate::SOAK_FAULTS).
     pub only: Vec<SoakFault>,
     /// Delay from an agent's exit until it is started again.
@@ -112,6 +119,8 @@
     pub panicked_clients: usize,
     /// Number of calls to the store.
     pub store_calls: u64,
+    /// Figures of the load.
+    pub load: LoadFigures,
 }
 
 impl SoakReport {
@@ -122,6 +131,16 @@
         let complete = self.unexpected_exits == 0 && self.panicked_clients == 0;
         self.findings.is_empty() && complete && self.served >= MIN_SERVED
     }
+
+    /// Returns the findings of each guarantee.
+    #[must_use]
+    pub fn findings_by_guarantee(&self) -> BTreeMap<&'static str, Vec<&SoakFinding>> {
+        let mut findings: BTreeMap<_, Vec<_>> = BTreeMap::new();
+        for finding in &self.findings {
+            findings.entry(finding.guarantee).or_default().push(finding);
+        }
+        findings
+    }
 }
 
 /// Runs one seed.
@@ -144,6 +163,9 @@
     if settings.extra_faults {
         plan.add_extra(settings.seed, settings.fault_duration);
     }
+    if settings.hard_load && settings.only.is_empty() {
+        plan.add_load(settings.seed, settings.fault_duration);
+    }
     run.inject_all(&plan)?;
     run.run_for(RECOVERY_TIME)?;
     run.log.record(SoakEvent::CalmStarted);
@@ -172,6 +194,7 @@
     restarts: Vec<Option<Instant>>,
     /// Delay from an agent's exit until it is started again.
     agent_restart: Duration,
+    rush: RushControl,
     injected: usize,
 }
 
@@ -187,6 +210,7 @@
             balancers,
             machines,
             settings.ignore_hangup,
+            settings.hard_load,
             Arc::clone(&log),
         )?;
         let shutdown = Arc::new(AtomicBool::new(false));
@@ -202,6 +226,7 @@
             clients: Vec::new(),
             pending: Vec::new(),
             agent_restart: settings.agent_restart,
+            rush: RushControl::default(),
             injected: 0,
         })
     }
@@ -222,28 +247,50 @@
     fn start_clients(&mut self) -> io::Result<()> {
         let clients = u8::try_from(self.fleet.machines.len() * 3).unwrap_or(u8::MAX);
         for number in 0..clients {
-            let route = u16::from(number % 3);
-            let plan = ClientPlan {
-                ip: self.fleet.network.client(number),
-                number,
-                service_address: RunNetwork::route(route),
-                idempotent: route != 1,
-                long_flows: route == 0 || number % 2 == 0,
+            let ip = self.fleet.network.client(number);
+            self.start_client(ip, number.into(), false)?;
+        }
+        let clients = u16::from(clients);
+        let rush_clients = clients
+            * if self.fleet.hard_load {
+                RUSH_CLIENTS
+            } else {
+                0
             };
-            let (router, log) = (self.router.clone(), Arc::clone(&self.log));
-            let client = spawn_client(plan, router, log, Arc::clone(&self.shutdown))?;
-            self.clients.push(client);
+        for number in clients..clients + rush_clients {
+            let ip = self.fleet.network.rush_client(number);
+            self.start_client(ip, number, true)?;
         }
         Ok(())
     }
 
+    fn start_client(&mut self, ip: Ipv4Addr, number: u16, only_in_rush: bool) -> io::Result<()> {
+        let route = number % 3;
+        let plan = ClientPlan {
+            ip,
+            number,
+            route: u8::try_from(route).unwrap_or(0),
+            service_address: RunNetwork::route(route),
+            idempotent: route != 1,
+            long_flows: route == 0 || number.is_multiple_of(2),
+            hard_load: self.fleet.hard_load,
+            rush: only_in_rush.then(|| self.rush.clone()),
+        };
+        let (router, log) = (self.router.clone(), Arc::clone(&self.log));
+        let client = spawn_client(plan, router, log, Arc::clone(&self.shutdown))?;
+        self.clients.push(client);
+        Ok(())
+    }
+
     fn inject_all(&mut self, plan: &SoakPlan) -> io::Result<()> {
         let start = Instant::now();
         for fault in &plan.faults {
             while start.elapsed() < fault.at {
                 self.step()?;
             }
-            self.log.record(SoakEvent::FaultInjected);
+            if !fault.fault.is_rush() {
+                self.log.record(SoakEvent::FaultInjected);
+            }
             self.injected += 1;
             self.inject(*fault)?;
             let heal = Instant::now() + fault.duration;
@@ -302,11 +349,14 @@
                 self.agent_restart
             };
             let due = *restart.get_or_insert(now + delay);
+            // A planned stop must not disturb anything, so it is not recorded.
+            let planned = process.is_stopping() && due > now;
             if due <= now {
-                process.start()?;
+                match number.checked_sub(balancers) {
+                    None => self.fleet.start_balancer(number)?,
+                    Some(at) => self.fleet.start_agent(at)?,
+                }
             }
-            // A planned stop must not disturb anything, so it is not recorded.
-            let planned = process.is_stopping();
             if let Some(at) = number.checked_sub(balancers).filter(|_| !planned) {
                 self.fleet.record_disturbed(at);
             }
@@ -409,6 +459,14 @@
                     .chain(agents)
                     .for_each(|process| process.send_hangup());
             }
+            SoakFault::Rush => self.rush.start(scheduled.route()),
+            SoakFault::RushAndMove => {
+                self.rush.start(0);
+                fleet.routes[0] = 1;
+                fleet.publish_routes();
+            }
+            SoakFault::ExchangePriorities => fleet.exchange_priorities(),
+            SoakFault::SlowTarget => fleet.slow_target(machine, SLOW_FACTOR),
         }
         Ok(())
     }
@@ -466,6 +524,14 @@
                 }
             }
             SoakFault::ReuseAddress => self.reuse_address(machine)?,
+            SoakFault::Rush => self.rush.end(scheduled.route()),
+            SoakFault::RushAndMove => {
+                self.rush.end(0);
+                fleet.routes[0] = 0;
+                fleet.publish_routes();
+            }
+            SoakFault::ExchangePriorities => fleet.exchange_priorities(),
+            SoakFault::SlowTarget => fleet.slow_target(machine, 1),
             _ => {}
         }
         Ok(())
@@ -495,6 +561,9 @@
 
     /// Records the disturbances of store faults that are not healed yet, which continue until then.
     fn record_ongoing_faults(&self) {
+        if self.rush.any_active() {
+            self.log.record(SoakEvent::RushActive);
+        }
         for (_, action) in &self.pending {
             let scheduled = match action {
                 PendingAction::Heal(scheduled) => scheduled,
@@ -612,6 +681,7 @@
             unexpected_exits: processes.map(|process| process.unexpected_exits).sum(),
             panicked_clients,
             store_calls: self.fleet.store.calls(),
+            load: self.log.load_figures(),
         };
         self.fleet.shut_down();
         report
--- a/standins/soak/tests/all/main.rs
+++ b/standins/soak/tests/all/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the soak's parts that need no processes.
 
 mod check;
+mod load_check;
 mod network;
