--- a/tests/tests/all/soak.rs
+++ b/tests/tests/all/soak.rs
@@ -244,3 +244,79 @@
     };
     case.run();
 }
+
+/// Guards against requests that are held, doubled or lost when priorities are exchanged and targets
+/// slow down while requests run, at targets of limited capacity and different speeds.
+#[test]
+fn priorities_and_speeds_may_change_while_requests_run() {
+    let case = SoakCase {
+        seed: "11",
+        minutes: "0.1",
+        processes: "9",
+        further: false,
+        arguments: &["--only=ExchangePriorities", "--only=SlowTarget"],
+    };
+    case.run();
+}
+
+/// Guards against any violated guarantee when more requests and flows arrive than the targets can
+/// take, among other faults. The findings name the cause.
+#[test]
+fn a_short_soak_under_hard_load_keeps_every_promise() {
+    let case = SoakCase {
+        seed: "1",
+        minutes: "0.1",
+        processes: "9",
+        further: false,
+        arguments: &["--hard-load"],
+    };
+    case.run();
+}
+
+/// Guards against requests that are lost or run twice because the agent that holds them is killed
+/// in a rush.
+#[test]
+fn an_agent_may_die_while_requests_wait() {
+    let case = SoakCase {
+        seed: "14",
+        minutes: "0.1",
+        processes: "9",
+        further: false,
+        arguments: &["--only=Rush", "--only=KillAgent"],
+    };
+    case.run();
+}
+
+/// Guards against flows that are counted or opened twice because a balancer is killed between the
+/// offer and its answer in a rush.
+#[test]
+fn a_balancer_may_die_between_offer_and_answer() {
+    let case = SoakCase {
+        seed: "12",
+        minutes: "0.1",
+        processes: "9",
+        further: false,
+        arguments: &["--only=Rush", "--only=KillBalancer"],
+    };
+    case.run();
+}
+
+/// Guards against wrong limits and lost requests when the targets of a service change in a rush
+/// while the store does not answer.
+#[test]
+fn targets_may_change_in_a_rush_while_the_store_is_silent() {
+    let case = SoakCase {
+        seed: "13",
+        minutes: "0.1",
+        processes: "9",
+        further: false,
+        arguments: &[
+            "--only=Rush",
+            "--only=StoreRefuses",
+            "--only=StoreLapse",
+            "--only=ReplaceTarget",
+            "--only=CrashTarget",
+        ],
+    };
+    case.run();
+}
