Make the fair queue, service estimate and slot limit reusable

The agent of opaque packets needs deficit round robin between the routes of one target, with weights, and the same estimates as a request gate. FairQueue is now generic over the key and the request; the weight is a property of the key and is 1 for agencies. A request can also be taken from the back of a key's queue or by its rank over all keys. ServiceEstimate and SlotLimit are public.

--- a/crates/placement/src/estimate.rs
+++ b/crates/placement/src/estimate.rs
@@ -17,28 +17,33 @@
 
 /// A moving mean of service times that is robust against outliers.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) struct ServiceEstimate {
+pub struct ServiceEstimate {
     /// In seconds. Invariant: finite and at least `MIN_MEAN_SECONDS`.
     mean: f64,
     samples: f64,
 }
 
 impl ServiceEstimate {
-    pub(crate) fn new(initial: Duration) -> Self {
+    /// Creates an estimate that starts with `initial`.
+    #[must_use]
+    pub fn new(initial: Duration) -> Self {
         Self {
             mean: initial.as_secs_f64().max(MIN_MEAN_SECONDS),
             samples: PRIOR_SAMPLES,
         }
     }
 
-    pub(crate) fn record(&mut self, sample: Duration) {
+    /// Adds a sample.
+    pub fn record(&mut self, sample: Duration) {
         let sample = sample.as_secs_f64().min(self.mean * SAMPLE_CLIP_FACTOR);
         self.samples += 1.0;
         let weight = (1.0 / self.samples).max(MIN_SAMPLE_WEIGHT);
         self.mean = (self.mean + weight * (sample - self.mean)).max(MIN_MEAN_SECONDS);
     }
 
-    pub(crate) fn mean(&self) -> f64 {
+    /// Returns the mean in seconds.
+    #[must_use]
+    pub fn mean(&self) -> f64 {
         self.mean
     }
 }
--- a/crates/placement/src/gate.rs
+++ b/crates/placement/src/gate.rs
@@ -5,11 +5,11 @@
 
 use std::time::Duration;
 
-use lovagelatch_domain::{AgencyName, AttemptId, GateCondition, GateReport, Moment, RefusalReason};
+use lovagelatch_domain::{AttemptId, GateCondition, GateReport, Moment, RefusalReason};
 use smallvec::SmallVec;
 
-use crate::agency_queue::WaitingRequest;
 use crate::estimate::ServiceEstimate;
+use crate::key_queue::{AgencyKey, WaitingRequest};
 use crate::limit::SlotLimit;
 use crate::queue::FairQueue;
 use crate::retry::{MIN_RETRY_AFTER, RetrySchedule};
@@ -19,7 +19,7 @@
 #[derive(Clone, Debug)]
 struct RunningRequest {
     attempt: AttemptId,
-    agency: Option<AgencyName>,
+    agency: AgencyKey,
     started: Moment,
     /// In seconds of slot time.
     charge: f64,
@@ -29,7 +29,7 @@
 #[derive(Clone, Debug)]
 pub struct RequestGate {
     settings: GateSettings,
-    queue: FairQueue,
+    queue: FairQueue<AgencyKey, WaitingRequest>,
     /// Invariant: at most `settings.slots` entries.
     running: SmallVec<[RunningRequest; 8]>,
     estimate: ServiceEstimate,
@@ -99,12 +99,8 @@
         };
         let request = self.running.swap_remove(position);
         let took = now.since(request.started);
-        self.queue.settle(
-            request.agency.as_ref(),
-            request.charge,
-            took,
-            self.estimate.mean(),
-        );
+        self.queue
+            .settle(&request.agency, request.charge, took, self.estimate.mean());
         let still_running = u16::try_from(self.running.len()).unwrap_or(u16::MAX);
         match outcome {
             SlotOutcome::Served => {
@@ -215,7 +211,7 @@
             };
             self.running.push(RunningRequest {
                 attempt: taken.waiting.attempt,
-                agency: taken.agency,
+                agency: taken.key,
                 started: now,
                 charge: taken.charge,
             });
--- a/crates/placement/src/gate/admission.rs
+++ b/crates/placement/src/gate/admission.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
-use lovagelatch_domain::{AgencyName, GateCondition, Moment, RefusalReason};
+use lovagelatch_domain::{GateCondition, Moment, RefusalReason};
 
 use super::RequestGate;
+use crate::key_queue::AgencyKey;
 use crate::retry::MIN_RETRY_AFTER;
 use crate::verdict::GateRequest;
 
@@ -47,7 +48,7 @@
         if matches!(self.condition, GateCondition::Warming { .. }) {
             return Some(RefusalReason::Warming);
         }
-        if self.is_over_share(request.agency.as_ref()) {
+        if self.is_over_share(&request.agency) {
             return Some(RefusalReason::OverShare);
         }
         if self.starts_in_time(request, now) {
@@ -57,7 +58,7 @@
     }
 
     pub(super) fn is_servable(&self, request: &GateRequest, now: Moment) -> bool {
-        let agency = request.agency.as_ref();
+        let agency = &request.agency;
         let wait = self.wait_behind(self.queue.queued_ahead_of(agency), now);
         let is_admitted = self
             .standing_wait_limit(agency, now)
@@ -66,7 +67,7 @@
     }
 
     fn starts_in_time(&self, request: &GateRequest, now: Moment) -> bool {
-        let ahead = self.queue.queued_ahead_of(request.agency.as_ref());
+        let ahead = self.queue.queued_ahead_of(&request.agency);
         now + self.wait_behind(ahead, now) < self.start_by(request)
     }
 
@@ -74,7 +75,7 @@
     /// its queue is not standing. A burst is queued in full. A standing queue delays every request
     /// without raising throughput, so it is kept short. Competing agencies without a standing queue
     /// are not limited.
-    fn standing_wait_limit(&self, agency: Option<&AgencyName>, now: Moment) -> Option<Duration> {
+    fn standing_wait_limit(&self, agency: &AgencyKey, now: Moment) -> Option<Duration> {
         let since = self
             .queue
             .backlogged_since(agency)?
@@ -87,26 +88,26 @@
     }
 
     pub(super) fn queue_overflow(&self, request: &GateRequest) -> Option<RefusalReason> {
-        let agency = request.agency.as_ref();
+        let agency = &request.agency;
         if self.queue.len() >= self.settings.queue_limit * TOTAL_QUEUE_FACTOR {
             return Some(RefusalReason::Full);
         }
         if self.queue.backlog(agency) < self.queue_share(agency) {
             return None;
         }
-        if self.queue.waiting_agencies_with(agency) > 1 {
+        if self.queue.waiting_keys_with(agency) > 1 {
             return Some(RefusalReason::OverShare);
         }
         Some(RefusalReason::Full)
     }
 
-    pub(super) fn is_over_share(&self, agency: Option<&AgencyName>) -> bool {
-        let agencies = self.queue.waiting_agencies_with(agency);
+    pub(super) fn is_over_share(&self, agency: &AgencyKey) -> bool {
+        let agencies = self.queue.waiting_keys_with(agency);
         agencies > 1 && self.queue.backlog(agency) * agencies >= self.queue.len()
     }
 
-    pub(super) fn queue_share(&self, agency: Option<&AgencyName>) -> usize {
-        (self.settings.queue_limit / self.queue.waiting_agencies_with(agency)).max(1)
+    pub(super) fn queue_share(&self, agency: &AgencyKey) -> usize {
+        (self.settings.queue_limit / self.queue.waiting_keys_with(agency)).max(1)
     }
 
     pub(super) fn retry_after(
@@ -119,7 +120,7 @@
             RefusalReason::Leaving => MIN_RETRY_AFTER,
             RefusalReason::Warming => self.warmup_remaining(now).max(MIN_RETRY_AFTER),
             _ => {
-                let ahead = self.queue.queued_ahead_of(request.agency.as_ref());
+                let ahead = self.queue.queued_ahead_of(&request.agency);
                 let time_budget = request.deadline.since(request.arrived);
                 let wait = self.wait_behind(ahead, now).saturating_sub(time_budget);
                 let completion_interval = self.completion_interval(now);
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -16,9 +16,9 @@
 //! [`PeerPlacement`] picks the gate for a request from the exact load of the local gate and the
 //! delayed reports of the peers. [`RetryBudget`] and [`AttemptAllowance`] limit the attempts.
 //! [`PlacementPolicy`] is the interface between a placement and its driver; [`baseline`] holds the
-//! common policies that it is compared with.
+//! common policies that it is compared with. [`FairQueue`], [`ServiceEstimate`] and [`SlotLimit`]
+//! are public for agents of opaque packets, which share their target between routes.
 
-mod agency_queue;
 pub mod baseline;
 mod budget;
 mod cost;
@@ -26,6 +26,7 @@
 mod explain;
 mod gate;
 mod health;
+mod key_queue;
 mod limit;
 mod peer_stats;
 mod peers;
@@ -37,11 +38,15 @@
 mod verdict;
 
 pub use budget::{AgencyBudgets, AllowanceError, AttemptAllowance, RetryBudget};
+pub use estimate::ServiceEstimate;
 pub use explain::GateCost;
 pub use gate::RequestGate;
 pub use health::{HealthStatus, PassiveHealth, trusted_status};
+pub use key_queue::QueueKey;
+pub use limit::SlotLimit;
 pub use peers::PeerPlacement;
 pub use policy::{ExchangeOutcome, PlacementChoice, PlacementPolicy};
+pub use queue::{DequeueOrder, DequeuedRequest, FairQueue};
 pub use settings::{BudgetSettings, GateSettings, PlacementSettings};
 pub use subset::{SUBSET_SIZE, peer_subset};
 pub use verdict::{GateAction, GateRequest, GateVerdict, SlotOutcome};
--- a/crates/placement/src/limit.rs
+++ b/crates/placement/src/limit.rs
@@ -20,7 +20,7 @@
 
 /// The limit of requests that the gate runs at once, at most its slots.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct SlotLimit {
+pub struct SlotLimit {
     slots: u16,
     /// Invariant: at most `slots`.
     current: u16,
@@ -30,7 +30,9 @@
 }
 
 impl SlotLimit {
-    pub(crate) fn new(slots: u16) -> Self {
+    /// Creates a limit of `slots` that has not been reduced.
+    #[must_use]
+    pub fn new(slots: u16) -> Self {
         Self {
             slots,
             current: slots,
@@ -40,19 +42,21 @@
         }
     }
 
-    pub(crate) fn current(&self) -> u16 {
+    /// Returns the number of requests that may run at once.
+    #[must_use]
+    pub fn current(&self) -> u16 {
         self.current
     }
 
     /// Records an answer. It shows that the server works, so the limit rises faster.
-    pub(crate) fn record_served(&mut self, now: Moment) {
+    pub fn record_served(&mut self, now: Moment) {
         self.consecutive_losses = 0;
         self.raise_interval = (self.raise_interval / 2).max(MIN_RAISE_INTERVAL);
         self.next_raise = self.next_raise.min(now + self.raise_interval);
     }
 
     /// Records that the server refused a request while `running` others ran.
-    pub(crate) fn record_shed(&mut self, running: u16, now: Moment) {
+    pub fn record_shed(&mut self, running: u16, now: Moment) {
         let reduced = running.min(self.current);
         if reduced == 0 {
             self.raise_interval = (self.raise_interval * 2).min(MAX_RAISE_INTERVAL);
@@ -62,7 +66,7 @@
     }
 
     /// Records that an answer was lost while `running` others ran.
-    pub(crate) fn record_lost(&mut self, running: u16, now: Moment) {
+    pub fn record_lost(&mut self, running: u16, now: Moment) {
         self.consecutive_losses += 1;
         if self.consecutive_losses >= LOSSES_PER_SHED {
             self.record_shed(running.min(self.current.saturating_sub(1)), now);
@@ -70,7 +74,7 @@
     }
 
     /// Raises the limit by one slot if that is due.
-    pub(crate) fn raise_if_due(&mut self, now: Moment) {
+    pub fn raise_if_due(&mut self, now: Moment) {
         if self.current < self.slots && now >= self.next_raise {
             self.current += 1;
             self.next_raise = now + self.raise_interval;
@@ -78,7 +82,8 @@
     }
 
     /// Returns when the limit rises next; `None` while it is not reduced.
-    pub(crate) fn next_raise(&self) -> Option<Moment> {
+    #[must_use]
+    pub fn next_raise(&self) -> Option<Moment> {
         (self.current < self.slots).then_some(self.next_raise)
     }
 }
