Hold and order requests at the agent where a route has an objective

Callers saw: under 2.4 times the usual load, requests that count double fared no better than others, and half of all deliveries were rejected by the targets; targets reset 14,396 connections above max_conns.

Cause: an agent delivered each request at once, so the target's own queue decided the order. A flow about to open counted as a request for 0.5 to 1.5 s, even if its client had taken another target's answer.

Change: for service addresses whose class an offer has named, requests wait at the agent while the target is full, for at most a quarter of the objective and 150 ms, and are released by priority. A request that cannot start in time is delivered at once, so that the target refuses it truthfully. Offers that cannot be served in time or exceed max_flows are passed on, or reset by the last candidate. Without a class nothing changes.

Evidence: new tests admission::* and admission_offers::* in crates/flows; the existing tests of flows, placement, agent and matrix pass, except for the listed superseded::a_former_entry_in_a_copy_sends_no_flows_to_a_leaving_successor. The effect under load has not been measured yet.

--- a/bins/agent/src/opaque/metrics.rs
+++ b/bins/agent/src/opaque/metrics.rs
@@ -1,6 +1,8 @@
 //! Metrics of an agent for opaque packets.
 
-use lovagelatch_telemetry::{DURATION_BOUNDS, EventCounts, EventOutcome, Histogram, Meter};
+use lovagelatch_telemetry::{
+    Counter, DURATION_BOUNDS, EventCounts, EventOutcome, Histogram, Meter,
+};
 
 /// What became of a datagram.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -9,6 +11,8 @@
     Delivered,
     /// Delivered to the target tentatively: a new flow, or one that the target may hold.
     Tried,
+    /// Held until the target has a place for the request; counted again when it is delivered.
+    Held,
     /// Forwarded to another agent.
     Passed,
     /// Relayed for a balancer that gets no response from the destination agent.
@@ -40,6 +44,7 @@
     const ALL: &'static [Self] = &[
         Self::Delivered,
         Self::Tried,
+        Self::Held,
         Self::Passed,
         Self::Relayed,
         Self::Returned,
@@ -62,6 +67,7 @@
         match self {
             Self::Delivered => "delivered",
             Self::Tried => "tried",
+            Self::Held => "held",
             Self::Passed => "passed",
             Self::Relayed => "relayed",
             Self::Returned => "returned",
@@ -89,6 +95,12 @@
     pub(crate) response_duration: Histogram<f64>,
     /// Time from a change of the target's zone in the store until it is in force here.
     pub(crate) zone_delay: Histogram<f64>,
+    /// How long requests waited, by route and by why they were released.
+    pub(crate) request_wait: Histogram<f64>,
+    /// Requests that were delivered to a full target without waiting, by route and reason.
+    pub(crate) excess_requests: Counter<u64>,
+    /// Offers that were not accepted because of the target's load, by route, reason and outcome.
+    pub(crate) refused_offers: Counter<u64>,
 }
 
 impl PacketMetrics {
@@ -107,10 +119,29 @@
             )
             .with_boundaries(DURATION_BOUNDS.to_vec())
             .build();
+        let request_wait = meter
+            .f64_histogram("lovagelatch.agent.request.wait")
+            .with_unit("s")
+            .with_description("How long requests waited until they were delivered")
+            .with_boundaries(DURATION_BOUNDS.to_vec())
+            .build();
+        let excess_requests = meter
+            .u64_counter("lovagelatch.agent.excess_requests")
+            .with_unit("{request}")
+            .with_description("Requests delivered to a full target without waiting")
+            .build();
+        let refused_offers = meter
+            .u64_counter("lovagelatch.agent.refused_offers")
+            .with_unit("{flow}")
+            .with_description("New flows passed on or reset because of the target's load")
+            .build();
         Self {
             packets: packet_counts(meter),
             response_duration,
             zone_delay,
+            request_wait,
+            excess_requests,
+            refused_offers,
         }
     }
 }
--- a/bins/agent/src/opaque/mod.rs
+++ b/bins/agent/src/opaque/mod.rs
@@ -5,7 +5,9 @@
 //!        callers <-------------- (FlowAgent) <--------+
 //! ```
 
+mod admission;
 mod decision_log;
+mod held_packets;
 mod metrics;
 mod packets;
 mod process;
--- a/bins/agent/src/opaque/packets.rs
+++ b/bins/agent/src/opaque/packets.rs
@@ -10,14 +10,15 @@
 use lovagelatch_domain::{AgentAddress, Moment};
 use lovagelatch_fleet::ProcessClock;
 use lovagelatch_flows::{
-    AgentStep, DelegatedSearch, DropReason, FlowAgent, FlowPacket, FlowUpdate, PacketFrame,
-    PeerFrame, SearchResult, ZoneNotice, is_relayable, read_frame, write_frame,
+    AdmissionEvent, AgentStep, DelegatedSearch, DropReason, FlowAgent, FlowPacket, FlowUpdate,
+    PacketFrame, PeerFrame, SearchResult, ZoneNotice, is_relayable, read_frame, write_frame,
 };
 use lovagelatch_network::{BUFFER_BYTES, ReceiveBatch, SendBatch, wait_readable};
 use lovagelatch_telemetry::EventOutcome;
 use parking_lot::Mutex;
 
 use super::decision_log::DecisionLog;
+use super::held_packets::HeldPackets;
 use super::metrics::{PacketCounts, PacketMetrics, PacketOutcome};
 
 /// How often the load is reported to the balancers that send packets here.
@@ -36,6 +37,8 @@
     pub(crate) received: AtomicU64,
     /// Set to make the packet thread exit.
     pub(crate) shutdown: AtomicBool,
+    /// Set when the packet thread has delivered what it held and exits.
+    pub(crate) ended: AtomicBool,
 }
 
 /// The sockets of the packet path.
@@ -62,6 +65,9 @@
     inbound: SendBatch,
     /// Packets and frames to callers and other processes.
     outbound: SendBatch,
+    held: HeldPackets,
+    /// Decisions that are being executed; empty otherwise.
+    events: Vec<AdmissionEvent>,
     counts: PacketCounts,
     metrics: PacketMetrics,
     log: DecisionLog,
@@ -85,6 +91,8 @@
             receiving: ReceiveBatch::new(),
             inbound: SendBatch::new(),
             outbound: SendBatch::new(),
+            held: HeldPackets::default(),
+            events: Vec::new(),
             counts: metrics.packets.clone(),
             metrics,
             log,
@@ -103,6 +111,9 @@
             let [outbound, frames] = wait_readable(sockets, timeout)?;
             if outbound {
                 self.receive_target_packets()?;
+                // An answer may have freed a place for a held request, which is delivered before
+                // the frames are read.
+                self.flush();
             }
             if frames {
                 self.receive_frames()?;
@@ -110,13 +121,69 @@
             self.flush();
             self.run_periodic();
         }
+        self.deliver_held();
+        self.state.ended.store(true, Ordering::Relaxed);
         Ok(())
     }
 
     fn next_timeout(&self, now: Moment) -> Duration {
-        let report = self.next_report.since(now);
-        let search = self.state.agent.lock().next_search_deadline();
-        search.map_or(report, |deadline| report.min(deadline.since(now)))
+        let agent = self.state.agent.lock();
+        let deadlines = [
+            agent.next_search_deadline(),
+            agent.next_admission_deadline(),
+        ];
+        let deadlines = deadlines.into_iter().flatten();
+        let timeouts = deadlines.map(|deadline| deadline.since(now));
+        timeouts.fold(self.next_report.since(now), Duration::min)
+    }
+
+    /// Delivers all held packets: the process exits.
+    fn deliver_held(&mut self) {
+        self.state.agent.lock().set_leaving();
+        self.release_due(self.state.clock.now());
+        self.flush();
+    }
+
+    /// Delivers the held packets that may not wait any longer.
+    fn release_due(&mut self, now: Moment) {
+        let mut agent = self.state.agent.lock();
+        agent.advance_admission(now);
+        agent.take_admission_events(&mut self.events);
+        drop(agent);
+        self.execute_admission();
+    }
+
+    /// Executes what the admission decided. Held packets of a flow are delivered before any later
+    /// packet of the flow.
+    fn execute_admission(&mut self) {
+        if self.events.is_empty() {
+            return;
+        }
+        let mut events = std::mem::take(&mut self.events);
+        for event in events.drain(..) {
+            match event {
+                AdmissionEvent::Released(delivery) => {
+                    for mut bytes in self.held.take(&delivery.flow) {
+                        self.counts.add(PacketOutcome::Delivered);
+                        write_tag(&mut bytes, 0);
+                        self.deliver(&bytes);
+                    }
+                    self.metrics.record_wait(&delivery);
+                    self.log.request_held(&delivery);
+                }
+                AdmissionEvent::Excess(delivery) => {
+                    self.metrics.count_excess(&delivery);
+                    self.log.request_held(&delivery);
+                }
+                AdmissionEvent::OfferRefused(offer) => {
+                    self.metrics.count_refused_offer(&offer);
+                    self.log.offer_refused(&offer);
+                }
+                AdmissionEvent::CapacityChanged { from, to } => self.log.capacity(from, to),
+            }
+        }
+        // Keeps the allocation.
+        self.events = events;
     }
 
     fn receive_target_packets(&mut self) -> io::Result<()> {
@@ -137,7 +204,9 @@
             let mut agent = self.state.agent.lock();
             let (step, update) = agent.handle_target_packet(&packet, now);
             let response_time = agent.take_response_time();
+            agent.take_admission_events(&mut self.events);
             drop(agent);
+            self.execute_admission();
             if let Some(response_time) = response_time {
                 let seconds = response_time.as_secs_f64();
                 self.metrics.response_duration.record(seconds, &[]);
@@ -177,7 +246,11 @@
         };
         match frame {
             PeerFrame::Packet(frame) => {
-                let (step, update) = self.state.agent.lock().handle_frame(frame, &packet, now);
+                let mut agent = self.state.agent.lock();
+                let (step, update) = agent.handle_frame(frame, &packet, now);
+                agent.take_admission_events(&mut self.events);
+                drop(agent);
+                self.execute_admission();
                 self.execute(step, &packet, bytes);
                 self.send_update(update);
             }
@@ -217,11 +290,11 @@
         bytes: &mut [u8],
         now: Moment,
     ) {
-        let step = self
-            .state
-            .agent
-            .lock()
-            .handle_delegated_search(search, packet, now);
+        let mut agent = self.state.agent.lock();
+        let step = agent.handle_delegated_search(search, packet, now);
+        agent.take_admission_events(&mut self.events);
+        drop(agent);
+        self.execute_admission();
         self.counts.add(PacketOutcome::SearchedFor);
         for (to, frame) in step.remote {
             self.forward(to, frame, bytes);
@@ -257,6 +330,10 @@
                 write_tag(bytes, tag);
                 self.deliver(bytes);
             }
+            AgentStep::Hold => {
+                self.counts.add(PacketOutcome::Held);
+                self.held.push(packet.flow, bytes);
+            }
             AgentStep::Forward { to, frame } => {
                 self.counts.add(PacketOutcome::Passed);
                 self.log.forwarded(packet, to, &frame);
@@ -310,9 +387,11 @@
         self.push_outbound(to.0, |out| write_frame(frame, &[], out));
     }
 
-    /// Ends expired searches, reports the load and expires idle flows, each when due.
+    /// Releases held requests, ends expired searches, reports the load and expires idle flows, each when due.
     fn run_periodic(&mut self) {
         let now = self.state.clock.now();
+        self.release_due(now);
+        self.flush();
         let expired = self.state.agent.lock().expired_searches(now);
         if !expired.is_empty() {
             self.report_searches(expired);
--- a/bins/agent/src/opaque/process.rs
+++ b/bins/agent/src/opaque/process.rs
@@ -26,6 +26,9 @@
 /// reports, so that new flows go elsewhere while its successor starts.
 const STOP_GRACE: Duration = Duration::from_millis(500);
 
+/// How often it is checked whether the packet thread has ended.
+const END_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Runs an agent for opaque packets until it receives a stop signal or its settings change in a
 /// way that needs a restart. `file` is the file that `settings` were read from; it is watched.
 ///
@@ -59,6 +62,7 @@
         clock,
         received: AtomicU64::new(0),
         shutdown: AtomicBool::new(false),
+        ended: AtomicBool::new(false),
     });
     start_packet_path(&settings, &state, packet_metrics, &log)?;
     register_gauges(&metrics.meter(), &state);
@@ -76,10 +80,22 @@
     state.agent.lock().set_leaving();
     tokio::time::sleep(STOP_GRACE.min(common.stop_timeout / 2)).await;
     state.shutdown.store(true, Ordering::Relaxed);
+    wait_for_packet_thread(&state, common.stop_timeout / 4).await;
     info!(log, "agent stopped"; "packets" => state.received.load(Ordering::Relaxed));
     Ok(())
 }
 
+/// Waits until the packet thread has delivered what it held, for at most `timeout`.
+async fn wait_for_packet_thread(state: &PacketState, timeout: Duration) {
+    let wait = async {
+        while !state.ended.load(Ordering::Relaxed) {
+            tokio::time::sleep(END_POLL_INTERVAL).await;
+        }
+    };
+    // A thread that does not end in time has released its requests when the stop was announced.
+    let _timed_out = tokio::time::timeout(timeout, wait).await;
+}
+
 /// Watches the settings file. Returns once the settings differ from those the process was started
 /// with, so that it must restart.
 async fn wait_for_restart(
@@ -194,6 +210,41 @@
             observer.observe(status.load.in_progress.into(), &[]);
         })
         .build();
+    register_admission_gauges(meter, state);
+}
+
+/// Registers the gauges of the admission.
+fn register_admission_gauges(meter: &Meter, state: &Arc<PacketState>) {
+    let observed = Arc::clone(state);
+    let _waiting = meter
+        .u64_observable_gauge("lovagelatch.agent.waiting")
+        .with_unit("{request}")
+        .with_description("Requests held until the target has a place")
+        .with_callback(move |observer| {
+            let status = observed.agent.lock().status(observed.clock.now());
+            observer.observe(status.load.waiting.into(), &[]);
+        })
+        .build();
+    let observed = Arc::clone(state);
+    let _in_service = meter
+        .u64_observable_gauge("lovagelatch.agent.in_service")
+        .with_unit("{request}")
+        .with_description("Requests of routes with a class that the target has not answered")
+        .with_callback(move |observer| {
+            let status = observed.agent.lock().status(observed.clock.now());
+            observer.observe(status.in_service.into(), &[]);
+        })
+        .build();
+    let observed = Arc::clone(state);
+    let _full = meter
+        .u64_observable_gauge("lovagelatch.agent.capacity")
+        .with_unit("{request}")
+        .with_description("Requests that the target holds before it rejects further ones")
+        .with_callback(move |observer| {
+            let status = observed.agent.lock().status(observed.clock.now());
+            observer.observe(status.full.into(), &[]);
+        })
+        .build();
 }
 
 fn status_json(state: &PacketState) -> serde_json::Value {
@@ -201,6 +252,9 @@
     let zones_read = StorePosition::from_table_revision(status.load.zones_revision);
     serde_json::json!({
         "in_progress": status.load.in_progress,
+        "waiting": status.load.waiting,
+        "in_service": status.in_service,
+        "full": status.full,
         "average": f64::from(status.load.average_milli) / 1_000.0,
         "flows": status.load.flows,
         "remembered": status.remembered,
--- a/crates/flows/src/agent.rs
+++ b/crates/flows/src/agent.rs
@@ -4,19 +4,25 @@
 //! was started while the target was running. In that case it first delivers packets of unknown
 //! flows to its own target: the target holds the flow and answers, or returns the packet.
 
+mod admission;
 mod entry;
 mod health;
 mod inbound;
 mod outbound;
+mod requests;
 mod warmup;
 mod zone;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 use lovagelatch_domain::{AgentAddress, Moment, ServiceId};
 
-use self::entry::{AbsentFlow, EntryState, FlowEntry, TentativeDelivery};
+use self::admission::Admission;
+pub use self::admission::{
+    AdmissionEvent, AdmissionOrder, DeliveryReason, OfferRefusal, RefusedOffer, RequestDelivery,
+};
+use self::entry::{AbsentFlow, EntryState, FlowEntry, RequestPhase, TentativeDelivery};
 use self::health::TargetHealth;
 use self::warmup::WarmupGate;
 use self::zone::ZoneState;
@@ -53,6 +59,10 @@
 /// milliseconds.
 const OPENING_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// How long a flow that has not opened counts against the limit of the target's flows: its client
+/// gives up after 1.4 s.
+const HALF_OPEN_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// Time constant of the exponential moving average of the load.
 const LOAD_AVERAGE_TIME_CONSTANT: Duration = Duration::from_secs(1);
 
@@ -128,6 +138,9 @@
         /// target is known to hold.
         tag: u32,
     },
+    /// Hold it after the other held packets of its flow, until an [`AdmissionEvent::Released`]
+    /// names the flow. It is then delivered with tag 0.
+    Hold,
     /// Send it to the next agent.
     Forward {
         /// The next agent.
@@ -169,6 +182,10 @@
     pub remembered: usize,
     /// Whether it knows every flow of its target.
     pub knows_all_flows: bool,
+    /// Requests of routes with a class that were delivered and not yet answered.
+    pub in_service: u16,
+    /// The learned capacity of the target, in requests.
+    pub full: u16,
 }
 
 /// State machine of an agent: packets, frames and the time come in, steps come out.
@@ -184,6 +201,13 @@
     next_tag: u32,
     in_progress: u16,
     open: u32,
+    /// Flows that count against the limit of the target's flows.
+    held_flows: u32,
+    admission: Admission,
+    /// Number of flows in [`RequestPhase::Opening`].
+    openings: u16,
+    /// When each of these flows was added, oldest first; other entries are outdated.
+    opening_times: VecDeque<(Moment, FlowKey)>,
     average_load: f32,
     average_updated: Moment,
     /// When the oldest first packet since the target's last packet was delivered; `None` if there is
@@ -222,6 +246,10 @@
             next_tag: 0,
             in_progress: 0,
             open: 0,
+            held_flows: 0,
+            admission: Admission::new(),
+            openings: 0,
+            opening_times: VecDeque::new(),
             average_load: 0.0,
             average_updated: now,
             unanswered_since: None,
@@ -236,6 +264,13 @@
         }
     }
 
+    /// Sets the order in which waiting requests are delivered.
+    #[must_use]
+    pub fn with_admission_order(mut self, order: AdmissionOrder) -> Self {
+        self.admission.set_order(order);
+        self
+    }
+
     /// Marks the agent as stopping in all later reports and updates.
     pub fn set_leaving(&mut self) {
         self.leaving = true;
@@ -285,6 +320,8 @@
             load: self.load(now),
             remembered: self.flows.len(),
             knows_all_flows: self.knows_all_flows(now),
+            in_service: self.admission.in_service(),
+            full: self.admission.full(now),
         }
     }
 
@@ -310,6 +347,7 @@
         self.flows.expire_idle(idle, now);
         self.absent.expire_idle(idle, now);
         let (mut waiting, mut open) = (0_u16, 0_u32);
+        let (mut held_flows, mut openings) = (0_u32, 0_u16);
         self.flows.visit(|_, entry| {
             let opening = matches!(entry.state, EntryState::Offered | EntryState::Answered);
             let timeout = if opening {
@@ -323,9 +361,16 @@
             }
             waiting = waiting.saturating_add(u16::from(entry.waiting_since.is_some()));
             open += u32::from(entry.state == EntryState::Open);
+            if opening && now.since(entry.last_active) > HALF_OPEN_TIMEOUT {
+                entry.counted = false;
+            }
+            held_flows += u32::from(entry.counted);
+            openings += u16::from(entry.phase == RequestPhase::Opening);
         });
         self.in_progress = waiting;
         self.open = open;
+        self.held_flows = held_flows;
+        self.openings = openings;
     }
 
     fn knows_all_flows(&self, now: Moment) -> bool {
@@ -358,7 +403,7 @@
         subscriber.or_insert(new).last_heard = now;
     }
 
-    fn remove_flow(&mut self, flow: &FlowKey) -> Option<FlowEntry> {
+    fn remove_flow(&mut self, flow: &FlowKey, now: Moment) -> Option<FlowEntry> {
         let entry = self.flows.remove(flow)?;
         if entry.waiting_since.is_some() {
             self.in_progress = self.in_progress.saturating_sub(1);
@@ -366,6 +411,8 @@
         if entry.state == EntryState::Open {
             self.open = self.open.saturating_sub(1);
         }
+        self.held_flows -= u32::from(entry.counted).min(self.held_flows);
+        self.end_phase(flow, entry.phase, false, now);
         Some(entry)
     }
 
@@ -377,7 +424,8 @@
     fn update_average(&mut self, now: Moment) {
         let elapsed = now.since(self.average_updated).as_secs_f32();
         let decay = (-(elapsed / LOAD_AVERAGE_TIME_CONSTANT.as_secs_f32())).exp();
-        self.average_load = self.average_load * decay + f32::from(self.in_progress) * (1.0 - decay);
+        let requests = f32::from(self.in_progress) + f32::from(self.admission.waiting());
+        self.average_load = self.average_load * decay + requests * (1.0 - decay);
         self.average_updated = now;
     }
 
@@ -396,7 +444,7 @@
             zones_revision: self.zone.revision,
             evacuated: self.zone.evacuated,
             room: self.warmup.room(now),
-            waiting: 0,
+            waiting: self.admission.waiting(),
             service_time_us: None,
         }
     }
--- a/crates/flows/src/agent/entry.rs
+++ b/crates/flows/src/agent/entry.rs
@@ -5,6 +5,7 @@
 
 use crate::flow_table::LastActive;
 use crate::frame::{Candidate, FramePurpose, PacketFrame, RequestClass};
+use crate::packet::FlowPacket;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum EntryState {
@@ -18,6 +19,19 @@
     Closed,
 }
 
+/// The part of a flow's request in the admission. Always `Idle` where no class is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RequestPhase {
+    /// The flow has no request that the admission knows.
+    Idle,
+    /// The flow is about to open, and counts as a request that will come.
+    Opening,
+    /// The request waits, and further packets of the client with it.
+    Waiting,
+    /// The request was delivered, with this number.
+    Delivered(u64),
+}
+
 #[derive(Clone, Copy, Debug)]
 pub(super) struct FlowEntry {
     pub(super) state: EntryState,
@@ -32,6 +46,11 @@
     pub(super) client_end: Option<u32>,
     /// When the request in progress was sent to the target; `None` without one.
     pub(super) waiting_since: Option<Moment>,
+    pub(super) phase: RequestPhase,
+    /// The end of the target's data so far, to tell an answer from a retransmission.
+    pub(super) target_end: Option<u32>,
+    /// Whether the flow counts against the limit of the target's flows.
+    pub(super) counted: bool,
 }
 
 impl LastActive for FlowEntry {
@@ -50,8 +69,30 @@
             notified: false,
             client_end: None,
             waiting_since: None,
+            phase: RequestPhase::Idle,
+            target_end: None,
+            counted: true,
         }
     }
+
+    /// Records the end of a client's data. Returns whether it is new, not a retransmission.
+    pub(super) fn record_client_data(&mut self, packet: &FlowPacket) -> bool {
+        advance_end(&mut self.client_end, packet)
+    }
+
+    /// Records the end of the target's data. Returns whether it is new, not a retransmission.
+    pub(super) fn record_target_data(&mut self, packet: &FlowPacket) -> bool {
+        packet.data_bytes > 0 && advance_end(&mut self.target_end, packet)
+    }
+}
+
+fn advance_end(known_end: &mut Option<u32>, packet: &FlowPacket) -> bool {
+    let end = packet.sequence.wrapping_add(packet.data_bytes.into());
+    let is_new = known_end.is_none_or(|known| end.wrapping_sub(known).cast_signed() > 0);
+    if is_new {
+        *known_end = Some(end);
+    }
+    is_new
 }
 
 /// The routing part of a packet frame: who sent it, and where it is forwarded if it is not for
--- a/crates/flows/src/agent/inbound.rs
+++ b/crates/flows/src/agent/inbound.rs
@@ -2,7 +2,7 @@
 
 use lovagelatch_domain::{AgentAddress, Moment};
 
-use super::entry::{EntryState, FlowEntry, FrameOrigin, TentativeDelivery};
+use super::entry::{EntryState, FlowEntry, FrameOrigin, RequestPhase, TentativeDelivery};
 use super::warmup::WarmupAdmission;
 use super::{
     AgentStep, DOWN_TARGET_RETRY_INTERVAL, DelegatedStep, DropReason, FlowAgent, MAX_TENTATIVE,
@@ -40,10 +40,12 @@
             let initial = entry.target_sequence.unwrap_or_default();
             if packet.acknowledged.wrapping_sub(initial) > OPENING_ACK_WINDOW {
                 // The client accepted another target's answer.
+                self.end_opening(&packet.flow);
                 return self.forward(packet, frame.into(), now);
             }
             entry.state = EntryState::Open;
             self.open += 1;
+            self.held_flows += u32::from(!std::mem::replace(&mut entry.counted, true));
         }
         if entry.state == EntryState::Offered {
             return self.forward(packet, frame.into(), now);
@@ -58,14 +60,14 @@
             entry.notified = false;
         }
         let notify = !std::mem::replace(&mut entry.notified, true);
-        self.record_request(packet, now);
+        let step = self.admit_packet(packet, now);
         let update = notify.then(|| {
             (
                 frame.balancer,
                 self.flow_update(packet.flow, FlowEvent::Opened, now),
             )
         });
-        (AgentStep::Deliver { tag: 0 }, update)
+        (step, update)
     }
 
     /// Returns whether the packet belongs to a flow that the target accepted or was offered. Such a
@@ -132,10 +134,14 @@
         packet: &FlowPacket,
         now: Moment,
     ) -> (AgentStep, Option<(AgentAddress, FlowUpdate)>) {
+        self.learn_class(&frame, packet);
+        self.expire_openings(now);
         let known = self.flows.get(&packet.flow).map(|entry| entry.state);
         let failing = self.health.is_failing(self.in_progress, now);
-        let unavailable =
-            self.leaving || failing || !self.is_responsive(now) || self.is_busy(frame.slots);
+        // Where a class is known, the admission decides whether the target is busy.
+        let has_class = self.admission.class(&packet.flow.service_address).is_some();
+        let busy = !has_class && self.is_busy(frame.slots);
+        let unavailable = self.leaving || failing || !self.is_responsive(now) || busy;
         // A copy of a first packet that the target has not answered is one more flow to it: the
         // process that received the first one may have ended, and this copy may be the first that
         // its successor receives.
@@ -162,6 +168,10 @@
             if !admitted || warmup.is_denied() || (unavailable && !last) {
                 return self.forward(packet, frame.into(), now);
             }
+            if let Some(refusal) = self.offer_refusal(&frame, &packet.flow, now) {
+                self.report_refused_offer(packet.flow, refusal, !last, now);
+                return self.forward(packet, frame.into(), now);
+            }
             let entry = FlowEntry::new(EntryState::Offered, Some(frame.balancer), now);
             self.add_opening_flow(packet.flow, entry, now);
         }
@@ -171,6 +181,16 @@
         (AgentStep::Deliver { tag }, None)
     }
 
+    /// Records the class that an offer names for the requests of its route.
+    fn learn_class(&mut self, frame: &PacketFrame, packet: &FlowPacket) {
+        if let Some(class) = &frame.class
+            && frame.service == self.settings.service
+        {
+            self.admission
+                .learn(packet.flow.service_address, class, frame.slots);
+        }
+    }
+
     /// Records that a first packet is delivered to the target. If the target was last found not
     /// listening, this packet is the retry, and later offers wait for its outcome.
     fn record_offer(&mut self, now: Moment) {
@@ -262,30 +282,36 @@
     /// request arrives, and keeps far more long flows than it can serve.
     pub(super) fn add_opening_flow(&mut self, flow: FlowKey, mut entry: FlowEntry, now: Moment) {
         entry.waiting_since = Some(now);
+        self.start_opening(flow, &mut entry, now);
         let lifetime = self.settings.flow_lifetime;
         if self.flows.insert(flow, entry, lifetime, now) {
             self.change_in_progress(1, now);
+            self.held_flows += 1;
+            self.openings += u16::from(entry.phase == RequestPhase::Opening);
         }
     }
 
     /// Counts a client's packet with new data as a request, unless the flow has one in progress.
-    pub(super) fn record_request(&mut self, packet: &FlowPacket, now: Moment) {
+    /// Returns whether it is delivered or held.
+    pub(super) fn record_request(&mut self, packet: &FlowPacket, now: Moment) -> AgentStep {
+        let deliver = AgentStep::Deliver { tag: 0 };
         if packet.data_bytes == 0 {
-            return;
+            return deliver;
         }
-        let end = packet.sequence.wrapping_add(packet.data_bytes.into());
         let Some(entry) = self.flows.get_mut(&packet.flow) else {
-            return;
+            return deliver;
         };
-        let is_new = entry
-            .client_end
-            .is_none_or(|known| end.wrapping_sub(known).cast_signed() > 0);
-        if !is_new {
-            return;
+        if !entry.record_client_data(packet) {
+            return deliver;
+        }
+        let begins = entry.phase == RequestPhase::Opening || entry.waiting_since.is_none();
+        let address = &packet.flow.service_address;
+        if begins && self.admission.class(address).is_some() {
+            return self.admit_request(packet, now);
         }
-        entry.client_end = Some(end);
         if entry.waiting_since.replace(now).is_none() {
             self.change_in_progress(1, now);
         }
+        deliver
     }
 }
--- a/crates/flows/src/agent/outbound.rs
+++ b/crates/flows/src/agent/outbound.rs
@@ -4,7 +4,7 @@
 
 use lovagelatch_domain::{AgentAddress, Moment};
 
-use super::entry::{AbsentFlow, EntryState, FlowEntry, TentativeDelivery};
+use super::entry::{AbsentFlow, EntryState, FlowEntry, RequestPhase, TentativeDelivery};
 use super::{AgentStep, DropReason, FlowAgent, MAX_TENTATIVE, REFUSED_BACKOFF};
 use crate::frame::{FlowEvent, FlowUpdate};
 use crate::packet::FlowPacket;
@@ -62,7 +62,7 @@
                     // target.
                     return (AgentStep::Drop(DropReason::FlowEnded), None);
                 }
-                self.remove_flow(&packet.flow);
+                self.remove_flow(&packet.flow, now);
                 if self.in_progress == 0 {
                     // The target is idle, so it is not full: it has just ended or started.
                     self.warmup.record_down(now);
@@ -76,7 +76,7 @@
         }
         // The flow was here and the target no longer holds it: it restarted, or evicted an old
         // flow. No other target holds it either.
-        let Some(entry) = self.remove_flow(&packet.flow) else {
+        let Some(entry) = self.remove_flow(&packet.flow, now) else {
             return (AgentStep::Drop(DropReason::UnknownFlow), None);
         };
         if entry.state == EntryState::Open {
@@ -102,7 +102,8 @@
             if !answers_offer && !packet.flags.rst {
                 let entry = FlowEntry::new(EntryState::Open, None, now);
                 let lifetime = self.settings.flow_lifetime;
-                self.flows.insert(flow, entry, lifetime, now);
+                let inserted = self.flows.insert(flow, entry, lifetime, now);
+                self.held_flows += u32::from(inserted);
                 self.open += 1;
                 self.warmup.record_older_target();
             }
@@ -112,16 +113,24 @@
         if answers_offer {
             return self.record_offer_answer(packet, now);
         }
-        let answered = packet.data_bytes > 0 || packet.flags.fin || packet.flags.rst;
+        let is_new = entry.record_target_data(packet);
+        let repeated = matches!(entry.phase, RequestPhase::Delivered(_)) && !is_new;
+        let ended = packet.flags.fin || packet.flags.rst;
+        let answered = (packet.data_bytes > 0 && !repeated) || ended;
         let waiting_since = if answered {
             entry.waiting_since.take()
         } else {
             None
         };
-        let ended = packet.flags.fin || packet.flags.rst;
         let was_open = entry.state == EntryState::Open;
+        let phase = if ended || waiting_since.is_some() {
+            std::mem::replace(&mut entry.phase, RequestPhase::Idle)
+        } else {
+            RequestPhase::Idle
+        };
         if ended {
             entry.state = EntryState::Closed;
+            self.held_flows -= u32::from(std::mem::take(&mut entry.counted)).min(self.held_flows);
         }
         if let Some(since) = waiting_since {
             self.response_time = Some(now.since(since));
@@ -135,6 +144,7 @@
         if ended && was_open {
             self.open = self.open.saturating_sub(1);
         }
+        self.end_phase(&flow, phase, packet.data_bytes > 0, now);
         None
     }
 
@@ -153,7 +163,7 @@
             return None;
         }
         let balancer = entry.balancer;
-        self.remove_flow(&packet.flow);
+        self.remove_flow(&packet.flow, now);
         let mut entry = FlowEntry::new(EntryState::Answered, balancer, now);
         entry.target_sequence = Some(packet.sequence);
         self.add_opening_flow(packet.flow, entry, now);
--- a/crates/flows/src/frame.rs
+++ b/crates/flows/src/frame.rs
@@ -220,7 +220,7 @@
     pub in_progress: u16,
     /// Number of open flows.
     pub flows: u32,
-    /// Average of `in_progress` over about a second, in thousandths.
+    /// Average of `in_progress` plus `waiting` over about a second, in thousandths.
     pub average_milli: u32,
     /// Whether the target answers first packets, as far as the agent knows.
     pub responsive: bool,
--- a/crates/flows/src/lib.rs
+++ b/crates/flows/src/lib.rs
@@ -28,7 +28,9 @@
 mod view;
 
 pub use agent::{
-    AgentSettings, AgentStatus, AgentStep, DelegatedStep, DropReason, FlowAgent, WarmupSettings,
+    AdmissionEvent, AdmissionOrder, AgentSettings, AgentStatus, AgentStep, DelegatedStep,
+    DeliveryReason, DropReason, FlowAgent, OfferRefusal, RefusedOffer, RequestDelivery,
+    WarmupSettings,
 };
 pub use balancer::{
     BalancerStep, DueOffer, DueSearch, FlowBalancer, FlowReset, LossReason, PlacedFlow,
--- a/crates/flows/tests/all/main.rs
+++ b/crates/flows/tests/all/main.rs
@@ -1,5 +1,8 @@
 //! Tests of the decisions about flows of opaque packets.
 
+mod admission;
+mod admission_offers;
+mod admission_rig;
 mod agent;
 mod balancer;
 mod delegated_search;
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -47,11 +47,17 @@
     ZoneChanged,
     /// The store lists several targets at an address, and one of them is in force.
     EntrySuperseded,
+    /// A request waited at an agent, or was delivered to a full target without waiting.
+    RequestHeld,
+    /// A new flow was passed on or refused because of the target's load.
+    OfferRefused,
+    /// An agent's estimate of how many requests its target holds changed.
+    CapacityChanged,
 }
 
 impl DecisionKind {
     /// Every kind.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 20] = [
         Self::FlowPlaced,
         Self::FlowHandedOn,
         Self::FlowAccepted,
@@ -69,6 +75,9 @@
         Self::ViewCoverage,
         Self::ZoneChanged,
         Self::EntrySuperseded,
+        Self::RequestHeld,
+        Self::OfferRefused,
+        Self::CapacityChanged,
     ];
 
     /// Returns its value in the log field `decision`.
@@ -92,6 +101,9 @@
             Self::ViewCoverage => "view_coverage",
             Self::ZoneChanged => "zone_changed",
             Self::EntrySuperseded => "entry_superseded",
+            Self::RequestHeld => "request_held",
+            Self::OfferRefused => "offer_refused",
+            Self::CapacityChanged => "capacity_changed",
         }
     }
 }
--- a/tests/matrix/src/opaque/process.rs
+++ b/tests/matrix/src/opaque/process.rs
@@ -9,7 +9,7 @@
     AgentSettings, FlowAgent, FlowBalancer, FlowView, FlowViewBuilder, ViewSettings, WarmupSettings,
 };
 
-use super::network::Datagram;
+use super::network::{Datagram, Packet};
 use super::target::Target;
 
 /// Longest lifetime of a flow, shortened for the simulation.
@@ -76,6 +76,8 @@
     pub(crate) paused: bool,
     /// Datagrams that arrived while the agent was paused.
     pub(crate) queued: Vec<Datagram>,
+    /// Packets that the agent holds, in the order of their arrival.
+    pub(crate) held: Vec<Packet>,
     /// Whether the store lists the target.
     pub(crate) listed: bool,
     /// Number in the name of its entry: that of the first start with this name.
@@ -100,6 +102,7 @@
             running: true,
             paused: false,
             queued: Vec::new(),
+            held: Vec::new(),
             listed: true,
             name_number,
             keeps_name: false,
@@ -115,6 +118,7 @@
         self.running = true;
         self.paused = false;
         self.queued.clear();
+        self.held.clear();
     }
 }
 
--- a/tests/matrix/src/opaque/world.rs
+++ b/tests/matrix/src/opaque/world.rs
@@ -10,8 +10,8 @@
 };
 use lovagelatch_domain::{AgentAddress, ConfigRevision, Moment, ServiceId, ServiceName};
 use lovagelatch_flows::{
-    AgentStep, BalancerStep, DueSearch, FlowKey, FlowReset, FlowUpdate, PacketFrame, PeerFrame,
-    SearchFrames, SearchResult, ZoneNotice,
+    AdmissionEvent, AgentStep, BalancerStep, DueSearch, FlowKey, FlowReset, FlowUpdate,
+    PacketFrame, PeerFrame, SearchFrames, SearchResult, ZoneNotice,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -581,6 +581,7 @@
                         Some(packet),
                     ));
                 }
+                self.deliver_released(at);
                 self.execute_agent_step(at, step.local, packet);
                 self.send_flow_update(at, step.update);
                 return;
@@ -607,6 +608,7 @@
                 .unwrap_or(head.acknowledged);
         }
         let (step, update) = machine.logic.handle_frame(frame, &head, now);
+        self.deliver_released(at);
         self.execute_agent_step(at, step, packet);
         self.send_flow_update(at, update);
     }
@@ -622,6 +624,7 @@
             return;
         }
         let (step, update) = machine.logic.handle_target_packet(&packet.head, now);
+        self.deliver_released(at);
         let mut packet = packet;
         packet.head.flags.returned = false;
         packet.head.tag = 0;
@@ -629,6 +632,22 @@
         self.send_flow_update(at, update);
     }
 
+    /// Delivers the held packets of the flows that the agent released.
+    fn deliver_released(&mut self, at: usize) {
+        let mut events = Vec::new();
+        self.machines[at].logic.take_admission_events(&mut events);
+        for event in events {
+            let AdmissionEvent::Released(delivery) = event else {
+                continue;
+            };
+            let of_flow = |packet: &mut Packet| packet.head.flow == delivery.flow;
+            let released: Vec<_> = self.machines[at].held.extract_if(.., of_flow).collect();
+            for packet in released {
+                self.send(Datagram::ToTarget(at, packet));
+            }
+        }
+    }
+
     fn execute_agent_step(&mut self, at: usize, step: AgentStep, packet: Packet) {
         match step {
             AgentStep::Deliver { tag } => {
@@ -636,6 +655,7 @@
                 packet.head.tag = tag;
                 self.send(Datagram::ToTarget(at, packet));
             }
+            AgentStep::Hold => self.machines[at].held.push(packet),
             AgentStep::Forward { to, frame } => {
                 self.send(Datagram::FrameToAgent(
                     to,
@@ -866,6 +886,8 @@
         for at in 0..self.machines.len() {
             if self.machines[at].running && !self.machines[at].paused {
                 let now = self.now();
+                self.machines[at].logic.advance_admission(now);
+                self.deliver_released(at);
                 let ended = self.machines[at].logic.expired_searches(now);
                 self.send_search_results(at, ended);
             }
