Test all faults of opaque flows while requests wait at agents

The matrix had three clients, so no request ever waited. A new run gives each route an objective, each target one slot, and adds 24 clients. The fake target's answers on one flow now have ascending sequence numbers, because an agent tells a repeated answer from a new one by them.

--- a/tests/matrix/src/opaque/history.rs
+++ b/tests/matrix/src/opaque/history.rs
@@ -26,6 +26,11 @@
 pub enum OpaqueEvent {
     /// A fault was injected; the text names the fault and the step.
     Fault(String),
+    /// An agent held a client's packet until its target has a place.
+    Held {
+        /// The flow.
+        flow: FlowKey,
+    },
     /// A target accepted the first packet of a flow.
     Accepted {
         /// The flow.
@@ -140,6 +145,16 @@
     }
 }
 
+impl OpaqueHistory {
+    /// Returns the number of packets that agents held.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        let events = self.events.iter();
+        let held = events.filter(|(_, event)| matches!(event, OpaqueEvent::Held { .. }));
+        held.count()
+    }
+}
+
 impl RunHistory for OpaqueHistory {
     fn violations(&self) -> BTreeMap<&'static str, usize> {
         let checked = GUARANTEES.iter().map(|(name, check)| (*name, check(self)));
--- a/tests/matrix/src/opaque/mod.rs
+++ b/tests/matrix/src/opaque/mod.rs
@@ -229,3 +229,12 @@
 ) -> OpaqueHistory {
     OpaqueWorld::new(plan.clone(), mechanisms, fleet).run()
 }
+
+/// Runs flows of routes with a latency objective with the faults of a plan. `clients` more clients
+/// than usual keep the targets so busy that requests wait at their agents.
+#[must_use]
+pub fn run_opaque_busy(plan: &FaultPlan<OpaqueFault, OpaqueStep>, clients: u8) -> OpaqueHistory {
+    let (mechanisms, fleet) = (OpaqueMechanisms::default(), OpaqueFleet::default());
+    let world = OpaqueWorld::new(plan.clone(), mechanisms, fleet);
+    world.with_objectives(clients).run()
+}
--- a/tests/matrix/src/opaque/target.rs
+++ b/tests/matrix/src/opaque/target.rs
@@ -12,15 +12,42 @@
 /// Time that a request takes.
 pub(crate) const WORK_TIME_MS: u64 = 25;
 
+const RESPONSE_BYTES: u16 = 400;
+
 #[derive(Clone, Debug)]
 struct TargetFlow {
     initial_sequence: u32,
     open: bool,
     /// Requests that ran or are running, with whether the response is ready.
     requests: HashMap<u64, bool>,
+    /// Requests in the order of their responses, which gives the sequence number of each.
+    answered: Vec<u64>,
     closed: bool,
 }
 
+impl TargetFlow {
+    fn response(&self, flow: FlowKey, request: u64) -> Packet {
+        let answered = self.answered.iter().position(|known| *known == request);
+        let offset = u32::try_from(answered.unwrap_or_default()).unwrap_or_default();
+        let offset = offset * u32::from(RESPONSE_BYTES);
+        let head = FlowPacket {
+            flow,
+            flags: PacketFlags {
+                ack: true,
+                ..PacketFlags::default()
+            },
+            sequence: self.initial_sequence.wrapping_add(1 + offset),
+            acknowledged: 0,
+            data_bytes: RESPONSE_BYTES,
+            tag: 0,
+        };
+        Packet {
+            head,
+            request: Some(request),
+        }
+    }
+}
+
 /// How a target handles a packet.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum TargetAction {
@@ -108,7 +135,7 @@
             }
             Some(false) => (TargetAction::Ignore, progress),
             Some(true) => (
-                TargetAction::Send(response(head.flow, flow.initial_sequence, request)),
+                TargetAction::Send(flow.response(head.flow, request)),
                 progress,
             ),
         }
@@ -134,6 +161,7 @@
                 initial_sequence,
                 open: false,
                 requests: HashMap::new(),
+                answered: Vec::new(),
                 closed: false,
             };
             self.flows.insert(flow, held);
@@ -168,7 +196,8 @@
         let leaving = self.leaving;
         let held = self.flows.get_mut(flow).filter(|_| self.running)?;
         held.requests.insert(request, true);
-        let mut packet = response(*flow, held.initial_sequence, request);
+        held.answered.push(request);
+        let mut packet = held.response(*flow, request);
         if leaving {
             held.closed = true;
             packet.head.flags.fin = true;
@@ -204,21 +233,3 @@
         request: None,
     }
 }
-
-fn response(flow: FlowKey, initial_sequence: u32, request: u64) -> Packet {
-    let head = FlowPacket {
-        flow,
-        flags: PacketFlags {
-            ack: true,
-            ..PacketFlags::default()
-        },
-        sequence: initial_sequence.wrapping_add(1),
-        acknowledged: 0,
-        data_bytes: 400,
-        tag: 0,
-    };
-    Packet {
-        head,
-        request: Some(request),
-    }
-}
--- a/tests/matrix/src/opaque/world.rs
+++ b/tests/matrix/src/opaque/world.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use lovagelatch_catalog::{
-    Catalog, EvacuatedZone, PublishedRoute, PublishedTarget, RouteShare, TargetName, TargetRow,
-    TargetStart,
+    Catalog, EvacuatedZone, PublishedRoute, PublishedTarget, RequestPolicy, RouteShare, TargetName,
+    TargetRow, TargetStart,
 };
 use lovagelatch_domain::{AgentAddress, ConfigRevision, Moment, ServiceId, ServiceName};
 use lovagelatch_flows::{
@@ -95,6 +95,8 @@
     pub(crate) balancers: Vec<Balancer>,
     pub(crate) machines: Vec<Machine>,
     clients: Vec<Client>,
+    /// The slots of each target in the store.
+    slots: u16,
     pub(crate) routes: Vec<PublishedRoute>,
     /// The services that each address has been routed to during the run.
     allowed: HashMap<SocketAddrV4, Vec<ServiceId>>,
@@ -143,6 +145,7 @@
             balancers: Vec::new(),
             machines: Vec::new(),
             clients: Vec::new(),
+            slots: 3,
             routes: vec![route(1, claims()), route(2, claims()), route(3, vault())],
             allowed: HashMap::new(),
             version: 1,
@@ -166,6 +169,30 @@
         world
     }
 
+    /// Gives each route a latency objective and each target a single slot, and adds clients, so that
+    /// requests wait at the agents.
+    pub(crate) fn with_objectives(mut self, clients: u8) -> Self {
+        self.slots = 1;
+        for (priority, route) in (0..).zip(&mut self.routes) {
+            route.policy = Some(RequestPolicy {
+                priority,
+                aim_ms: 400,
+                timeout_ms: 2_000,
+            });
+        }
+        for number in 4..4 + clients {
+            let route = (number - 1) % 3 + 1;
+            let client = Client::new(number, address(route), route != 2, REQUESTS_PER_CLIENT);
+            self.clients.push(client);
+        }
+        let now = self.now();
+        let catalog = self.catalog();
+        for balancer in &mut self.balancers {
+            balancer.apply_catalog(catalog.clone(), now);
+        }
+        self
+    }
+
     fn populate(&mut self, fleet: OpaqueFleet) {
         for number in 1..=fleet.claims {
             self.add_machine(number, &claims());
@@ -334,7 +361,7 @@
             service: service.expect("a known service"),
             address: SocketAddrV4::new(*machine.agent.0.ip(), 8_000),
             zone: machine.zone.parse().expect("a zone"),
-            slots: 3,
+            slots: self.slots,
             leaving: machine.target.leaving && self.mechanisms.leaving,
             warming_ms: 0,
             start: TargetStart(machine.target.start.into()),
@@ -655,7 +682,11 @@
                 packet.head.tag = tag;
                 self.send(Datagram::ToTarget(at, packet));
             }
-            AgentStep::Hold => self.machines[at].held.push(packet),
+            AgentStep::Hold => {
+                let flow = packet.head.flow;
+                self.record(OpaqueEvent::Held { flow });
+                self.machines[at].held.push(packet);
+            }
             AgentStep::Forward { to, frame } => {
                 self.send(Datagram::FrameToAgent(
                     to,
--- a/tests/matrix/tests/all/opaque.rs
+++ b/tests/matrix/tests/all/opaque.rs
@@ -1,8 +1,10 @@
 //! Flows of opaque packets under every fault at every step.
 
+use std::sync::atomic::{AtomicUsize, Ordering};
+
 use lovagelatch_matrix::opaque::{
     OPAQUE_FAULTS, OPAQUE_STEPS, OpaqueFault, OpaqueFleet, OpaqueMechanisms, OpaqueStep,
-    run_opaque, run_opaque_fleet,
+    run_opaque, run_opaque_busy, run_opaque_fleet,
 };
 use lovagelatch_matrix::{FaultPlan, MatrixReport, RunHistory};
 
@@ -40,6 +42,25 @@
     report.assert_no_violations();
 }
 
+/// Clients beside the first three that make requests wait.
+const BUSY_CLIENTS: u8 = 24;
+
+// Guards against the same failures while requests wait at the agents: whichever process fails, a
+// held packet must not lead to a reset, reach another target or make a request run twice.
+#[test]
+fn every_fault_while_requests_wait() {
+    let held = AtomicUsize::new(0);
+    let mut report = MatrixReport::new("opaque flow, one fault while requests wait");
+    report.run_single_faults(&OPAQUE_FAULTS, &OPAQUE_STEPS, 0..1, |plan| {
+        let history = run_opaque_busy(plan, BUSY_CLIENTS);
+        held.fetch_add(history.held(), Ordering::Relaxed);
+        history
+    });
+    report.assert_no_violations();
+    let held = held.into_inner();
+    assert!(held > 1_000, "only {held} packets were held");
+}
+
 // Guards against the same failures under two faults, or under one fault twice.
 #[test]
 fn two_faults_at_once() {
