Compare admission orders, and learn how long a route's requests wait

Under overload a third of the less urgent requests that waited were released by their bound: the expected wait does not know the more urgent requests that arrive later. Each of them lost its wait and was late or rejected.

Change: a request whose bound expires raises the expected wait of its route's next ones, and one that is released in time lowers it.

--- a/crates/flows/src/agent/admission.rs
+++ b/crates/flows/src/agent/admission.rs
@@ -144,7 +144,7 @@
             DeliveryReason::AgentStops
         } else if !self.queue.has_room(bytes) {
             DeliveryReason::QueueFull
-        } else if self.expected_wait(ahead, 0, now) > bound {
+        } else if self.expected_wait(ahead, 0, now).mul_f64(known.wait_factor) > bound {
             DeliveryReason::BoundTooShort
         } else {
             let request = WaitingRequest {
@@ -175,6 +175,7 @@
             return None;
         }
         let next = self.queue.pop(self.service_time.mean(), now)?;
+        self.classes.record_wait(&next.key.address, true);
         self.push_released(&next.waiting, DeliveryReason::PlaceFree, now);
         let slots = self.capacity.slots();
         let number = self.delivered.push(next.key, next.charge, slots, now);
@@ -191,6 +192,9 @@
         };
         let mut released = SmallVec::new();
         for request in due {
+            if reason == DeliveryReason::BoundExpired {
+                self.classes.record_wait(&request.route.address, false);
+            }
             self.push_released(&request, reason, now);
             released.push((request.flow, self.start_excess(request.route, now)));
         }
--- a/crates/flows/src/agent/admission/class_table.rs
+++ b/crates/flows/src/agent/admission/class_table.rs
@@ -41,11 +41,34 @@
     }
 }
 
+/// By how much a request whose bound expired raises the expected wait of the route's next ones. With
+/// [`WAIT_FACTOR_DECREASE`], about a tenth of the waiting requests expire under lasting overload.
+const WAIT_FACTOR_INCREASE: f64 = 1.2;
+
+/// By how much a request that was released in time lowers the expected wait again.
+const WAIT_FACTOR_DECREASE: f64 = 0.98;
+
+/// Upper bound of the correction of the expected wait.
+const MAX_WAIT_FACTOR: f64 = 16.0;
+
 /// A route's class and what was learned about its requests.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct RouteClass {
     pub(super) class: RequestClass,
     pub(super) service_time: ServiceEstimate,
+    /// Correction of the expected wait: more urgent requests that arrive later delay a waiting
+    /// one, and a target may be slower than learned. Invariant: at least 1.
+    pub(super) wait_factor: f64,
+}
+
+impl RouteClass {
+    fn new(class: &RequestClass) -> Self {
+        Self {
+            class: *class,
+            service_time: ServiceEstimate::new(INITIAL_SERVICE_TIME),
+            wait_factor: 1.0,
+        }
+    }
 }
 
 /// The known classes; see the module documentation.
@@ -74,11 +97,7 @@
             }
             known.class = *class;
         } else if self.make_room(class) {
-            let route = RouteClass {
-                class: *class,
-                service_time: ServiceEstimate::new(INITIAL_SERVICE_TIME),
-            };
-            self.routes.insert(address, route);
+            self.routes.insert(address, RouteClass::new(class));
         } else {
             return;
         }
@@ -93,6 +112,19 @@
         }
     }
 
+    /// Records that a request of the route waited, and whether a place became free in time.
+    pub(super) fn record_wait(&mut self, address: &SocketAddrV4, in_time: bool) {
+        let Some(route) = self.routes.get_mut(address) else {
+            return;
+        };
+        let change = if in_time {
+            WAIT_FACTOR_DECREASE
+        } else {
+            WAIT_FACTOR_INCREASE
+        };
+        route.wait_factor = (route.wait_factor * change).clamp(1.0, MAX_WAIT_FACTOR);
+    }
+
     /// Returns the route's key with its current weight; `None` without a class.
     pub(super) fn key(&self, address: &SocketAddrV4) -> Option<RouteKey> {
         let priority = self.get(address)?.class.priority;
--- a/crates/flows/tests/all/main.rs
+++ b/crates/flows/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod admission_offers;
+mod admission_orders;
 mod admission_rig;
 mod agent;
 mod balancer;
@@ -11,6 +12,7 @@
 mod frame;
 mod load;
 mod loss;
+mod order_model;
 mod regions;
 mod relay;
 mod ring;
