Test that held packets arrive once, in order and in time

An agent process holds requests over real sockets beside a target that answers when told: the packets arrive unchanged and in order when the target answers, when the bound expires, and when the agent stops. Random packets of clients and targets check the same for the pure agent, and that its counters return to zero.

A delivery in excess that raises the learned capacity now releases the next requests at once, not only with the next turn of the packet thread. The status shows flows about to open and flows that count against the limit.

--- a/bins/agent/src/opaque/process.rs
+++ b/bins/agent/src/opaque/process.rs
@@ -255,6 +255,8 @@
         "waiting": status.load.waiting,
         "in_service": status.in_service,
         "full": status.full,
+        "openings": status.openings,
+        "held_flows": status.held_flows,
         "average": f64::from(status.load.average_milli) / 1_000.0,
         "flows": status.load.flows,
         "remembered": status.remembered,
--- a/bins/agent/tests/all/main.rs
+++ b/bins/agent/tests/all/main.rs
@@ -3,6 +3,7 @@
 
 mod dependency;
 mod direct;
+mod held_requests;
 mod leaving;
 mod metrics;
 mod once;
--- a/crates/flows/src/agent.rs
+++ b/crates/flows/src/agent.rs
@@ -186,6 +186,10 @@
     pub in_service: u16,
     /// The learned capacity of the target, in requests.
     pub full: u16,
+    /// Flows that are about to open, and count as requests that will come.
+    pub openings: u16,
+    /// Flows that count against the limit of the target's flows.
+    pub held_flows: u32,
 }
 
 /// State machine of an agent: packets, frames and the time come in, steps come out.
@@ -322,6 +326,8 @@
             knows_all_flows: self.knows_all_flows(now),
             in_service: self.admission.in_service(),
             full: self.admission.full(now),
+            openings: self.openings,
+            held_flows: self.held_flows,
         }
     }
 
--- a/crates/flows/src/agent/requests.rs
+++ b/crates/flows/src/agent/requests.rs
@@ -84,6 +84,9 @@
         }
         entry.waiting_since = Some(now);
         self.change_in_progress(1, now);
+        // A delivery in excess may raise the capacity. Never after `Hold`: a release has to follow
+        // the step that it ends.
+        self.release_places(now);
         DELIVER
     }
 
