--- a/crates/flows/src/agent.rs
+++ b/crates/flows/src/agent.rs
@@ -345,6 +345,12 @@
             balancer: entry.balancer,
             silent_ms: millis(now.since(entry.last_active)),
             waiting_ms: entry.waiting_since.map(|since| millis(now.since(since))),
+            request: match entry.phase {
+                RequestPhase::Idle => "none",
+                RequestPhase::Opening => "opening",
+                RequestPhase::Waiting => "held",
+                RequestPhase::Delivered(_) => "delivered",
+            },
         })
     }
 
--- a/crates/flows/src/agent/inbound.rs
+++ b/crates/flows/src/agent/inbound.rs
@@ -60,7 +60,8 @@
             entry.notified = false;
         }
         let notify = !std::mem::replace(&mut entry.notified, true);
-        let step = self.admit_packet(packet, now);
+        let phase = entry.phase;
+        let step = self.admit_packet(packet, phase, now);
         let update = notify.then(|| {
             (
                 frame.balancer,
--- a/crates/flows/src/agent/requests.rs
+++ b/crates/flows/src/agent/requests.rs
@@ -53,14 +53,18 @@
         self.admission.next_deadline()
     }
 
-    /// Delivers or holds a client's packet of an open flow.
-    pub(super) fn admit_packet(&mut self, packet: &FlowPacket, now: Moment) -> AgentStep {
+    /// Delivers or holds a client's packet of an open flow whose request is in `phase`.
+    pub(super) fn admit_packet(
+        &mut self,
+        packet: &FlowPacket,
+        phase: RequestPhase,
+        now: Moment,
+    ) -> AgentStep {
         if packet.flags.rst && self.admission.class(&packet.flow.service_address).is_some() {
             self.record_client_reset(&packet.flow, now);
             return DELIVER;
         }
-        let phase = self.flows.get(&packet.flow).map(|entry| entry.phase);
-        if phase == Some(RequestPhase::Waiting) {
+        if phase == RequestPhase::Waiting {
             return self.hold_packet(packet, now);
         }
         self.record_request(packet, now)
--- a/crates/flows/src/explain.rs
+++ b/crates/flows/src/explain.rs
@@ -112,6 +112,9 @@
     pub silent_ms: u64,
     /// How long the target has owed a response, in milliseconds; `None` if no response is pending.
     pub waiting_ms: Option<u64>,
+    /// Where the flow's request is, for routes with a class: `none`, `opening` (about to come),
+    /// `held` (waits at the agent) or `delivered`.
+    pub request: &'static str,
 }
 
 fn standing_name(standing: FlowStanding) -> &'static str {
--- a/crates/flows/tests/all/admission.rs
+++ b/crates/flows/tests/all/admission.rs
@@ -22,6 +22,10 @@
     assert_eq!(rig.requests(0..FULL + 2, at(0)), 2);
     let status = rig.agent.status(at(0));
     assert_eq!((status.in_service, status.load.waiting), (FULL, 2));
+    for (port, request) in [(0, "delivered"), (FULL, "held")] {
+        let explained = rig.agent.explain(&flow(port), at(0)).expect("a known flow");
+        assert_eq!(explained.request, request);
+    }
     assert!(rig.released().is_empty());
     rig.respond(flow(0), at(20));
     let released = rig.released();
