Correct the expected wait of offers too, and let the correction end

The correction of a route's expected wait fell only when a request had waited. A route whose correction let none wait kept it after the overload. It now falls with each request that finds a place at once.

the_expected_wait_is_corrected_while_bounds_expire fails without the fall: 11 of 20 requests wait, and 15 must.

--- a/crates/flows/src/agent/admission.rs
+++ b/crates/flows/src/agent/admission.rs
@@ -135,6 +135,8 @@
         let route = self.classes.key(&flow.service_address)?;
         let known = *self.classes.get(&flow.service_address)?;
         if self.has_place(now) && self.queue.is_empty() {
+            // Otherwise a correction that lets nothing wait would outlast the overload.
+            self.classes.record_wait(&flow.service_address, true);
             return Some(RequestAdmission::Delivered(self.start(route, now)));
         }
         let objective = now + Duration::from_millis(known.class.aim_ms.into());
@@ -262,6 +264,7 @@
         let objective = Duration::from_millis(known.class.aim_ms.into());
         let ahead = self.queue.ahead_of(&route, now + objective, now);
         let wait = self.expected_wait(ahead, openings, now);
+        let wait = wait.mul_f64(known.wait_factor);
         if is_last {
             let too_late = wait + self.time_at_target(known, now) > objective;
             too_late.then_some(OfferRefusal::TooLate)
--- a/crates/flows/src/agent/admission/class_table.rs
+++ b/crates/flows/src/agent/admission/class_table.rs
@@ -45,7 +45,7 @@
 /// [`WAIT_FACTOR_DECREASE`], about a tenth of the waiting requests expire under lasting overload.
 const WAIT_FACTOR_INCREASE: f64 = 1.2;
 
-/// By how much a request that was released in time lowers the expected wait again.
+/// By how much a request that was given a place in time lowers the expected wait again.
 const WAIT_FACTOR_DECREASE: f64 = 0.98;
 
 /// Upper bound of the correction of the expected wait.
@@ -112,7 +112,7 @@
         }
     }
 
-    /// Records that a request of the route waited, and whether a place became free in time.
+    /// Records whether a place was free for a request of the route at once or before its bound.
     pub(super) fn record_wait(&mut self, address: &SocketAddrV4, in_time: bool) {
         let Some(route) = self.routes.get_mut(address) else {
             return;
--- a/crates/flows/tests/all/admission.rs
+++ b/crates/flows/tests/all/admission.rs
@@ -349,6 +349,40 @@
     assert_eq!(rig.released().len(), held);
 }
 
+// Guards against requests that wait in vain during a long overload, and against an agent that lets
+// none wait after it has ended.
+#[test]
+fn the_expected_wait_is_corrected_while_bounds_expire() {
+    let mut rig = AdmissionRig::new(Some(class(1, 400)));
+    for port in 0..60 {
+        rig.open(flow(port), at(u64::from(port) * 150));
+    }
+    let held = |rig: &mut AdmissionRig, ports: std::ops::Range<u16>, millis| {
+        let held = ports.filter(|&port| rig.request(flow(port), at(millis)) == AgentStep::Hold);
+        held.count()
+    };
+    let mut now = 10_000;
+    assert_eq!(held(&mut rig, 0..FULL, now), 0);
+    // The target answers nothing for a while.
+    let mut held_count = 0;
+    for port in 20..50 {
+        held_count += held(&mut rig, port..port + 1, now);
+        now += 100;
+        rig.advance(at(now));
+    }
+    assert!((1..20).contains(&held_count), "{held_count} of 30 waited");
+    for port in (0..FULL).chain(20..50) {
+        rig.respond(flow(port), at(now));
+    }
+    for _ in 0..200 {
+        now += 30;
+        rig.request(flow(0), at(now));
+        rig.respond(flow(0), at(now + 10));
+    }
+    let held_count = held(&mut rig, 0..FULL + 20, now + 30);
+    assert!(held_count >= 15, "{held_count} of 20 wait");
+}
+
 // Guards against a request that counts as answered because the target repeats the end of an earlier
 // answer.
 #[test]
