--- a/crates/flows/tests/all/main.rs
+++ b/crates/flows/tests/all/main.rs
@@ -1,5 +1,10 @@
 //! Tests of the decisions about flows of opaque packets.
 
+mod admission;
+mod admission_invariants;
+mod admission_offers;
+mod admission_orders;
+mod admission_rig;
 mod agent;
 mod balance;
 mod balancer;
@@ -10,6 +15,7 @@
 mod frame;
 mod load;
 mod loss;
+mod order_model;
 mod regions;
 mod relay;
 mod ring;
--- a/tests/matrix/src/opaque/world.rs
+++ b/tests/matrix/src/opaque/world.rs
@@ -5,13 +5,13 @@
 use std::time::Duration;
 
 use lovagelatch_catalog::{
-    Catalog, EvacuatedZone, PublishedRoute, PublishedTarget, RouteShare, TargetName, TargetRow,
-    TargetStart,
+    Catalog, EvacuatedZone, PublishedRoute, PublishedTarget, RequestPolicy, RouteShare, TargetName,
+    TargetRow, TargetStart,
 };
 use lovagelatch_domain::{AgentAddress, ConfigRevision, Moment, ServiceId, ServiceName};
 use lovagelatch_flows::{
-    AgentStep, BalancerStep, DueSearch, FlowKey, FlowReset, FlowUpdate, PacketFrame, PeerFrame,
-    SearchFrames, SearchResult, ZoneNotice,
+    AdmissionEvent, AgentStep, BalancerStep, DueSearch, FlowKey, FlowReset, FlowUpdate,
+    PacketFrame, PeerFrame, SearchFrames, SearchResult, ZoneNotice,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -95,6 +95,8 @@
     pub(crate) balancers: Vec<Balancer>,
     pub(crate) machines: Vec<Machine>,
     clients: Vec<Client>,
+    /// The slots of each target in the store.
+    slots: u16,
     pub(crate) routes: Vec<PublishedRoute>,
     /// The services that each address has been routed to during the run.
     allowed: HashMap<SocketAddrV4, Vec<ServiceId>>,
@@ -143,6 +145,7 @@
             balancers: Vec::new(),
             machines: Vec::new(),
             clients: Vec::new(),
+            slots: 3,
             routes: vec![route(1, claims()), route(2, claims()), route(3, vault())],
             allowed: HashMap::new(),
             version: 1,
@@ -166,6 +169,30 @@
         world
     }
 
+    /// Gives each route a latency objective and each target a single slot, and adds clients, so that
+    /// requests wait at the agents.
+    pub(crate) fn with_objectives(mut self, clients: u8) -> Self {
+        self.slots = 1;
+        for (priority, route) in (0..).zip(&mut self.routes) {
+            route.policy = Some(RequestPolicy {
+                priority,
+                aim_ms: 400,
+                timeout_ms: 2_000,
+            });
+        }
+        for number in 4..4 + clients {
+            let route = (number - 1) % 3 + 1;
+            let client = Client::new(number, address(route), route != 2, REQUESTS_PER_CLIENT);
+            self.clients.push(client);
+        }
+        let now = self.now();
+        let catalog = self.catalog();
+        for balancer in &mut self.balancers {
+            balancer.apply_catalog(catalog.clone(), now);
+        }
+        self
+    }
+
     fn populate(&mut self, fleet: OpaqueFleet) {
         for number in 1..=fleet.claims {
             self.add_machine(number, &claims());
@@ -335,7 +362,7 @@
             service: service.expect("a known service"),
             address: SocketAddrV4::new(*machine.agent.0.ip(), 8_000),
             zone: machine.zone.parse().expect("a zone"),
-            slots: 3,
+            slots: self.slots,
             leaving: machine.target.leaving && self.mechanisms.leaving,
             warming_ms: 0,
             start: TargetStart(machine.target.start.into()),
@@ -586,6 +613,7 @@
                         Some(packet),
                     ));
                 }
+                self.deliver_released(at);
                 self.execute_agent_step(at, step.local, packet);
                 self.send_flow_update(at, step.update);
                 return;
@@ -612,6 +640,7 @@
                 .unwrap_or(head.acknowledged);
         }
         let (step, update) = machine.logic.handle_frame(frame, &head, now);
+        self.deliver_released(at);
         self.execute_agent_step(at, step, packet);
         self.send_flow_update(at, update);
     }
@@ -627,6 +656,7 @@
             return;
         }
         let (step, update) = machine.logic.handle_target_packet(&packet.head, now);
+        self.deliver_released(at);
         let mut packet = packet;
         packet.head.flags.returned = false;
         packet.head.tag = 0;
@@ -634,6 +664,22 @@
         self.send_flow_update(at, update);
     }
 
+    /// Delivers the held packets of the flows that the agent released.
+    fn deliver_released(&mut self, at: usize) {
+        let mut events = Vec::new();
+        self.machines[at].logic.take_admission_events(&mut events);
+        for event in events {
+            let AdmissionEvent::Released(delivery) = event else {
+                continue;
+            };
+            let of_flow = |packet: &mut Packet| packet.head.flow == delivery.flow;
+            let released: Vec<_> = self.machines[at].held.extract_if(.., of_flow).collect();
+            for packet in released {
+                self.send(Datagram::ToTarget(at, packet));
+            }
+        }
+    }
+
     fn execute_agent_step(&mut self, at: usize, step: AgentStep, packet: Packet) {
         match step {
             AgentStep::Deliver { tag } => {
@@ -641,6 +687,11 @@
                 packet.head.tag = tag;
                 self.send(Datagram::ToTarget(at, packet));
             }
+            AgentStep::Hold => {
+                let flow = packet.head.flow;
+                self.record(OpaqueEvent::Held { flow });
+                self.machines[at].held.push(packet);
+            }
             AgentStep::Forward { to, frame } => {
                 self.send(Datagram::FrameToAgent(
                     to,
@@ -871,6 +922,8 @@
         for at in 0..self.machines.len() {
             if self.machines[at].running && !self.machines[at].paused {
                 let now = self.now();
+                self.machines[at].logic.advance_admission(now);
+                self.deliver_released(at);
                 let ended = self.machines[at].logic.expired_searches(now);
                 self.send_search_results(at, ended);
             }
