--- a/crates/flows/tests/all/main.rs
+++ b/crates/flows/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions about flows of opaque packets.
 
 mod admission;
+mod admission_failures;
 mod admission_invariants;
 mod admission_offers;
 mod admission_orders;
