Learn a target's capacity from rejections, and reset offers that find no place

Requests waited at the agent and then again in the target's queue, and offers were reset at idle slow targets, because the time at a target was always taken with a full queue.

Until the first rejection nothing waits at the agent. Offers are passed on at twice the slots, as without a class; the last candidate resets one that would be rejected, or that cannot be answered before its objective, with the target's actual queue. Order alone took an answer for a rejection while an older request was never answered.

--- a/crates/flows/src/agent.rs
+++ b/crates/flows/src/agent.rs
@@ -272,6 +272,13 @@
         }
     }
 
+    /// Sets how many requests a target of `slots` slots is assumed to hold before its first rejection.
+    #[must_use]
+    pub fn with_target_capacity(mut self, slots: u16, capacity: u16) -> Self {
+        self.admission.set_initial_capacity(slots, capacity);
+        self
+    }
+
     /// Sets the order in which waiting requests are delivered.
     #[must_use]
     pub fn with_admission_order(mut self, order: AdmissionOrder) -> Self {
@@ -329,7 +336,7 @@
             remembered: self.flows.len(),
             knows_all_flows: self.knows_all_flows(now),
             in_service: self.admission.in_service(),
-            full: self.admission.full(now),
+            full: self.admission.full(),
             openings: self.openings,
             held_flows: self.held_flows,
         }
--- a/crates/flows/src/agent/admission.rs
+++ b/crates/flows/src/agent/admission.rs
@@ -42,6 +42,13 @@
 /// Assumed mean service time before the first answers.
 const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(25);
 
+/// A request that is answered out of order within this fraction of a service time was rejected.
+const REJECTION_FRACTION: f64 = 0.25;
+
+/// An offer is passed on if the target has this many times its slots of requests, of which half
+/// wait. Another candidate may be idle.
+const BUSY_FACTOR: u16 = 2;
+
 /// The weight of a flow that is about to open in the expected wait of an offer: some of these flows
 /// open at another target, or not at all.
 const OPENING_WEIGHT: f64 = 0.5;
@@ -80,6 +87,11 @@
         }
     }
 
+    pub(super) fn set_initial_capacity(&mut self, slots: u16, capacity: u16) {
+        self.capacity.set_slots(slots);
+        self.capacity.set_initial(capacity);
+    }
+
     pub(super) fn set_order(&mut self, order: AdmissionOrder) {
         self.queue.set_order(order);
     }
@@ -107,8 +119,8 @@
         self.queue.len()
     }
 
-    pub(super) fn full(&self, now: Moment) -> u16 {
-        self.capacity.full(now)
+    pub(super) fn full(&self) -> u16 {
+        self.capacity.full()
     }
 
     pub(super) fn next_deadline(&self) -> Option<Moment> {
@@ -134,19 +146,19 @@
     ) -> Option<RequestAdmission> {
         let route = self.classes.key(&flow.service_address)?;
         let known = *self.classes.get(&flow.service_address)?;
-        if self.has_place(now) && self.queue.is_empty() {
+        if self.has_place() && self.queue.is_empty() {
             // Otherwise a correction that lets nothing wait would outlast the overload.
             self.classes.record_wait(&flow.service_address, true);
             return Some(RequestAdmission::Delivered(self.start(route, now)));
         }
         let objective = now + Duration::from_millis(known.class.aim_ms.into());
         let ahead = self.queue.ahead_of(&route, objective, now);
-        let bound = self.bound(&known, now);
+        let bound = self.bound(&known);
         let reason = if !may_hold {
             DeliveryReason::AgentStops
         } else if !self.queue.has_room(bytes) {
             DeliveryReason::QueueFull
-        } else if self.expected_wait(ahead, 0, now).mul_f64(known.wait_factor) > bound {
+        } else if self.expected_wait(ahead, 0).mul_f64(known.wait_factor) > bound {
             DeliveryReason::BoundTooShort
         } else {
             let request = WaitingRequest {
@@ -160,9 +172,9 @@
             self.queue.push(request, bytes, now);
             return Some(RequestAdmission::Held);
         };
-        let delivery = self.delivery(flow, reason, Duration::ZERO, ahead, now);
+        let delivery = self.delivery(flow, reason, Duration::ZERO, ahead);
         self.events.push(AdmissionEvent::Excess(delivery));
-        Some(RequestAdmission::Delivered(self.start_excess(route, now)))
+        Some(RequestAdmission::Delivered(self.start(route, now)))
     }
 
     /// Counts one more packet of a waiting request. Returns whether it can be held.
@@ -173,7 +185,7 @@
     /// Releases the next waiting request if the target has a free place. Returns its flow and its
     /// number.
     pub(super) fn release_next(&mut self, now: Moment) -> Option<(FlowKey, u64)> {
-        if self.queue.is_empty() || !self.has_place(now) {
+        if self.queue.is_empty() || !self.has_place() {
             return None;
         }
         let next = self.queue.pop(self.service_time.mean(), now)?;
@@ -198,7 +210,7 @@
                 self.classes.record_wait(&request.route.address, false);
             }
             self.push_released(&request, reason, now);
-            released.push((request.flow, self.start_excess(request.route, now)));
+            released.push((request.flow, self.start(request.route, now)));
         }
         released
     }
@@ -207,7 +219,7 @@
     pub(super) fn release_overfull(&mut self, flow: &FlowKey, now: Moment) -> Option<u64> {
         let request = self.queue.remove(flow)?;
         self.push_released(&request, DeliveryReason::QueueFull, now);
-        Some(self.start_excess(request.route, now))
+        Some(self.start(request.route, now))
     }
 
     /// Releases a request whose flow ended. It no longer counts.
@@ -228,12 +240,18 @@
             self.classes
                 .record_service_time(&request.route.address, took);
             self.capacity.record_answered(now);
-        } else {
+        } else if now.since(request.delivered) < self.rejection_time() {
             self.capacity.record_rejected(request.ahead, now);
         }
         self.settle(&request, now);
     }
 
+    /// Returns within which time an answer out of order is a rejection. A later one may be out of
+    /// order because an older request is never answered.
+    fn rejection_time(&self) -> Duration {
+        Duration::from_secs_f64(self.service_time.mean() * REJECTION_FRACTION)
+    }
+
     /// Stops counting a request that gets no answer.
     pub(super) fn abandon(&mut self, number: u64, now: Moment) {
         if let Some(request) = self.delivered.remove(number) {
@@ -247,7 +265,7 @@
         while let Some(request) = self.delivered.pop_timed_out(now) {
             self.settle(&request, now);
         }
-        self.report_capacity(now);
+        self.report_capacity();
     }
 
     /// Returns why a flow that is offered now cannot be served in time; `None` if it can, or if its
@@ -263,43 +281,46 @@
         let known = self.classes.get(address)?;
         let objective = Duration::from_millis(known.class.aim_ms.into());
         let ahead = self.queue.ahead_of(&route, now + objective, now);
-        let wait = self.expected_wait(ahead, openings, now);
-        let wait = wait.mul_f64(known.wait_factor);
-        if is_last {
-            let too_late = wait + self.time_at_target(known, now) > objective;
-            too_late.then_some(OfferRefusal::TooLate)
-        } else {
-            (wait > self.bound(known, now)).then_some(OfferRefusal::Busy)
+        let before = self.in_service() + self.waiting() + openings;
+        if !is_last {
+            let busy = before >= self.capacity.slots().saturating_mul(BUSY_FACTOR);
+            return busy.then_some(OfferRefusal::Busy);
         }
+        let wait = self
+            .expected_wait(ahead, openings)
+            .mul_f64(known.wait_factor);
+        let is_rejected = !wait.is_zero() && wait > self.bound(known);
+        let answered_after = wait + self.time_at_target(known, before);
+        (is_rejected || answered_after > objective).then_some(OfferRefusal::TooLate)
     }
 
-    fn has_place(&self, now: Moment) -> bool {
-        self.in_service() < self.full(now)
+    fn has_place(&self) -> bool {
+        self.in_service() < self.full()
     }
 
     /// Returns how long a request of the route may wait.
-    fn bound(&self, route: &RouteClass, now: Moment) -> Duration {
+    fn bound(&self, route: &RouteClass) -> Duration {
         let objective = Duration::from_millis(route.class.aim_ms.into());
-        let spare = objective.saturating_sub(self.time_at_target(route, now));
+        let spare = objective.saturating_sub(self.time_at_target(route, self.full()));
         let bound = (objective / HOLD_DIVISOR).min(spare).min(MAX_HOLD);
         bound.saturating_sub(TIMER_RESOLUTION)
     }
 
-    /// Returns the expected time from the delivery of a request into the target's last free place
-    /// to its answer.
-    fn time_at_target(&self, route: &RouteClass, now: Moment) -> Duration {
+    /// Returns the expected time from the delivery of a request to its answer, if the target has
+    /// `ahead` others then.
+    fn time_at_target(&self, route: &RouteClass, ahead: u16) -> Duration {
         let slots = self.capacity.slots();
-        let queued = self.full(now).saturating_sub(slots);
+        let queued = (ahead + 1).min(self.full()).saturating_sub(slots);
         let wait = f64::from(queued) / f64::from(slots) * self.service_time.mean();
         Duration::from_secs_f64(wait + route.service_time.mean())
     }
 
     /// Returns the expected time until the target has a place for a request behind `ahead` waiting
     /// ones and `openings` flows that are about to open.
-    fn expected_wait(&self, ahead: u16, openings: u16, now: Moment) -> Duration {
+    fn expected_wait(&self, ahead: u16, openings: u16) -> Duration {
         let before = f64::from(self.in_service()) + f64::from(ahead);
         let before = before + f64::from(openings) * OPENING_WEIGHT;
-        let missing = (before + 1.0 - f64::from(self.full(now))).max(0.0);
+        let missing = (before + 1.0 - f64::from(self.full())).max(0.0);
         let interval = self.service_time.mean() / f64::from(self.capacity.slots());
         Duration::from_secs_f64(missing * interval)
     }
@@ -311,27 +332,18 @@
             .push(route, charge, self.capacity.slots(), now)
     }
 
-    fn start_excess(&mut self, route: RouteKey, now: Moment) -> u64 {
-        if !self.has_place(now) {
-            self.capacity.record_excess(now);
-        }
-        self.start(route, now)
-    }
-
     /// Settles the account of a request that is no longer in service, and starts the next one.
     fn settle(&mut self, request: &DeliveredRequest, now: Moment) {
         let took = request.started.map_or(Duration::ZERO, |at| now.since(at));
         let quantum = self.service_time.mean();
         self.queue
             .settle(&request.route, request.charge, took, quantum);
-        while let Some(ahead) = self.delivered.start_next(self.capacity.slots(), now) {
-            self.capacity.record_started(ahead);
-        }
-        self.report_capacity(now);
+        self.delivered.start_next(self.capacity.slots(), now);
+        self.report_capacity();
     }
 
-    fn report_capacity(&mut self, now: Moment) {
-        let (from, to) = (self.reported_full, self.full(now));
+    fn report_capacity(&mut self) {
+        let (from, to) = (self.reported_full, self.full());
         if from.abs_diff(to) * 3 <= from {
             return;
         }
@@ -344,7 +356,7 @@
 
     fn push_released(&mut self, request: &WaitingRequest, reason: DeliveryReason, now: Moment) {
         let waited = now.since(request.arrived);
-        let delivery = self.delivery(request.flow, reason, waited, request.ahead, now);
+        let delivery = self.delivery(request.flow, reason, waited, request.ahead);
         self.events.push(AdmissionEvent::Released(delivery));
     }
 
@@ -354,7 +366,6 @@
         reason: DeliveryReason,
         waited: Duration,
         ahead: u16,
-        now: Moment,
     ) -> RequestDelivery {
         let class = self.class(&flow.service_address);
         RequestDelivery {
@@ -363,7 +374,7 @@
             waited,
             priority: class.map_or(u8::MAX, |class| class.priority),
             in_service: self.in_service(),
-            full: self.full(now),
+            full: self.full(),
             ahead,
         }
     }
--- a/crates/flows/src/agent/admission/service.rs
+++ b/crates/flows/src/agent/admission/service.rs
@@ -24,7 +24,7 @@
     pub(super) charge: f64,
     /// How many requests were unanswered when it was delivered.
     pub(super) ahead: u16,
-    delivered: Moment,
+    pub(super) delivered: Moment,
     /// When the target began to work on it; `None` while it is in the target's queue.
     pub(super) started: Option<Moment>,
 }
@@ -72,17 +72,11 @@
         timed_out.then(|| self.requests.pop_front()).flatten()
     }
 
-    /// Marks the next request as started if a slot is free. Returns how many were unanswered when
-    /// it was delivered.
-    pub(super) fn start_next(&mut self, slots: u16, now: Moment) -> Option<u16> {
-        let running = self
-            .requests
-            .partition_point(|request| request.started.is_some());
-        if running >= slots.into() {
-            return None;
+    /// Marks the oldest requests as started, as many as there are slots.
+    pub(super) fn start_next(&mut self, slots: u16, now: Moment) {
+        let oldest = self.requests.iter_mut().take(slots.into());
+        for request in oldest {
+            request.started.get_or_insert(now);
         }
-        let next = self.requests.get_mut(running)?;
-        next.started = Some(now);
-        Some(next.ahead)
     }
 }
--- a/crates/flows/src/agent/inbound.rs
+++ b/crates/flows/src/agent/inbound.rs
@@ -174,7 +174,7 @@
                 return self.forward(packet, frame.into(), now);
             }
             if let Some(refusal) = self.offer_refusal(&frame, &packet.flow, now) {
-                self.report_refused_offer(packet.flow, refusal, !last, now);
+                self.report_refused_offer(packet.flow, refusal, !last);
                 return self.forward(packet, frame.into(), now);
             }
             let entry = FlowEntry::new(EntryState::Offered, Some(frame.balancer), now);
--- a/crates/flows/src/agent/requests.rs
+++ b/crates/flows/src/agent/requests.rs
@@ -170,7 +170,6 @@
         flow: FlowKey,
         refusal: OfferRefusal,
         passed_on: bool,
-        now: Moment,
     ) {
         let class = self.admission.class(&flow.service_address);
         let refused = RefusedOffer {
@@ -180,7 +179,7 @@
             in_service: self.admission.in_service(),
             waiting: self.admission.waiting(),
             openings: self.openings,
-            full: self.admission.full(now),
+            full: self.admission.full(),
             flows: self.held_flows,
             max_flows: class.and_then(|class| class.max_flows),
         };
