--- a/crates/flows/src/balancer/search.rs
+++ b/crates/flows/src/balancer/search.rs
@@ -54,9 +54,9 @@
 const SEARCH_TTL: Duration = Duration::from_secs(2);
 
 /// How long a flow's absence at a target is taken for granted. A client may open a new flow from the
-/// same port through another balancer, which this one does not notice. A client gives up an opening
-/// after 1.4 s and leaves a port unused for longer than that, whereas after a power loss the view
-/// may be incomplete for some seconds, in which no agent needs to be queried twice.
+/// same port through another balancer, which this one does not notice, so the time has to be bounded;
+/// a flow that was found to be lost is remembered for longer (15 s). After a power loss the view may
+/// be incomplete for some seconds, in which no agent needs to be queried twice.
 const ABSENCE_TTL: Duration = Duration::from_secs(6);
 
 /// Minimum interval between queries for packets without data. A client in the middle of a download
