Test fleet: hold and release requests, and enforce the flow limit

The fleet of the balance tests did not know held packets, repeated the target's sequence numbers, and started a released request before the target's own queue. With agents that enforce the limit of flows, each target at its limit holds exactly that many: the test states this instead of a lower bound above the limit.

--- a/crates/flows/tests/all/balance.rs
+++ b/crates/flows/tests/all/balance.rs
@@ -237,8 +237,10 @@
         ..mixed_fleet(0.4, 1)
     });
     fleet.run(Duration::from_secs(30));
-    let flows: u32 = fleet.targets.iter().map(|target| target.flows).sum();
-    assert!(flows > 24 * 20, "only {flows} flows are open");
+    let flows = fleet.targets.iter().map(|target| target.flows);
+    let flows: Vec<_> = flows.collect();
+    // Each place is used, and the agents let no flow beyond the limit open.
+    assert!(flows.iter().all(|&flows| flows == 10), "{flows:?}");
 }
 
 // Guards against a view that becomes unusable while the store is away: targets of the service end
--- a/crates/flows/tests/all/fleet.rs
+++ b/crates/flows/tests/all/fleet.rs
@@ -10,8 +10,8 @@
 use lovagelatch_catalog::{PublishedTarget, RequestPolicy};
 use lovagelatch_domain::{AgentAddress, Moment};
 use lovagelatch_flows::{
-    AgentStep, BalancerStep, FlowAgent, FlowBalancer, FlowKey, FlowPacket, FlowView, LoadReport,
-    PacketFlags,
+    AdmissionEvent, AgentStep, BalancerStep, FlowAgent, FlowBalancer, FlowKey, FlowPacket,
+    FlowView, LoadReport, PacketFlags,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -95,15 +95,28 @@
     balancer: usize,
     target: usize,
     sequence: u32,
+    /// Bytes that the target has sent on the flow.
+    answered: u32,
     closes_at: Moment,
 }
 
+/// Where a client's packet is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Delivery {
+    /// At this target.
+    Arrived(usize),
+    /// At the agent of this target, which holds it.
+    Held(usize),
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum FleetEvent {
     Open(usize),
     Request(usize),
     /// The target ends the request of a client.
     Answer(usize, usize),
+    /// Requests that wait at the agent of a target may not wait any longer.
+    Release(usize),
     Report(usize),
     Expire,
 }
@@ -209,6 +222,7 @@
                 balancer: 0,
                 target: 0,
                 sequence: 0,
+                answered: 0,
                 closes_at: self.now,
             });
             let delay = self.random.random_range(0.0..5.0);
@@ -237,6 +251,10 @@
                 FleetEvent::Open(client) => self.open(client),
                 FleetEvent::Request(client) => self.request(client),
                 FleetEvent::Answer(target, client) => self.answer(target, client),
+                FleetEvent::Release(target) => {
+                    self.agents[target].advance_admission(self.now);
+                    self.release(target);
+                }
                 FleetEvent::Report(agent) => self.report(agent),
                 FleetEvent::Expire => self.expire(),
             }
@@ -360,9 +378,10 @@
             balancer,
             target: 0,
             sequence: FIRST_SEQUENCE,
+            answered: 0,
             closes_at: self.now + Duration::from_secs_f64(lifetime),
         };
-        if let Some(target) = self.send(client, &opening(flow)) {
+        if let Some(Delivery::Arrived(target)) = self.send(client, &opening(flow)) {
             self.clients[client].target = target;
             self.targets[target].flows += 1;
             let answer = packet(flow, true, 0);
@@ -379,7 +398,7 @@
     }
 
     /// Sends a packet of a client; returns the target that it is delivered to.
-    fn send(&mut self, client: usize, packet: &FlowPacket) -> Option<usize> {
+    fn send(&mut self, client: usize, packet: &FlowPacket) -> Option<Delivery> {
         let balancer = &self.balancers[self.clients[client].balancer];
         let step = balancer.handle_packet(packet, b"packet", &self.view, self.now);
         let BalancerStep::Send { to, frame, .. } = step else {
@@ -398,7 +417,8 @@
                 self.balancers[balancer].handle_flow_update(&update, self.now);
             }
             match step {
-                AgentStep::Deliver { .. } => return Some(number),
+                AgentStep::Deliver { .. } => return Some(Delivery::Arrived(number)),
+                AgentStep::Hold => return Some(Delivery::Held(number)),
                 AgentStep::Forward {
                     to: next,
                     frame: rest,
@@ -446,8 +466,39 @@
             ..packet(flow, false, 100)
         };
         state.sequence += 100;
-        let delivered = self.send(client, &data);
-        assert_eq!(delivered, Some(target), "an open flow stays at its target");
+        let delivery = self.send(client, &data);
+        match delivery {
+            Some(Delivery::Arrived(number)) => {
+                assert_eq!(number, target, "an open flow stays at its target");
+                self.arrive(target, client);
+            }
+            Some(Delivery::Held(number)) => {
+                assert_eq!(number, target, "an open flow stays at its target");
+                if let Some(deadline) = self.agents[target].next_admission_deadline() {
+                    self.schedule(deadline.since(self.now), FleetEvent::Release(target));
+                }
+            }
+            None => panic!("an open flow stays at its target"),
+        }
+        self.release(target);
+    }
+
+    /// Delivers the requests that the agent of a target has released.
+    fn release(&mut self, target: usize) {
+        let mut events = Vec::new();
+        self.agents[target].take_admission_events(&mut events);
+        for event in events {
+            if let AdmissionEvent::Released(released) = event {
+                let mut clients = self.clients.iter();
+                if let Some(client) = clients.position(|client| client.flow == released.flow) {
+                    self.arrive(target, client);
+                }
+            }
+        }
+    }
+
+    /// A request arrives at a target.
+    fn arrive(&mut self, target: usize, client: usize) {
         let state = &mut self.targets[target];
         if state.running < state.slots {
             self.start(target, client);
@@ -455,11 +506,23 @@
             state.queue.push_back(client);
         } else {
             state.rejected += 1;
-            self.target_sends(target, &packet(flow, false, 50));
+            self.reply(target, client, 50);
             self.schedule_request(client);
         }
     }
 
+    /// The target sends an answer, or rejects a request.
+    fn reply(&mut self, target: usize, client: usize, bytes: u16) {
+        let state = &mut self.clients[client];
+        let reply = FlowPacket {
+            sequence: TARGET_SEQUENCE + 1 + state.answered,
+            ..packet(state.flow, false, bytes)
+        };
+        state.answered += u32::from(bytes);
+        self.target_sends(target, &reply);
+        self.release(target);
+    }
+
     fn start(&mut self, target: usize, client: usize) {
         // 3 % of the requests take seven times as long as the others.
         let base = MEAN_WORK / 1.18;
@@ -479,10 +542,11 @@
             return;
         }
         self.targets[target].running -= 1;
-        self.target_sends(target, &packet(self.clients[client].flow, false, 200));
+        // The next request starts before the answer makes the agent release another one.
         if let Some(next) = self.targets[target].queue.pop_front() {
             self.start(target, next);
         }
+        self.reply(target, client, 200);
         self.schedule_request(client);
     }
 
