--- a/standins/soak/tests/all/load_check.rs
+++ b/standins/soak/tests/all/load_check.rs
@@ -112,7 +112,7 @@
     let held: &[&str] = &["packet_held"];
     let after = |event| [(8_000, event)];
     let cases = [
-        case("within the bound and its margin", &[], 10_400, &[]),
+        case("within the bound and its margin", &[], 10_300, &[]),
         case("later", &[], 10_401, held),
         case("in a rush", &after(SoakEvent::RushActive), 10_401, held),
         case(
