--- a/standins/soak/tests/all/load_check.rs
+++ b/standins/soak/tests/all/load_check.rs
@@ -113,30 +113,30 @@
     let after = |event| [(8_000, event)];
     let cases = [
         case("within the bound and its margin", &[], 10_300, &[]),
-        case("later", &[], 10_401, held),
-        case("in a rush", &after(SoakEvent::RushActive), 10_401, held),
+        case("later", &[], 10_301, held),
+        case("in a rush", &after(SoakEvent::RushActive), 10_301, held),
         case(
             "the target is disturbed",
             &after(SoakEvent::TargetDisturbed(1)),
-            10_401,
+            10_301,
             &[],
         ),
         case(
             "another target is disturbed",
             &after(SoakEvent::TargetDisturbed(2)),
-            10_401,
+            10_301,
             held,
         ),
         case(
             "the target was disturbed long ago",
             &[(6_000, SoakEvent::TargetDisturbed(1))],
-            10_401,
+            10_301,
             held,
         ),
         case(
             "all targets are disturbed",
             &after(SoakEvent::AllTargetsDisturbed),
-            10_401,
+            10_301,
             &[],
         ),
         case(
