Reset only the first offer of a flow for load

A reset for load could reach a client whose flow another target has just opened: a numbered copy of its first packet, or an offer after one that was not answered in time, may be the one that this agent resets. Callers would lose an open flow. Such offers are delivered now; further offers of a balancer name no class.

The test of copies failed for the numbered copy and the further offer.

--- a/crates/flows/src/agent/inbound.rs
+++ b/crates/flows/src/agent/inbound.rs
@@ -173,7 +173,7 @@
             if !admitted || warmup.is_denied() || (unavailable && !last) {
                 return self.forward(packet, frame.into(), now);
             }
-            if let Some(refusal) = self.offer_refusal(&frame, &packet.flow, now) {
+            if let Some(refusal) = self.offer_refusal(&frame, packet, now) {
                 self.report_refused_offer(packet.flow, refusal, !last);
                 return self.forward(packet, frame.into(), now);
             }
--- a/crates/flows/src/agent/requests.rs
+++ b/crates/flows/src/agent/requests.rs
@@ -6,7 +6,7 @@
 
 use super::admission::{AdmissionEvent, OfferRefusal, RefusedOffer, RequestAdmission};
 use super::entry::{FlowEntry, RequestPhase};
-use super::{AgentStep, FlowAgent};
+use super::{AgentStep, FlowAgent, HALF_OPEN_TIMEOUT};
 use crate::frame::PacketFrame;
 use crate::packet::{FlowKey, FlowPacket};
 
@@ -147,14 +147,13 @@
     pub(super) fn offer_refusal(
         &self,
         frame: &PacketFrame,
-        flow: &FlowKey,
+        packet: &FlowPacket,
         now: Moment,
     ) -> Option<OfferRefusal> {
-        let address = &flow.service_address;
+        let address = &packet.flow.service_address;
         let class = self.admission.class(address)?;
         let is_last = frame.rest.is_empty();
-        // A reset is the answer of the last candidate. The flow may be open at the target.
-        if is_last && (frame.zones_revision == 0 || !self.knows_all_flows(now)) {
+        if is_last && !self.is_first_offer(frame, packet, now) {
             return None;
         }
         let max_flows = class.max_flows;
@@ -165,6 +164,16 @@
             .offer_refusal(address, self.openings, is_last, now)
     }
 
+    /// Returns whether an offer is the first one of its flow, so that the flow cannot be open or
+    /// about to open anywhere, and a reset ends nothing. Copies of a first packet are numbered, and
+    /// a further offer names no class. An agent that has just started may get a packet that was
+    /// under way while its predecessor ran.
+    fn is_first_offer(&self, frame: &PacketFrame, packet: &FlowPacket, now: Moment) -> bool {
+        let is_copy = packet.acknowledged > 0 || frame.zones_revision == 0;
+        let has_settled = now.since(self.started) >= HALF_OPEN_TIMEOUT;
+        !is_copy && frame.class.is_some() && (has_settled || self.knows_all_flows(now))
+    }
+
     pub(super) fn report_refused_offer(
         &mut self,
         flow: FlowKey,
--- a/crates/flows/src/balancer/offer.rs
+++ b/crates/flows/src/balancer/offer.rs
@@ -136,12 +136,15 @@
             .map(|(_, target)| candidate_of(target, view, now))
             .collect();
         self.store_offer(flow, chosen, tried, now);
+        // Another target may still answer an earlier offer, so an agent must not reset this one.
+        let class = view.class_of(route, chosen.service);
+        let class = class.filter(|_| tried.is_empty()).map(Box::new);
         Some(BalancerStep::Send {
             to: chosen.agent,
             frame: PacketFrame {
                 slots: chosen.slots,
                 warmup: view.warmup_of(chosen, now),
-                class: view.class_of(route, chosen.service).map(Box::new),
+                class,
                 zones_revision: view.zones.confirmed_revision(),
                 rest,
                 ..PacketFrame::new(FramePurpose::Offer, chosen.service, self.own_address)
--- a/crates/flows/src/frame.rs
+++ b/crates/flows/src/frame.rs
@@ -128,9 +128,9 @@
     /// How many new flows that target can take while it is cold; `None` without a limit, and in
     /// frames other than offers.
     pub warmup: Option<WarmupLimit>,
-    /// The class of the route's requests, in offers; `None` in other frames, where the operator
-    /// does not say, and at an agent of another service than that of the first choice. Boxed,
-    /// because most frames have none.
+    /// The class of the route's requests, in the first offer of a flow; `None` in further offers and
+    /// other frames, where the operator does not say, and at an agent of another service than that
+    /// of the first choice. Boxed, because most frames have none.
     pub class: Option<Box<RequestClass>>,
     /// For an offer, the store revision up to which the balancer knew the evacuated zones; at that
     /// revision neither the receiver's zone nor that of any agent in `rest` is evacuated. 0 if the
--- a/crates/flows/tests/all/admission_offers.rs
+++ b/crates/flows/tests/all/admission_offers.rs
@@ -94,6 +94,23 @@
     };
     let (step, _) = rig.agent.handle_frame(copy, &opening(flow(9)), at(301));
     assert_ne!(step, AgentStep::Reset);
+    // The same where another target may have answered: a copy that the client numbered, and an
+    // offer after one that was not answered in time.
+    let numbered = FlowPacket {
+        acknowledged: 1,
+        ..opening(flow(9))
+    };
+    let offer = rig.offer_frame(&[]);
+    let (step, _) = rig.agent.handle_frame(offer, &numbered, at(302));
+    assert_ne!(step, AgentStep::Reset);
+    let further = PacketFrame {
+        class: None,
+        ..rig.offer_frame(&[])
+    };
+    let (step, _) = rig.agent.handle_frame(further, &opening(flow(10)), at(303));
+    assert_ne!(step, AgentStep::Reset);
+    // A restarted agent resets first offers once no earlier first packet can be under way.
+    assert_eq!(restarted.offer(flow(11), &[], at(1_600)), AgentStep::Reset);
 }
 
 // Guards against new flows whose requests wait at a busy target while other candidates are idle, and
--- a/tests/matrix/src/opaque/process.rs
+++ b/tests/matrix/src/opaque/process.rs
@@ -138,5 +138,6 @@
             slack: 5.0,
         },
     };
-    FlowAgent::new(settings, now)
+    // Requests wait from the third one on where a target has one slot.
+    FlowAgent::new(settings, now).with_target_capacity(1, 2)
 }
