--- a/bins/lovagelatch/src/explain/opaque.rs
+++ b/bins/lovagelatch/src/explain/opaque.rs
@@ -102,4 +102,8 @@
     let (balancer, waiting) = (cell_text(&held["balancer"]), cell_text(&held["waiting_ms"]));
     let line = format!("last balancer {balancer}; awaiting an answer for {waiting} ms");
     print_line(LineStyle::Plain, &line);
+    if held["request"] == "held" {
+        let line = "its request waits at the agent: the target has no free place";
+        print_line(LineStyle::Plain, line);
+    }
 }
--- a/bins/lovagelatch/src/status_opaque.rs
+++ b/bins/lovagelatch/src/status_opaque.rs
@@ -30,6 +30,7 @@
         "EVACUATED",
         "COLD",
         "FLOWS",
+        "REQUESTS",
     ];
     let mut rows = vec![TableRow {
         style: LineStyle::Plain,
@@ -88,6 +89,12 @@
         (_, Value::Number(room)) => format!("room for {room} more"),
         _ => "-".to_owned(),
     };
+    let requests = match (&status["in_service"], &status["full"], &status["waiting"]) {
+        (Value::Number(running), Value::Number(full), Value::Number(waiting)) => {
+            format!("{running} of {full}, {waiting} waiting")
+        }
+        _ => "-".to_owned(),
+    };
     Some(TableRow {
         style: LineStyle::Plain,
         cells: vec![
@@ -98,6 +105,7 @@
             evacuated,
             cold,
             number("flows"),
+            requests,
         ],
     })
 }
--- a/bins/lovagelatch/tests/all/instances.rs
+++ b/bins/lovagelatch/tests/all/instances.rs
@@ -245,6 +245,14 @@
             code: 1,
             expected: &["balancers differ"],
         },
+        OpaqueCase {
+            name: "an agent at which requests wait",
+            responses: &[
+                r#"{"leaving":false,"zones_revision":40,"evacuated":false,"flows":4,"in_service":9,"full":10,"waiting":3}"#,
+            ],
+            code: 0,
+            expected: &["REQUESTS", "9 of 10, 3 waiting"],
+        },
         OpaqueCase {
             name: "no evacuated zone",
             responses: &[
