--- a/crates/flows/src/agent/requests.rs
+++ b/crates/flows/src/agent/requests.rs
@@ -6,7 +6,7 @@
 
 use super::admission::{AdmissionEvent, OfferRefusal, RefusedOffer, RequestAdmission};
 use super::entry::{FlowEntry, RequestPhase};
-use super::{AgentStep, FlowAgent, HALF_OPEN_TIMEOUT};
+use super::{AgentStep, FlowAgent};
 use crate::frame::PacketFrame;
 use crate::packet::{FlowKey, FlowPacket};
 
@@ -166,12 +166,12 @@
 
     /// Returns whether an offer is the first one of its flow, so that the flow cannot be open or
     /// about to open anywhere, and a reset ends nothing. Copies of a first packet are numbered, and
-    /// a further offer names no class. An agent that has just started may get a packet that was
-    /// under way while its predecessor ran.
+    /// a further offer names no class. An agent that does not know all flows was restarted, most
+    /// likely with many others: a client that each of them resets has used up its tries within
+    /// milliseconds.
     fn is_first_offer(&self, frame: &PacketFrame, packet: &FlowPacket, now: Moment) -> bool {
         let is_copy = packet.acknowledged > 0 || frame.zones_revision == 0;
-        let has_settled = now.since(self.started) >= HALF_OPEN_TIMEOUT;
-        !is_copy && frame.class.is_some() && (has_settled || self.knows_all_flows(now))
+        !is_copy && frame.class.is_some() && self.knows_all_flows(now)
     }
 
     pub(super) fn report_refused_offer(
