review: bodies of a region's requests are relayed through another region

A script with separate processes, from the code review. A balancer relays packets of a flow whose agent is silent through any third zone, also one outside the route's regions.

--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -40,6 +40,7 @@
         let settings = TargetSettings {
             id: format!("i-{host}"),
             ip: deployment.ip(host),
+            published: deployment.ip(host),
             service: SERVICE.into(),
             zone: "hall-a".into(),
             slots: 3,
--- a/review/standin.rs
+++ b/review/standin.rs
@@ -376,6 +376,8 @@
 pub struct TargetSettings {
     pub id: String,
     pub ip: Ipv4Addr,
+    /// The address in its entry; differs where a proxy stands before the machine.
+    pub published: Ipv4Addr,
     pub service: String,
     pub zone: String,
     pub slots: u16,
@@ -437,7 +439,7 @@
         let state = if self.draining.load(Ordering::Relaxed) { "draining" } else { "ready" };
         format!(
             "{{\"service\":\"{}\",\"address\":\"{}:{APP_PORT}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\"state\":\"{state}\",\"cold_remaining_ms\":0,\"seq\":{seq}}}",
-            settings.service, settings.ip, settings.zone, settings.slots
+            settings.service, settings.published, settings.zone, settings.slots
         )
     }
 
