Balancers log how many targets belong to services outside the configuration

Logs said how many agents a search queries, but not how many targets the view has outside the configuration.

The view keeps the services outside the configuration, which are usually none, instead of all services in it.

--- a/bins/balancer/src/opaque/process.rs
+++ b/bins/balancer/src/opaque/process.rs
@@ -237,6 +237,16 @@
             observer.observe(packets.view.load().is_complete().into(), &[]);
         })
         .build();
+    let packets = Arc::clone(&tasks.state.packets);
+    let _unconfigured = meter
+        .u64_observable_gauge("lovagelatch.balancer.unconfigured_targets")
+        .with_unit("{target}")
+        .with_description("Targets of services that the configuration does not name")
+        .with_callback(move |observer| {
+            let (_, targets) = packets.view.load().unconfigured_counts();
+            observer.observe(targets as u64, &[]);
+        })
+        .build();
     let catalog = Arc::clone(tasks);
     let _evacuated = meter
         .u64_observable_gauge("lovagelatch.balancer.evacuated_zones")
@@ -277,6 +287,7 @@
     let catalog = tasks.state.member.lock().status(now);
     let view = packets.view.load();
     let (routes, targets) = view.counts();
+    let (_, unconfigured_targets) = view.unconfigured_counts();
     let targets_read = StorePosition::from_table_revision(catalog.head.targets.revision);
     let zones_read = StorePosition::from_table_revision(catalog.head.zones.revision);
     serde_json::json!({
@@ -294,6 +305,7 @@
         "reader": catalog.reader,
         "routes": routes,
         "targets": targets,
+        "unconfigured_targets": unconfigured_targets,
         "cold_targets": view.cold_targets(now),
         "flows": packets.balancer.flow_count(),
     })
--- a/crates/flows/src/view.rs
+++ b/crates/flows/src/view.rs
@@ -108,8 +108,9 @@
     warmups: Arc<HashMap<ServiceId, WarmupRule>>,
     /// How many flows a target can hold, for services where the operator sets a limit.
     flow_limits: Arc<HashMap<ServiceId, NonZeroU32>>,
-    /// The services in the configuration. Entries of other services belong to another writer.
-    configured: Arc<HashSet<ServiceId>>,
+    /// The services with targets that the configuration does not name: it dropped them, or their
+    /// entries belong to another writer. Usually empty.
+    unconfigured: Arc<HashSet<ServiceId>>,
     /// Targets that the store no longer lists, beside agents without a listed target.
     unlisted: Vec<FlowTarget>,
     /// Agents beside leaving targets whose entries vanished around a store failure.
@@ -147,13 +148,24 @@
         self.services.values().map(Arc::as_ref)
     }
 
+    /// Returns whether the configuration does not name a service that has targets.
+    pub(crate) fn is_unconfigured(&self, service: ServiceId) -> bool {
+        self.unconfigured.contains(&service)
+    }
+
     /// Returns the rings of the services in the configuration, in no particular order.
     pub(crate) fn configured_rings(&self) -> impl Iterator<Item = &ServiceTargets> {
         let rings = self.services.iter();
-        let rings = rings.filter(|(service, _)| self.configured.contains(service));
+        let rings = rings.filter(|(service, _)| !self.is_unconfigured(**service));
         rings.map(|(_, ring)| ring.as_ref())
     }
 
+    /// Returns the rings of the other services, in no particular order.
+    pub(crate) fn unconfigured_rings(&self) -> impl Iterator<Item = &ServiceTargets> {
+        let rings = self.unconfigured.iter();
+        rings.filter_map(|service| self.service(*service))
+    }
+
     /// Returns whether a target beside this agent may be alive according to the store alone.
     #[must_use]
     pub fn may_have_live_target(&self, agent: AgentAddress) -> bool {
@@ -258,6 +270,14 @@
         cold.count()
     }
 
+    /// Returns the number of services with targets that the configuration does not name, and the
+    /// number of these targets.
+    #[must_use]
+    pub fn unconfigured_counts(&self) -> (usize, usize) {
+        let targets = self.unconfigured_rings().map(|ring| ring.targets().len());
+        (self.unconfigured.len(), targets.sum())
+    }
+
     /// Returns the number of routes and the number of targets.
     #[must_use]
     pub fn counts(&self) -> (usize, usize) {
--- a/crates/flows/src/view/builder.rs
+++ b/crates/flows/src/view/builder.rs
@@ -66,6 +66,9 @@
     shared: SharedAddresses,
     /// The services in the configuration that no route sends flows to.
     unrouted: Arc<Vec<ServiceName>>,
+    /// The services that are in the configuration, or were within the last flow lifetime as far as
+    /// this process knows.
+    configured: HashSet<ServiceId>,
     zones: ZoneNames,
     /// The zones that the store lists after its return from a copy, if they would end an
     /// evacuation. The copy may be older than the order, which is then written again.
@@ -93,6 +96,7 @@
             former: HashMap::new(),
             shared: SharedAddresses::default(),
             unrouted: Arc::default(),
+            configured: HashSet::new(),
             coverage: CoverageTracker::new(),
         };
         builder.view.zones.own_zone = builder.zone_index(&zone);
@@ -233,7 +237,26 @@
         self.view.idle_timeout = catalog.idle_timeout;
         if changed {
             self.unrouted = Arc::clone(&catalog.unrouted);
-            self.view.configured = Arc::new(self.configured_services(catalog));
+            self.configured = self.configured_services(catalog);
+            let services = self.view.services.keys().copied();
+            let unconfigured = services.filter(|service| !self.configured.contains(service));
+            self.view.unconfigured = Arc::new(unconfigured.collect());
+        }
+    }
+
+    /// Records whether a service whose targets have changed is one that the configuration does not
+    /// name.
+    fn update_unconfigured(&mut self, service: ServiceId) {
+        let has_targets = self.view.services.contains_key(&service);
+        let is_unconfigured = has_targets && !self.configured.contains(&service);
+        if is_unconfigured == self.view.unconfigured.contains(&service) {
+            return;
+        }
+        let unconfigured = Arc::make_mut(&mut self.view.unconfigured);
+        if is_unconfigured {
+            unconfigured.insert(service);
+        } else {
+            unconfigured.remove(&service);
         }
     }
 
@@ -480,9 +503,10 @@
             is_recovering: self.coverage.is_recovering(now),
         };
         let agents = self.agents_to_compare(&edits);
-        let services = Arc::make_mut(&mut self.view.services);
         for (service, edits) in edits {
+            let services = Arc::make_mut(&mut self.view.services);
             self.tracked.edit_service(services, service, edits, context);
+            self.update_unconfigured(service);
         }
         self.shared
             .mark_superseded(&mut self.view.services, &agents);
