Balancers search for flows among services that the configuration dropped

What callers saw: a configuration leads a route to another service and no longer names the former one. Flows that were open there are served, until a balancer is restarted: then each further packet gets a reset within a millisecond, although the target lives and holds the flow.

Cause: a balancer that does not know a flow queries the targets of the services that the configuration names, or that this process saw named within a flow's lifetime. A balancer that starts after the change never saw the former service, leaves its targets out, and takes the others' answers for proof that nobody holds the flow. The same follows from a service that was moved from before the start and dropped after it, and from one that a route keeps with a weight of 0.

Evidence: with logs of the commit before, a restarted balancer knows 2 targets outside the configuration and queries 2 of 4 agents; the agents of the former service log no query.

Change: every listed target is a possible holder. What the configuration names only decides how long silence is waited for. An entry outside the configuration may belong to another writer and name an address where no agent runs; the agent itself is the proof. One that was heard counts like any other. One that was never heard in the six seconds that a restart may take, probes included, while others were heard, is left out from then on; when it was forgotten with other idle agents, 400 ms are enough to confirm that. This holds whoever starts first and whether any process remembers the former service, so nothing has to be passed on.

Bounds: probes of such addresses are limited to 6 per 150 ms (2 KB/s), and each is probed once a second after two probes; they do not count for a balancer's isolation; at most 1,024 are remembered. If they make more holders than one search may query, only configured services are searched and nothing is concluded. Weighed and not taken: passing former services between balancers (nobody knows after a restart of all), and waiting for all entries alike (one foreign entry would hold up every lost flow of routes whose requests run once).

--- a/crates/flows/src/balancer/holders.rs
+++ b/crates/flows/src/balancer/holders.rs
@@ -5,6 +5,7 @@
 use lovagelatch_domain::{AgentAddress, Moment};
 use smallvec::SmallVec;
 
+use super::FlowBalancer;
 use super::entry::{FlowSearch, PendingQuery, QueriedTarget, SearchPhase, ServiceAgent};
 use crate::packet::FlowKey;
 use crate::ring::{FlowTarget, SEARCH_CANDIDATES, ServiceTargets};
@@ -148,17 +149,11 @@
     candidates
 }
 
-/// Returns the targets that are likely alive, of all services that the configuration names.
-fn likely_alive_targets(view: &FlowView, now: Moment) -> impl Iterator<Item = &FlowTarget> {
-    let targets = view.configured_rings().flat_map(ServiceTargets::targets);
-    targets.filter(move |target| is_likely_alive(target, now))
-}
-
 /// Returns whether so few agents may hold a flow that all are queried at once. Every search calls
 /// this, so it stops as soon as the limit is exceeded: going through 1,000 targets took 40 us.
 pub(super) fn is_small_fleet(view: &FlowView, now: Moment) -> bool {
     let mut agents: SmallVec<[AgentAddress; SINGLE_PHASE_AGENTS]> = SmallVec::new();
-    for target in likely_alive_targets(view, now) {
+    for target in likely_alive(view.rings(), now) {
         if agents.contains(&target.agent) {
             continue;
         }
@@ -170,16 +165,42 @@
     true
 }
 
-/// Returns the targets that may hold a flow, one for each agent, of all services that the
-/// configuration names. A route may have been moved to another service a moment ago, and a balancer
-/// that has just started, or does not know of the move yet, cannot know which services to query.
+/// Returns the targets that may hold a flow, one for each agent, of all services that have targets.
+/// A route may have been moved to another service a moment ago, and the configuration may no longer
+/// name the former one; a balancer that has just started, or does not know of the move yet, cannot
+/// know which services to query.
 ///
-/// One target per agent, because after a power loss each agent is listed twice until the entries of
-/// the former starts expire. Counting both would make the fleet look twice as large. The latest entry
-/// counts: the former target may have belonged to another service, whose flows the agent does not
-/// hold.
+/// Of the targets at one agent's address, one in a service that the configuration names counts
+/// first: an entry of another writer may name the same address.
 pub(crate) fn possible_holders(view: &FlowView, now: Moment) -> HolderList<'_> {
-    let mut holders: HolderList<'_> = likely_alive_targets(view, now).collect();
+    let mut holders = one_per_agent(likely_alive(view.configured_rings(), now));
+    if !view.has_unconfigured() {
+        return holders;
+    }
+    let mut others = one_per_agent(likely_alive(view.unconfigured_rings(), now));
+    others.retain(|other| {
+        let known = holders.binary_search_by_key(&other.agent, |target| target.agent);
+        known.is_err()
+    });
+    holders.extend(others);
+    holders.sort_unstable_by_key(|target| target.agent);
+    holders
+}
+
+fn likely_alive<'v>(
+    rings: impl Iterator<Item = &'v ServiceTargets>,
+    now: Moment,
+) -> impl Iterator<Item = &'v FlowTarget> {
+    let targets = rings.flat_map(ServiceTargets::targets);
+    targets.filter(move |target| is_likely_alive(target, now))
+}
+
+/// Returns one target for each agent, because after a power loss each agent is listed twice until
+/// the entries of the former starts expire. Counting both would make the fleet look twice as large.
+/// The latest entry counts: the former target may have belonged to another service, whose flows the
+/// agent does not hold.
+fn one_per_agent<'v>(targets: impl Iterator<Item = &'v FlowTarget>) -> HolderList<'v> {
+    let mut holders: HolderList<'v> = targets.collect();
     holders.sort_unstable_by_key(|target| {
         let order = (target.superseded, !target.listed, target.key);
         (target.agent, order)
@@ -187,3 +208,33 @@
     holders.dedup_by_key(|target| target.agent);
     holders
 }
+
+impl FlowBalancer {
+    /// Returns the possible holders that a search queries: all except vacant addresses, which only
+    /// entries outside the configuration name and where no agent answers.
+    pub(super) fn holders_to_query<'v>(&self, view: &'v FlowView, now: Moment) -> HolderList<'v> {
+        let mut holders = possible_holders(view, now);
+        if view.has_unconfigured() {
+            let mut loads = self.loads.lock();
+            holders.retain(|target| {
+                !view.is_unconfigured(target.service) || !loads.is_vacant(target.agent, now)
+            });
+        }
+        holders
+    }
+
+    /// Records which of the targets to query are in services that the configuration does not name,
+    /// so that there may be no agent at their addresses.
+    pub(super) fn record_unconfirmed(&self, agents: &QueriedAgents, view: &FlowView) {
+        if !view.has_unconfigured() {
+            return;
+        }
+        let unconfigured = agents
+            .iter()
+            .filter(|holder| view.is_unconfigured(holder.service));
+        let mut loads = self.loads.lock();
+        for holder in unconfigured {
+            loads.record_unconfirmed(holder.agent, holder.service);
+        }
+    }
+}
--- a/crates/flows/src/balancer/search.rs
+++ b/crates/flows/src/balancer/search.rs
@@ -203,8 +203,8 @@
         now: Moment,
     ) -> QueriedAgents {
         if holders::is_small_fleet(view, now) {
-            let all = holders::possible_holders(view, now);
-            return search.query_all(all, route, view, now);
+            let all = self.holders_to_query(view, now);
+            return self.query_holders(all, search, route, view, now);
         }
         if search.is_repeated {
             match self.widen(flow, search, view, now) {
--- a/crates/flows/src/balancer/search_timers.rs
+++ b/crates/flows/src/balancer/search_timers.rs
@@ -7,13 +7,13 @@
 
 use super::FlowBalancer;
 use super::entry::{FlowSearch, SearchPhase};
-use super::holders::{self, QueriedAgents};
+use super::holders::{HolderList, QueriedAgents};
 use super::loss::{GONE_TIMEOUT, UNREACHABLE_TIMEOUT};
 use super::search::{BUDGET_RETRY_INTERVAL, DueSearch, QUERY_TIMEOUT, pending_agents};
 use super::search_frames::{FrameBuilder, SearchFrames, delegated_bytes};
 use crate::packet::FlowKey;
 use crate::ring::SEARCH_CANDIDATES;
-use crate::view::FlowView;
+use crate::view::{FlowRoute, FlowView};
 
 /// How long an agent whose target the store no longer lists may stay silent after the second query
 /// before it counts as gone. A live agent answers within some milliseconds, and two datagrams are
@@ -229,8 +229,10 @@
     /// provided that requests may be run again. Machines that never come back after a power loss
     /// stay listed for three heartbeats (3.6 s); without this, no flow was known to be lost until
     /// then, and 1.2 s of a fleet's requests on pooled flows failed.
+    ///
+    /// An address that only entries outside the configuration name may have no agent at all.
     pub(super) fn drop_silent(&self, search: &mut FlowSearch, view: &FlowView, now: Moment) {
-        let loads = self.loads.lock();
+        let mut loads = self.loads.lock();
         let FlowSearch {
             pending,
             idempotent,
@@ -242,6 +244,9 @@
             if loads.is_gone(agent, GONE_TIMEOUT, now) && !view.may_have_live_target(agent) {
                 return false;
             }
+            if view.is_unconfigured(query.holder.service) && loads.is_vacant(agent, now) {
+                return false;
+            }
             let is_unreachable = *idempotent && loads.is_silent(agent, UNREACHABLE_TIMEOUT, now);
             *holder_unreachable |= is_unreachable;
             !is_unreachable
@@ -266,6 +271,21 @@
         heard.map(|query| query.holder).collect()
     }
 
+    /// Extends a search to these holders. Returns the agents to query now, which include those that
+    /// have not answered.
+    pub(super) fn query_holders(
+        &self,
+        all: HolderList<'_>,
+        search: &mut FlowSearch,
+        route: &FlowRoute,
+        view: &FlowView,
+        now: Moment,
+    ) -> QueriedAgents {
+        let agents = search.query_all(all, route, view, now);
+        self.record_unconfirmed(&agents, view);
+        agents
+    }
+
     /// Adds all possible holders that were not queried yet. Returns the agents to query now, which
     /// include those that have not answered.
     pub(super) fn widen(
@@ -275,11 +295,18 @@
         view: &FlowView,
         now: Moment,
     ) -> WidenOutcome {
-        let all = holders::possible_holders(view, now);
-        let bytes = delegated_bytes(all.len(), search.bytes.len());
+        let mut all = self.holders_to_query(view, now);
+        let count = all.len();
+        let mut bytes = delegated_bytes(count, search.bytes.len());
         let mut budget = self.budget.lock();
+        if !budget.permits(bytes) && view.has_unconfigured() {
+            // The flow can still be found, but not be proven lost.
+            all.retain(|target| !view.is_unconfigured(target.service));
+            search.holder_excluded = true;
+            bytes = delegated_bytes(all.len(), search.bytes.len());
+        }
         if !budget.permits(bytes) {
-            return WidenOutcome::TooManyHolders(all.len());
+            return WidenOutcome::TooManyHolders(count);
         }
         if !budget.has_available(bytes, now) {
             return WidenOutcome::BudgetExhausted;
@@ -288,7 +315,7 @@
         let Some(route) = view.route(&flow) else {
             return WidenOutcome::BudgetExhausted;
         };
-        let agents = search.query_all(all, route, view, now);
+        let agents = self.query_holders(all, search, route, view, now);
         self.drop_silent(search, view, now);
         WidenOutcome::Query(agents)
     }
--- a/crates/flows/src/load.rs
+++ b/crates/flows/src/load.rs
@@ -3,7 +3,7 @@
 mod score;
 mod service;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::num::NonZeroU32;
 use std::time::Duration;
 
@@ -38,6 +38,20 @@
 /// and the answer to each had fifty times a normal round trip.
 const MIN_UNANSWERED_PROBES: u8 = 2;
 
+/// Time between two probes of an unconfirmed agent that counts as silent.
+const UNCONFIRMED_PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Limit on probes of unconfirmed agents per [`PROBE_INTERVAL`]: any number of entries may name
+/// addresses without an agent, and all messages of a balancer beside packets may take 2 KB/s.
+const MAX_UNCONFIRMED_PROBES: usize = 6;
+
+/// How long an unconfirmed agent may be silent if there was none at its address before: as long as
+/// one whose target the store no longer lists.
+const VACANCY_RECHECK_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Limit on remembered vacant addresses.
+const MAX_VACANT: usize = 1_024;
+
 /// A balancer that has heard no agent for this long considers itself isolated: fifty normal round
 /// trips, which include two probes of each agent.
 const ISOLATION_TIMEOUT: Duration = Duration::from_millis(500);
@@ -74,6 +88,9 @@
     pub probes: u8,
     /// When the last of these probes was sent.
     pub last_probed: Moment,
+    /// Whether the agent was queried for a target in a service that the configuration does not
+    /// name, and never heard: the entry may belong to another writer, and there may be no agent.
+    pub unconfirmed: bool,
 }
 
 impl TargetLoad {
@@ -88,6 +105,7 @@
             awaiting_since: None,
             probes: 0,
             last_probed: Moment::ZERO,
+            unconfirmed: false,
         }
     }
 
@@ -137,6 +155,24 @@
             .is_some_and(|at| now.since(at) >= timeout);
         timed_out && self.probes >= MIN_UNANSWERED_PROBES
     }
+
+    /// Returns whether the agent should be probed now.
+    fn is_probe_due(&self, now: Moment) -> bool {
+        let interval = if self.unconfirmed && self.probes >= MIN_UNANSWERED_PROBES {
+            UNCONFIRMED_PROBE_INTERVAL
+        } else {
+            PROBE_INTERVAL
+        };
+        let unheard = self
+            .awaiting_since
+            .is_some_and(|since| now.since(since) >= PROBE_DELAY);
+        unheard && now.since(self.last_probed) >= interval
+    }
+
+    fn record_probe(&mut self, now: Moment) {
+        self.last_probed = now;
+        self.probes = self.probes.saturating_add(1);
+    }
 }
 
 /// An agent's announcement that it is stopping. Valid until the agent is heard again, or for
@@ -156,6 +192,10 @@
     services: ServiceLoads,
     /// Every stop of an agent since this moment is known.
     stops_known_since: Moment,
+    /// Addresses where no agent was found, until one is heard there.
+    vacant: HashSet<AgentAddress>,
+    /// When unconfirmed agents were last probed.
+    unconfirmed_probed_at: Moment,
 }
 
 impl LoadTable {
@@ -177,6 +217,7 @@
             .insert(report.agent, TargetLoad::new(*report, now));
         let former = former.as_ref().map(|load| &load.report);
         self.services.replace(former, Some(report));
+        self.vacant.remove(&report.agent);
         if report.leaving {
             let notice = StopNotice {
                 at: now,
@@ -239,23 +280,75 @@
         load.awaiting_since.get_or_insert(now);
     }
 
+    /// Records that an agent is queried for a target in a service that the configuration does not
+    /// name.
+    pub fn record_unconfirmed(&mut self, agent: AgentAddress, service: ServiceId) {
+        let load = self.entry(agent, service);
+        load.unconfirmed |= load.last_heard == Moment::ZERO;
+    }
+
+    /// Returns whether there is no agent at an address that only entries outside the configuration
+    /// name: it was queried for as long as an agent may take to restart, and never heard, while
+    /// others were. After that, a shorter silence is enough.
+    pub fn is_vacant(&mut self, agent: AgentAddress, now: Moment) -> bool {
+        let load = self.loads.get(&agent);
+        if !load.is_some_and(|load| load.unconfirmed) {
+            return false;
+        }
+        let timeout = if self.vacant.contains(&agent) {
+            VACANCY_RECHECK_TIMEOUT
+        } else {
+            RESTART_GRACE
+        };
+        let is_vacant = self.is_unreachable(agent, timeout, now);
+        if is_vacant && self.vacant.len() < MAX_VACANT {
+            self.vacant.insert(agent);
+        }
+        is_vacant
+    }
+
     /// Returns the agents to probe now, sorted: they were sent frames and were not heard since.
     pub fn due_probes(&mut self, now: Moment) -> Vec<AgentAddress> {
         let mut due = Vec::new();
+        let mut unconfirmed = Vec::new();
         for (&agent, load) in &mut self.loads {
-            let unheard = load
-                .awaiting_since
-                .is_some_and(|since| now.since(since) >= PROBE_DELAY);
-            if unheard && now.since(load.last_probed) >= PROBE_INTERVAL {
-                load.last_probed = now;
-                load.probes = load.probes.saturating_add(1);
+            if !load.is_probe_due(now) {
+                continue;
+            }
+            if load.unconfirmed {
+                unconfirmed.push((load.last_probed, agent));
+            } else {
+                load.record_probe(now);
                 due.push(agent);
             }
         }
+        due.extend(self.probe_unconfirmed(unconfirmed, now));
         due.sort_unstable();
         due
     }
 
+    /// Selects unconfirmed agents to probe now of those that are due, given with the time of their
+    /// last probes: those that were probed longest ago.
+    fn probe_unconfirmed(
+        &mut self,
+        mut due: Vec<(Moment, AgentAddress)>,
+        now: Moment,
+    ) -> impl Iterator<Item = AgentAddress> {
+        if due.is_empty() || now.since(self.unconfirmed_probed_at) < PROBE_INTERVAL {
+            due.clear();
+        } else {
+            self.unconfirmed_probed_at = now;
+        }
+        due.sort_unstable();
+        due.truncate(MAX_UNCONFIRMED_PROBES);
+        for (_, agent) in &due {
+            if let Some(load) = self.loads.get_mut(agent) {
+                load.record_probe(now);
+            }
+        }
+        due.into_iter().map(|(_, agent)| agent)
+    }
+
     /// Returns the agents that were sent frames for `timeout` and at least two probes and were not
     /// heard, although others were: if no agent is heard, the fault is on this balancer's side.
     /// Excludes agents that announced a stop, which will be restarted beside a live target.
@@ -318,7 +411,9 @@
             return false;
         }
         let loads = self.loads.values();
-        let unheard = loads.filter(|load| load.is_unheard(ISOLATION_TIMEOUT, now));
+        // There may be no agent at an unconfirmed address.
+        let confirmed = loads.filter(|load| !load.unconfirmed);
+        let unheard = confirmed.filter(|load| load.is_unheard(ISOLATION_TIMEOUT, now));
         unheard.count() >= MIN_ISOLATION_AGENTS
     }
 
--- a/crates/flows/src/view.rs
+++ b/crates/flows/src/view.rs
@@ -148,6 +148,11 @@
         self.services.values().map(Arc::as_ref)
     }
 
+    /// Returns whether there are targets of services that the configuration does not name.
+    pub(crate) fn has_unconfigured(&self) -> bool {
+        !self.unconfigured.is_empty()
+    }
+
     /// Returns whether the configuration does not name a service that has targets.
     pub(crate) fn is_unconfigured(&self, service: ServiceId) -> bool {
         self.unconfigured.contains(&service)
--- a/crates/flows/tests/all/load.rs
+++ b/crates/flows/tests/all/load.rs
@@ -1,5 +1,6 @@
 //! The load and health of targets as a balancer sees them.
 
+use std::collections::BTreeMap;
 use std::num::NonZeroU32;
 use std::time::Duration;
 
@@ -276,6 +277,8 @@
 
 struct IsolationCase {
     name: &'static str,
+    /// Whether the silent agents were queried for services outside the configuration.
+    unconfirmed: bool,
     /// Number of agents that are sent frames and stay silent.
     silent: u8,
     /// When another agent was last heard, in milliseconds.
@@ -291,39 +294,54 @@
     let cases = [
         IsolationCase {
             name: "no agent answers",
+            unconfirmed: false,
             silent: 4,
             last_heard: None,
             expected: true,
         },
         IsolationCase {
             name: "another agent answers",
+            unconfirmed: false,
             silent: 4,
             last_heard: Some(1_700),
             expected: false,
         },
         IsolationCase {
             name: "another agent answered, before the silence",
+            unconfirmed: false,
             silent: 4,
             last_heard: Some(900),
             expected: true,
         },
         IsolationCase {
             name: "two agents may be dead",
+            unconfirmed: false,
             silent: 2,
             last_heard: None,
             expected: false,
         },
         IsolationCase {
             name: "no agent was sent a frame: there is no traffic",
+            unconfirmed: false,
             silent: 0,
             last_heard: None,
             expected: false,
         },
+        IsolationCase {
+            name: "the entries may belong to another writer",
+            unconfirmed: true,
+            silent: 4,
+            last_heard: None,
+            expected: false,
+        },
     ];
     for case in cases {
         let mut loads = LoadTable::default();
         for number in 1..=case.silent {
             loads.record_sent(agent(number), claims(), at(1_000));
+            if case.unconfirmed {
+                loads.record_unconfirmed(agent(number), claims());
+            }
         }
         for probed in [1_250, 1_450] {
             loads.due_probes(at(probed));
@@ -338,3 +356,35 @@
         assert!(!loads.is_isolated(at(2_101)), "{}", case.name);
     }
 }
+
+// Guards against a balancer that spends its time on probes: hundreds of entries of another writer
+// look like targets, and each search queries their addresses, where no agent answers.
+#[test]
+fn probes_of_unconfirmed_agents_are_bounded() {
+    let mut loads = LoadTable::default();
+    for number in 1..=100 {
+        loads.record_sent(agent(number), claims(), at(0));
+        loads.record_unconfirmed(agent(number), claims());
+    }
+    // Confirmed by a report, so that its probes are not limited.
+    loads.record_report(&idle_load(agent(101)), at(0));
+    loads.record_sent(agent(101), claims(), at(1));
+    loads.record_unconfirmed(agent(101), claims());
+    let mut probed = BTreeMap::new();
+    for millis in (0..6_000).step_by(50) {
+        for agent in loads.due_probes(at(millis)) {
+            *probed.entry(agent).or_insert(0) += 1;
+        }
+    }
+    let confirmed = probed.remove(&agent(101)).expect("probed");
+    assert!(confirmed >= 35, "{confirmed}");
+    // Each is probed in its turn, and often enough to count as silent.
+    assert_eq!(probed.len(), 100);
+    assert!(
+        probed.values().all(|times| (2..=3).contains(times)),
+        "{probed:?}"
+    );
+    // A probe takes up to 50 bytes, and 2 KB/s are allowed.
+    let total: u32 = probed.values().sum();
+    assert!(total * 50 <= 6 * 2_000, "{total}");
+}
--- a/crates/flows/tests/all/main.rs
+++ b/crates/flows/tests/all/main.rs
@@ -13,6 +13,7 @@
 mod empty_fleet;
 mod explain;
 mod fleet;
+mod former_service;
 mod frame;
 mod load;
 mod loss;
--- a/standins/soak/src/fault.rs
+++ b/standins/soak/src/fault.rs
@@ -66,6 +66,9 @@
     ChangeConfig,
     /// Moves a route to the other service and back.
     MoveRoute,
+    /// Moves all routes to one service and publishes a configuration that no longer names the
+    /// other, and moves them back.
+    DropService,
     /// Sends SIGHUP to all processes, as after a change of their settings.
     HangUp,
     /// Kills a target, which starts again under the same name beside its running agent.
@@ -104,7 +107,11 @@
 ];
 
 /// Faults that are injected only if `--only` names them, for the same reason.
-const EXPLICIT_FAULTS: [SoakFault; 2] = [SoakFault::RollAgents, SoakFault::RestoreStore];
+const EXPLICIT_FAULTS: [SoakFault; 3] = [
+    SoakFault::RollAgents,
+    SoakFault::RestoreStore,
+    SoakFault::DropService,
+];
 
 /// Faults that [`SoakPlan::draw`] draws from.
 pub const SOAK_FAULTS: [SoakFault; 27] = [
--- a/standins/soak/src/fleet.rs
+++ b/standins/soak/src/fleet.rs
@@ -30,9 +30,12 @@
 use crate::target::{AllowedRoutes, Target};
 use crate::timeline::RunTimeline;
 
-/// Names of the services. Initially, the first has two routes and the second has one.
+/// Names of the services.
 const SERVICES: [&str; 2] = ["claims", "vault"];
 
+/// The index of each route's initial service.
+const INITIAL_ROUTES: [u8; 3] = [0, 0, 1];
+
 /// Time for which the entry of a dead target stays in the store: three heartbeats.
 pub(crate) const ENTRY_TTL: Duration = Duration::from_millis(3_600);
 
@@ -94,6 +97,8 @@
     version: u64,
     /// Index of the service of each route.
     pub(crate) routes: [u8; 3],
+    /// Whether the configuration names only the services of its routes.
+    names_routed_only: bool,
 }
 
 impl Fleet {
@@ -121,7 +126,8 @@
             priorities: PRIORITIES,
             starts: 0,
             version: 0,
-            routes: [0, 0, 1],
+            routes: INITIAL_ROUTES,
+            names_routed_only: false,
         };
         fleet.publish_routes();
         for number in 0..machines {
@@ -431,6 +437,20 @@
         self.write_routes();
     }
 
+    /// Publishes a configuration that neither leads a route to the first service nor names it.
+    pub(crate) fn drop_first_service(&mut self) {
+        self.routes = [1; 3];
+        self.names_routed_only = true;
+        self.publish_routes();
+    }
+
+    /// Publishes the initial routes and names all services again.
+    pub(crate) fn restore_first_service(&mut self) {
+        self.routes = INITIAL_ROUTES;
+        self.names_routed_only = false;
+        self.publish_routes();
+    }
+
     /// Publishes a new version of the configuration with the current services of the routes.
     pub(crate) fn publish_routes(&mut self) {
         self.version += 1;
@@ -471,7 +491,11 @@
                 IDLE_TIMEOUT
             },
             routes: routes.collect(),
-            unrouted: (0..2).map(service_name).collect(),
+            unrouted: if self.names_routed_only {
+                Vec::new()
+            } else {
+                (0..2).map(service_name).collect()
+            },
             unusable: Vec::new(),
         };
         drop(allowed);
--- a/standins/soak/src/run.rs
+++ b/standins/soak/src/run.rs
@@ -459,6 +459,7 @@
                     .chain(agents)
                     .for_each(|process| process.send_hangup());
             }
+            SoakFault::DropService => fleet.drop_first_service(),
             SoakFault::Rush => self.rush.start(scheduled.route()),
             SoakFault::RushAndMove => {
                 self.rush.start(0);
@@ -511,6 +512,7 @@
                 fleet.routes[0] = 0;
                 fleet.publish_routes();
             }
+            SoakFault::DropService => fleet.restore_first_service(),
             SoakFault::ForeignEntries => fleet.remove_foreign_entry(),
             SoakFault::CrashTarget
             | SoakFault::RestartTarget
--- a/tests/matrix/tests/all/opaque.rs
+++ b/tests/matrix/tests/all/opaque.rs
@@ -75,6 +75,22 @@
     report.assert_no_violations();
 }
 
+// Guards against open flows of a service that the configuration no longer names: a process that
+// starts afterwards does not know that the service had any, and resets its flows.
+#[test]
+fn a_dropped_service_keeps_its_flows_under_every_fault() {
+    for dropped_at in [OpaqueStep::Response, OpaqueStep::LaterRequest] {
+        let mut report = MatrixReport::new("opaque flow, its service dropped, and one more fault");
+        report.run_single_faults(&OPAQUE_FAULTS, &OPAQUE_STEPS, 0..SEEDS, |plan| {
+            let mut plan = plan.clone();
+            plan.faults
+                .insert(0, (OpaqueFault::ServiceDropped, dropped_at));
+            run_opaque(&plan, OpaqueMechanisms::default())
+        });
+        report.assert_no_violations();
+    }
+}
+
 struct FleetCase {
     fleet: OpaqueFleet,
     faults: &'static [OpaqueFault],
--- a/tests/tests/all/soak.rs
+++ b/tests/tests/all/soak.rs
@@ -232,6 +232,28 @@
     }
 }
 
+/// Guards against resets of open flows whose service left the configuration, by balancers that
+/// started afterwards or while the change arrived.
+#[test]
+fn a_dropped_service_keeps_its_open_flows() {
+    let case = SoakCase {
+        seed: "5101",
+        minutes: "0.15",
+        processes: "9",
+        further: false,
+        arguments: &[
+            "--only=DropService",
+            "--only=RollBalancers",
+            "--only=KillBalancer",
+            "--only=KillBalancers",
+            "--only=StopBalancer",
+            "--only=StopAgent",
+            "--only=ChangeConfig",
+        ],
+    };
+    case.run();
+}
+
 /// Guards against new flows at a leaving target because of the entry of a crashed one at its address.
 #[test]
 fn a_former_entry_sends_no_flows_to_a_leaving_successor() {
