A search queries an agent again in the name of the agent's own service

What callers saw: a reset of an open flow whose target lives, after the agent beside the target and the balancers were restarted, where the store has two entries at the target's address.

Cause: a search names one service for each agent, that of one of the entries at its address. An agent that started after its target does not know the target's flows, and denies a flow of another service without asking the target. The balancer counts this as proof.

Change: an update names the agent's service. If it is not the one that the query named, the balancer does not count the denial, corrects the service and queries the agent again; a second denial counts. An agent that searches for a balancer reports such an agent as silent, so that the balancer queries it directly. Agents decide as before: nothing of one service is shown to the target of another. Costs one more datagram for each agent that was asked in a wrong name, once per search.

Failed before: former_service::an_agent_is_queried_in_the_name_of_its_own_service and delegated_search::an_agent_that_is_asked_in_the_name_of_another_service_counts_as_silent. In two older tests of delegated searches the agent of the vault group reported claims as its service; it reports vault now, as a real one does, and their assertions are as they were.

--- a/crates/flows/src/agent/inbound.rs
+++ b/crates/flows/src/agent/inbound.rs
@@ -109,8 +109,9 @@
         let agent = update.load.agent;
         match update.event {
             FlowEvent::Absent => {
+                let service = update.load.service;
                 self.delegated_searches
-                    .record_absent(&update.flow, agent, own_address)
+                    .record_absent(&update.flow, agent, service, own_address)
             }
             FlowEvent::Answered | FlowEvent::Opened | FlowEvent::Refused => None,
         }
--- a/crates/flows/src/balancer/search_answers.rs
+++ b/crates/flows/src/balancer/search_answers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use lovagelatch_domain::{AgentAddress, Moment};
+use lovagelatch_domain::{AgentAddress, Moment, ServiceId};
 use smallvec::SmallVec;
 
 use super::entry::{EntryState, FlowEntry, FlowSearch, SearchPhase};
@@ -52,6 +52,12 @@
             shard.flows.remove(&update.flow);
         }
         let search = shard.searches.get_mut(&update.flow)?;
+        if search.correct_service(agent, update.load.service) {
+            if search.phase == SearchPhase::AllHolders {
+                self.reschedule(now, update.flow, search);
+            }
+            return self.advance_search(&mut shard, update.flow, now);
+        }
         let mut pending = search.pending.iter();
         if let Some(answered) = pending.find(|query| query.holder.agent == agent)
             && answered.count == 1
@@ -150,6 +156,19 @@
 }
 
 impl FlowSearch {
+    /// Corrects the service that queries of an agent name, if it reports another one: an agent that
+    /// started after its target denies the flows of other services, even those that its target
+    /// holds. Returns whether the agent has to be queried again.
+    fn correct_service(&mut self, agent: AgentAddress, service: ServiceId) -> bool {
+        let mut pending = self.pending.iter_mut();
+        let query = pending.find(|query| query.holder.agent == agent);
+        let query = query.filter(|query| query.holder.service != service);
+        query.is_some_and(|query| {
+            query.holder.service = service;
+            true
+        })
+    }
+
     /// Records which agents reported the flow as absent. `agents` must be sorted.
     fn record_absences(&mut self, agents: &[AgentAddress]) {
         for queried in &mut self.queried {
--- a/crates/flows/src/delegated_search.rs
+++ b/crates/flows/src/delegated_search.rs
@@ -13,7 +13,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use lovagelatch_domain::{AgentAddress, Moment};
+use lovagelatch_domain::{AgentAddress, Moment, ServiceId};
 use smallvec::SmallVec;
 
 use crate::frame::{DelegatedSearch, FramePurpose, PacketFrame, SearchResult};
@@ -37,8 +37,8 @@
 struct PendingSearch {
     balancer: AgentAddress,
     started: Moment,
-    /// Agents that have not answered yet.
-    unanswered: SmallVec<[AgentAddress; 16]>,
+    /// Agents that have not answered yet, with the services that their queries name.
+    unanswered: SmallVec<[(AgentAddress, ServiceId); 16]>,
     /// Agents that have reported the flow as absent.
     absent: SmallVec<[AgentAddress; 16]>,
 }
@@ -54,7 +54,8 @@
     }
 
     fn is_queried(&self, agent: AgentAddress) -> bool {
-        self.unanswered.contains(&agent) || self.absent.contains(&agent)
+        let mut unanswered = self.unanswered.iter();
+        unanswered.any(|(known, _)| *known == agent) || self.absent.contains(&agent)
     }
 }
 
@@ -86,7 +87,7 @@
         });
         let mut pending = known.unwrap_or_else(|| PendingSearch::new(search.balancer, now));
         pending.started = now;
-        let mut named: SmallVec<[AgentAddress; 16]> = SmallVec::new();
+        let mut named: SmallVec<[(AgentAddress, ServiceId); 16]> = SmallVec::new();
         let mut frames = Vec::new();
         for group in &search.others {
             for &instance in &group.instances {
@@ -94,7 +95,7 @@
                     break;
                 }
                 let agent = AgentAddress(SocketAddrV4::new(instance, own_address.0.port()));
-                named.push(agent);
+                named.push((agent, group.service));
                 if !pending.is_queried(agent) {
                     let frame =
                         PacketFrame::new(FramePurpose::Search, group.service, search.balancer);
@@ -103,7 +104,7 @@
             }
         }
         let absent = &pending.absent;
-        let unanswered = named.iter().filter(|agent| !absent.contains(agent));
+        let unanswered = named.iter().filter(|(agent, _)| !absent.contains(agent));
         pending.unanswered = unanswered.copied().collect();
         if pending.unanswered.is_empty() && !named.is_empty() {
             self.answered.push(flow);
@@ -113,17 +114,22 @@
         frames
     }
 
-    /// Records that an agent does not hold a flow. Returns the result of the search if that was the
-    /// last pending answer.
+    /// Records that the agent of a service does not hold a flow. Returns the result of the search if
+    /// that was the last pending answer. If the query named another service, the agent counts as
+    /// silent, because it may not have asked its target.
     pub(crate) fn record_absent(
         &mut self,
         flow: &FlowKey,
         agent: AgentAddress,
+        service: ServiceId,
         own_address: AgentAddress,
     ) -> Option<(AgentAddress, SearchResult)> {
         let search = self.pending.get_mut(flow)?;
         let before = search.unanswered.len();
-        search.unanswered.retain(|unanswered| *unanswered != agent);
+        let answered = (agent, service);
+        search
+            .unanswered
+            .retain(|unanswered| *unanswered != answered);
         if search.unanswered.len() < before {
             search.absent.push(agent);
         }
@@ -178,7 +184,7 @@
         let result = SearchResult {
             flow: *flow,
             delegate: own_address,
-            silent: search.unanswered.into_iter().collect(),
+            silent: search.unanswered.iter().map(|(agent, _)| *agent).collect(),
         };
         Some((search.balancer, result))
     }
--- a/crates/flows/tests/all/delegated_search.rs
+++ b/crates/flows/tests/all/delegated_search.rs
@@ -2,7 +2,7 @@
 
 use lovagelatch_domain::AgentAddress;
 use lovagelatch_flows::{
-    AgentStep, DelegatedSearch, FlowEvent, FramePurpose, SearchGroup, SearchResult,
+    AgentStep, DelegatedSearch, FlowEvent, FlowUpdate, FramePurpose, SearchGroup, SearchResult,
 };
 use smallvec::{SmallVec, smallvec};
 
@@ -24,6 +24,18 @@
     }
 }
 
+/// The agent that the searches below name in the group of `vault`.
+const VAULT_AGENT: u8 = 4;
+
+/// An update of an agent of the service that the searches name for it: it does not hold the flow.
+fn absent(number: u8) -> FlowUpdate {
+    let mut update = flow_update(flow(1), agent(number), FlowEvent::Absent);
+    if number == VAULT_AGENT {
+        update.load.service = service("vault").id();
+    }
+    update
+}
+
 fn search_result(silent: SmallVec<[AgentAddress; 4]>) -> Option<(AgentAddress, SearchResult)> {
     let result = SearchResult {
         flow: flow(1),
@@ -54,7 +66,6 @@
 fn the_balancer_gets_one_result_when_all_agents_deny_the_flow() {
     let mut delegate = informed_agent();
     delegate.handle_delegated_search(&delegated_search(&[2, 3], &[4]), &data(flow(1)), at(0));
-    let absent = |number| flow_update(flow(1), agent(number), FlowEvent::Absent);
     assert_eq!(delegate.handle_flow_update(&absent(2)), None);
     assert_eq!(delegate.handle_flow_update(&absent(2)), None);
     assert_eq!(delegate.handle_flow_update(&absent(4)), None);
@@ -92,6 +103,18 @@
     assert_eq!(delegate.expired_searches(at(60)), ended);
 }
 
+// Guards against an open flow that is reset: the search names another service than that of the
+// agent, which started after its target and denies flows of other services without asking it.
+#[test]
+fn an_agent_that_is_asked_in_the_name_of_another_service_counts_as_silent() {
+    let mut delegate = informed_agent();
+    delegate.handle_delegated_search(&delegated_search(&[2], &[3]), &data(flow(1)), at(0));
+    delegate.handle_flow_update(&absent(2));
+    assert_eq!(delegate.handle_flow_update(&absent(3)), None);
+    let ended: Vec<_> = search_result(smallvec![agent(3)]).into_iter().collect();
+    assert_eq!(delegate.expired_searches(at(60)), ended);
+}
+
 #[test]
 fn a_later_search_for_the_same_flow_replaces_the_first() {
     let mut delegate = informed_agent();
@@ -152,7 +175,7 @@
         let step = delegate.handle_delegated_search(&search, &data(flow(1)), at(0));
         assert_eq!(step.remote.len(), 3);
         for &number in case.absent {
-            delegate.handle_flow_update(&flow_update(flow(1), agent(number), FlowEvent::Absent));
+            delegate.handle_flow_update(&absent(number));
         }
         let repeated = DelegatedSearch {
             balancer: case.balancer,
@@ -168,10 +191,7 @@
         let missing = [2, 3, 4, 5].into_iter();
         let missing = missing.filter(|number| !case.absent.contains(number));
         let results: Vec<_> = missing
-            .filter_map(|number| {
-                let update = flow_update(flow(1), agent(number), FlowEvent::Absent);
-                delegate.handle_flow_update(&update)
-            })
+            .filter_map(|number| delegate.handle_flow_update(&absent(number)))
             .collect();
         let [(to, result)] = &results[..] else {
             panic!("{}: {results:?}", case.name);
--- a/crates/flows/tests/all/empty_fleet.rs
+++ b/crates/flows/tests/all/empty_fleet.rs
@@ -3,13 +3,15 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 
-use lovagelatch_domain::AgentAddress;
+use lovagelatch_domain::{AgentAddress, ServiceId};
 use lovagelatch_flows::{
     BalancerStep, DelegatedSearch, DueSearch, FlowBalancer, FlowEvent, FlowReset, FlowView,
     LossReason, PeerFrame, SearchFrames, SearchResult,
 };
 
-use crate::support::{agent, at, data, flow, flow_update, idle_load};
+use smallvec::SmallVec;
+
+use crate::support::{agent, at, claims, data, flow, flow_update, idle_load};
 
 /// Agents whose targets hold no flows, in front of a balancer. Time advances in steps of one
 /// millisecond. Agents that are not silent answer at once.
@@ -20,6 +22,10 @@
     /// How often each agent was shown a packet.
     pub(crate) shown: BTreeMap<AgentAddress, usize>,
     pub(crate) millis: u64,
+    /// Agents with other services than `claims`. They deny all other flows.
+    services: BTreeMap<AgentAddress, ServiceId>,
+    /// The service that the last query of each agent named.
+    named: BTreeMap<AgentAddress, ServiceId>,
 }
 
 impl<'a> EmptyFleet<'a> {
@@ -34,9 +40,26 @@
             silent: silent.into_iter().collect(),
             shown: BTreeMap::new(),
             millis: 0,
+            services: BTreeMap::new(),
+            named: BTreeMap::new(),
         }
     }
 
+    /// Sets the service of an agent.
+    pub(crate) fn with_service(mut self, agent: AgentAddress, service: ServiceId) -> Self {
+        self.services.insert(agent, service);
+        self
+    }
+
+    /// Returns the service that the last query of an agent named.
+    pub(crate) fn last_service(&self, agent: AgentAddress) -> Option<ServiceId> {
+        self.named.get(&agent).copied()
+    }
+
+    fn service_of(&self, agent: AgentAddress) -> ServiceId {
+        self.services.get(&agent).copied().unwrap_or(claims())
+    }
+
     /// Returns how often the agent was shown a packet.
     pub(crate) fn query_count(&self, agent: AgentAddress) -> usize {
         self.shown.get(&agent).copied().unwrap_or_default()
@@ -47,28 +70,50 @@
         let mut reset = None;
         for (to, frame) in frames {
             *self.shown.entry(*to).or_default() += 1;
+            if let PeerFrame::Packet(frame) = frame {
+                self.named.insert(*to, frame.service);
+            }
             if self.silent.contains(to) {
                 continue;
             }
             if let PeerFrame::Errand(search) = frame {
-                let others = delegated_agents(*to, search);
-                for other in &others {
-                    *self.shown.entry(*other).or_default() += 1;
-                }
-                let silent = others.into_iter();
-                let result = SearchResult {
-                    flow: flow(port),
-                    delegate: *to,
-                    silent: silent.filter(|other| self.silent.contains(other)).collect(),
-                };
+                self.named.insert(*to, search.service);
+                let result = self.search_result(port, *to, search);
                 reset = reset.or(self.balancer.handle_search_result(&result, now));
             }
-            let update = flow_update(flow(port), *to, FlowEvent::Absent);
+            let mut update = flow_update(flow(port), *to, FlowEvent::Absent);
+            update.load.service = self.service_of(*to);
             reset = reset.or(self.balancer.handle_flow_update(&update, now).reset);
         }
         reset
     }
 
+    /// Returns the result of a delegated search. Agents that are queried in the name of another
+    /// service count as silent.
+    fn search_result(
+        &mut self,
+        port: u16,
+        delegate: AgentAddress,
+        search: &DelegatedSearch,
+    ) -> SearchResult {
+        let mut result = SearchResult {
+            flow: flow(port),
+            delegate,
+            silent: SmallVec::new(),
+        };
+        for group in &search.others {
+            for instance in &group.instances {
+                let other = AgentAddress(SocketAddrV4::new(*instance, delegate.0.port()));
+                *self.shown.entry(other).or_default() += 1;
+                self.named.insert(other, group.service);
+                if self.silent.contains(&other) || self.service_of(other) != group.service {
+                    result.silent.push(other);
+                }
+            }
+        }
+        result
+    }
+
     /// Advances the time by one millisecond for the flow from `port`.
     pub(crate) fn step(&mut self, port: u16) -> Option<FlowReset> {
         self.millis += 1;
--- a/crates/flows/tests/all/former_service.rs
+++ b/crates/flows/tests/all/former_service.rs
@@ -255,3 +255,43 @@
         assert_eq!(services, expected);
     }
 }
+
+struct ServiceCase {
+    name: &'static str,
+    /// Number of targets of `claims`; above 16 agents a search has two phases.
+    targets: u8,
+}
+
+// Guards against open flows that are reset because two entries outside the configuration name an
+// agent's address, the search names the other one's service, and the agent, which started after its
+// target, denies the flows of that service without asking its target.
+#[test]
+fn an_agent_is_queried_in_the_name_of_its_own_service() {
+    let cases = [
+        ServiceCase {
+            name: "all at once",
+            targets: 2,
+        },
+        ServiceCase {
+            name: "two phases",
+            targets: 30,
+        },
+    ];
+    for case in cases {
+        let holder = agent(case.targets + 1);
+        let claims = (1..=case.targets).map(|number| target(number, "claims"));
+        let entries = ["former", "elsewhere"].map(|name| target(case.targets + 1, name));
+        let mut catalog = catalog(claims.chain(entries).collect());
+        catalog.unrouted = Vec::new().into();
+        let view = view_of(once_only(catalog));
+        for own in ["former", "elsewhere"] {
+            let own = service(own).id();
+            let balancer = FlowBalancer::new(balancer());
+            let mut fleet = EmptyFleet::new(&balancer, &view, []).with_service(holder, own);
+            let reported = fleet.search(1, 1_900);
+            assert!(reported.is_some(), "{}: not reported", case.name);
+            let last = fleet.last_service(holder);
+            assert_eq!(last, Some(own), "{}: {own:?}", case.name);
+        }
+    }
+}
