Searches whose result cannot change wait for the client's next packet

A search that must not query some possible holder ends without a result: a region that the route may have been bound to before, or entries outside the configuration that are too many to query. In a complete view it then went through all targets again every 25 ms for two seconds, for each flow without an answer, until the client gave up. Seen while the limits of the search for former services were weighed; no caller saw it.

The timer now runs only while the view is incomplete, as only that can change the result. The client's next packet begins the search again as before.

Failed before: regions::a_search_that_must_not_query_a_holder_waits_for_the_next_packet (the next check was due 25 ms after the last).

--- a/crates/flows/src/balancer/search_answers.rs
+++ b/crates/flows/src/balancer/search_answers.rs
@@ -143,7 +143,10 @@
         self.window.lock().leave(&flow);
         if !search.view_complete || search.holder_excluded {
             search.phase = SearchPhase::Inconclusive;
-            self.reschedule(now + COVERAGE_CHECK_INTERVAL, flow, search);
+            // Only a view that becomes complete can change the result before the next packet.
+            if !search.view_complete {
+                self.reschedule(now + COVERAGE_CHECK_INTERVAL, flow, search);
+            }
             return None;
         }
         let reason = if search.holder_unreachable {
--- a/crates/flows/tests/all/regions.rs
+++ b/crates/flows/tests/all/regions.rs
@@ -225,6 +225,23 @@
     );
 }
 
+// Guards against balancers that are busy with searches whose result cannot change: a region that
+// must not be queried may hold the flow, and each search goes through all targets again every 25 ms.
+#[test]
+fn a_search_that_must_not_query_a_holder_waits_for_the_next_packet() {
+    let decisions = FlowBalancer::new(balancer());
+    let mut builder = builder_with_regions(&THREE_REGIONS);
+    builder.apply(&restricted(9, &["karachi"]), at(0));
+    queried_zones(&decisions, &mut builder, 1, at(0));
+    assert!(!is_declared_lost(&decisions, &mut builder, 1, at(5)));
+    let view = builder.build(at(200));
+    assert_eq!(decisions.due_searches(&view, at(200)), []);
+    assert_eq!(decisions.next_due(), None);
+    // The client's next packet begins the search again.
+    let zones = queried_zones(&decisions, &mut builder, 1, at(7_000));
+    assert_eq!(zones, [1, 2]);
+}
+
 #[test]
 fn zones_without_a_region_are_reported_once() {
     let mut builder = builder_with_regions(&TWO_REGIONS);
