Balancers that start after a route's regions changed find its open flows

What callers saw: a configuration binds a route to another region. Flows that were open in the former one go on, but through each balancer that starts afterwards they are silent for up to a flow's lifetime, until their clients give up.

Cause: a balancer knows former regions only if it saw them. A search must not show a packet to regions outside the route's, since it may hold a request's body, so the flow's target is not queried, and nothing is concluded.

Change: such agents are asked whether they hold the flow by a frame of its own that names the flow and carries no packet. An agent answers from its flow table: held, not held, or nothing if it started after its target and does not know. The packet goes nowhere else; once an agent says that it holds the flow, the flow's packets go there, as its first one did. Each agent is asked once per search, only within a flow's lifetime after the balancer's start or a change of the regions, 64 at most, and only from the half of the search budget that direct queries may use. Deployments with one region send nothing. A process that does not know the frame counts it as bad and goes on.

With the frames left out, regions::a_flow_in_a_former_region_is_found_without_its_packet fails. The older test of regions looks at who receives a packet, and leaves out frames without one. Not covered: an agent that started after its target and has seen no packet of the flow from it.

--- a/bins/agent/src/opaque/packets.rs
+++ b/bins/agent/src/opaque/packets.rs
@@ -10,8 +10,9 @@
 use lovagelatch_domain::{AgentAddress, Moment};
 use lovagelatch_fleet::ProcessClock;
 use lovagelatch_flows::{
-    AdmissionEvent, AgentStep, DelegatedSearch, DropReason, FlowAgent, FlowPacket, FlowUpdate,
-    PacketFrame, PeerFrame, SearchResult, ZoneNotice, is_relayable, read_frame, write_frame,
+    AdmissionEvent, AgentStep, DelegatedSearch, DropReason, FlowAgent, FlowKey, FlowPacket,
+    FlowUpdate, PacketFrame, PeerFrame, SearchResult, ZoneNotice, is_relayable, read_frame,
+    write_frame,
 };
 use lovagelatch_network::{BUFFER_BYTES, ReceiveBatch, SendBatch, wait_readable};
 use lovagelatch_telemetry::EventOutcome;
@@ -235,6 +236,9 @@
             Ok((PeerFrame::Note(update), _)) => return self.handle_flow_update(&update),
             Ok((PeerFrame::Zone(notice), _)) => return self.handle_zone_notice(&notice, now),
             Ok((PeerFrame::Relay { to }, inner)) => return self.relay(to, inner),
+            Ok((PeerFrame::Locate { flow, balancer }, _)) => {
+                return self.answer_locate(flow, balancer, now);
+            }
             Ok((frame, packet)) => (frame, packet),
             Err(_) => return self.counts.add(PacketOutcome::BadFrame),
         };
@@ -266,6 +270,11 @@
         self.send_frame(balancer, &PeerFrame::Load(report));
     }
 
+    fn answer_locate(&mut self, flow: FlowKey, balancer: AgentAddress, now: Moment) {
+        let update = self.state.agent.lock().handle_locate(flow, balancer, now);
+        self.send_update(update.map(|update| (balancer, update)));
+    }
+
     /// Relays a frame to an agent from which the balancer gets no response.
     fn relay(&mut self, to: AgentAddress, inner: &[u8]) {
         if !is_relayable(inner) {
--- a/bins/balancer/src/opaque/packets.rs
+++ b/bins/balancer/src/opaque/packets.rs
@@ -163,6 +163,7 @@
                 | PeerFrame::Errand(_)
                 | PeerFrame::Zone(_)
                 | PeerFrame::Relay { .. }
+                | PeerFrame::Locate { .. }
                 | PeerFrame::Probe { .. },
                 _,
             ))
@@ -275,7 +276,8 @@
         let counts = self.state.balancer.search_counts();
         self.log.searched(flow, &frames, counts, view);
         for (to, frame) in frames {
-            self.push(to.0, |out| write_frame(&frame, bytes, out));
+            let packet = if frame.carries_packet() { bytes } else { &[] };
+            self.push(to.0, |out| write_frame(&frame, packet, out));
         }
     }
 
--- a/crates/flows/src/agent/inbound.rs
+++ b/crates/flows/src/agent/inbound.rs
@@ -99,6 +99,29 @@
         }
     }
 
+    /// Answers a balancer that asks whether the target holds a flow. Returns `None` if that is not
+    /// known: the flow is about to open, or the agent started after its target.
+    pub fn handle_locate(
+        &mut self,
+        flow: FlowKey,
+        balancer: AgentAddress,
+        now: Moment,
+    ) -> Option<FlowUpdate> {
+        self.renew_subscriber(balancer, now);
+        let knows_all_flows = self.knows_all_flows(now);
+        let event = match self.flows.get_mut(&flow) {
+            Some(entry) if entry.state == EntryState::Open => {
+                entry.balancer = Some(balancer);
+                entry.notified = true;
+                FlowEvent::Opened
+            }
+            Some(entry) if entry.state != EntryState::Closed => return None,
+            _ if knows_all_flows => FlowEvent::Absent,
+            _ => return None,
+        };
+        Some(self.flow_update(flow, event, now))
+    }
+
     /// Handles another agent's update about a flow that this agent searches for. Returns the search
     /// result and the balancer to send it to if that was the last pending answer.
     pub fn handle_flow_update(
--- a/crates/flows/src/balancer/entry.rs
+++ b/crates/flows/src/balancer/entry.rs
@@ -205,6 +205,10 @@
     /// Whether some possible holder must not be queried, so that the answers of the others prove
     /// nothing.
     pub(super) holder_excluded: bool,
+    /// Agents that may hold the flow and must not be shown its packets.
+    pub(super) excluded: SmallVec<[AgentAddress; 4]>,
+    /// How many of these were asked whether they hold the flow.
+    pub(super) located: usize,
     /// Whether some possible holder is unreachable, so that its answer is no longer awaited.
     pub(super) holder_unreachable: bool,
 }
@@ -229,6 +233,8 @@
             is_repeated: false,
             view_complete: false,
             holder_excluded: false,
+            excluded: SmallVec::new(),
+            located: 0,
             holder_unreachable: false,
         }
     }
--- a/crates/flows/src/balancer/holders.rs
+++ b/crates/flows/src/balancer/holders.rs
@@ -14,6 +14,10 @@
 /// Up to this many agents are all queried at once; in larger fleets the flow's candidates go first.
 const SINGLE_PHASE_AGENTS: usize = SEARCH_CANDIDATES;
 
+/// Limit on agents that are asked whether they hold a flow without being shown its packet. Such
+/// questions are not delegated.
+const MAX_LOCATED_AGENTS: usize = 64;
+
 /// How long a target may still hold flows after its entry vanished from the store: the store lists
 /// a live target again within two seconds.
 const VANISHED_WINDOW: Duration = Duration::from_secs(3);
@@ -66,9 +70,17 @@
         let Some(regions) = &route.regions else {
             return;
         };
-        let before = targets.len();
-        targets.retain(|target| view.may_receive_packet(route, target, now));
-        self.holder_excluded |= targets.len() < before && now < regions.former_until;
+        let may_hold = now < regions.former_until;
+        targets.retain(|target| {
+            let is_kept = view.may_receive_packet(route, target, now);
+            if !is_kept && may_hold && !self.excluded.contains(&target.agent) {
+                self.holder_excluded = true;
+                if self.excluded.len() < MAX_LOCATED_AGENTS {
+                    self.excluded.push(target.agent);
+                }
+            }
+            is_kept
+        });
     }
 
     /// Adds all possible holders that were not queried yet, and stops waiting for agents that are no
--- a/crates/flows/src/balancer/search.rs
+++ b/crates/flows/src/balancer/search.rs
@@ -346,6 +346,8 @@
         self.started = now;
         self.phase = SearchPhase::Candidates;
         self.holder_excluded = false;
+        self.excluded.clear();
+        self.located = 0;
         self.holder_unreachable = false;
         let Self {
             queried, pending, ..
--- a/crates/flows/src/balancer/search_frames.rs
+++ b/crates/flows/src/balancer/search_frames.rs
@@ -92,6 +92,23 @@
         self.build_delegated(flow, search, agents)
     }
 
+    /// Returns the frames that ask agents whether they hold the flow, each once per search, if the
+    /// budget allows it. These agents must not be shown the flow's packets.
+    pub(super) fn locate(&mut self, flow: FlowKey, search: &mut FlowSearch) -> SearchFrames {
+        let agents = &search.excluded[search.located..];
+        let bytes = agents.len() * FRAME_OVERHEAD_BYTES;
+        if agents.is_empty() || !self.budget.try_spend_direct(bytes, self.now) {
+            return SearchFrames::new();
+        }
+        let balancer = self.own_address;
+        let frames = agents
+            .iter()
+            .map(|agent| (*agent, PeerFrame::Locate { flow, balancer }));
+        let frames = frames.collect();
+        search.located = search.excluded.len();
+        frames
+    }
+
     /// Returns whether one of these agents was heard lately, so that it is likely to be alive.
     fn has_heard_any(&self, agents: &[ServiceAgent]) -> bool {
         agents.iter().any(|holder| {
--- a/crates/flows/src/balancer/search_timers.rs
+++ b/crates/flows/src/balancer/search_timers.rs
@@ -208,7 +208,8 @@
             is_busy,
             now,
         };
-        let frames = builder.build(flow, search, agents);
+        let mut frames = builder.build(flow, search, agents);
+        frames.extend(builder.locate(flow, search));
         for query in search
             .pending
             .iter()
--- a/crates/flows/src/frame.rs
+++ b/crates/flows/src/frame.rs
@@ -335,6 +335,14 @@
         /// The agent that does not know the flow.
         agent: AgentAddress,
     },
+    /// A question whether the agent's target holds a flow, for agents that must not be shown its
+    /// packets. The agent answers with an update, or not at all if it does not know.
+    Locate {
+        /// The flow to locate.
+        flow: FlowKey,
+        /// The balancer that receives the answer.
+        balancer: AgentAddress,
+    },
 }
 
 impl PeerFrame {
@@ -350,6 +358,12 @@
             _ => 0,
         }
     }
+
+    /// Returns whether a client's packet follows the frame in a search.
+    #[must_use]
+    pub fn carries_packet(&self) -> bool {
+        self.agent_count() > 0
+    }
 }
 
 /// Writes a [`PeerFrame::Relay`] with an inner frame and its packet into `out`, which is cleared
--- a/crates/flows/tests/all/agent.rs
+++ b/crates/flows/tests/all/agent.rs
@@ -286,6 +286,55 @@
     }
 }
 
+struct LocateCase {
+    name: &'static str,
+    started_with_target: bool,
+    /// Whether the flow was opened at the target.
+    open: bool,
+    expected: Option<FlowEvent>,
+}
+
+// Guards against open flows that a balancer takes for lost, or does not find, because an agent says
+// more about a flow than it knows when it is not shown a packet.
+#[test]
+fn an_agent_tells_whether_its_target_holds_a_flow() {
+    let cases = [
+        LocateCase {
+            name: "held",
+            started_with_target: true,
+            open: true,
+            expected: Some(FlowEvent::Opened),
+        },
+        LocateCase {
+            name: "not held",
+            started_with_target: true,
+            open: false,
+            expected: Some(FlowEvent::Absent),
+        },
+        LocateCase {
+            name: "the target sent a packet of the flow since the agent restarted",
+            started_with_target: false,
+            open: true,
+            expected: Some(FlowEvent::Opened),
+        },
+        LocateCase {
+            name: "the target may hold flows that the agent does not know",
+            started_with_target: false,
+            open: false,
+            expected: None,
+        },
+    ];
+    for case in cases {
+        let mut agent = FlowAgent::new(settings(case.started_with_target), at(0));
+        if case.open {
+            agent.handle_target_packet(&response(flow(1)), at(1));
+        }
+        let update = agent.handle_locate(flow(1), balancer(), at(2));
+        let event = update.map(|update| update.event);
+        assert_eq!(event, case.expected, "{}", case.name);
+    }
+}
+
 // Guards against flows that stall when their agent restarts: it is killed and restarted while its
 // target keeps running, and takes its empty flow table to mean that the target has no flows.
 #[test]
--- a/crates/flows/tests/all/regions.rs
+++ b/crates/flows/tests/all/regions.rs
@@ -1,6 +1,8 @@
 //! Routes that are restricted to regions, with targets in two or three regions. The targets outside
 //! the allowed regions are idle.
 
+use std::collections::BTreeSet;
+
 use lovagelatch_catalog::{Catalog, PublishedTarget};
 use lovagelatch_domain::{AgentAddress, Moment};
 use lovagelatch_flows::{
@@ -148,6 +150,7 @@
     };
     let mut zones: Vec<u8> = frames
         .iter()
+        .filter(|(_, frame)| frame.carries_packet())
         .flat_map(|(to, frame)| {
             let others = match frame {
                 PeerFrame::Errand(search) => search.others.clone(),
@@ -242,6 +245,49 @@
     assert_eq!(zones, [1, 2]);
 }
 
+// Guards against open flows that are silent for up to a flow lifetime through each balancer that
+// starts after their route was bound to another region. Agents outside the route's regions must not
+// be shown the packet, but may be asked for the flow.
+#[test]
+fn a_flow_in_a_former_region_is_found_without_its_packet() {
+    for targets in [9, 30] {
+        let decisions = FlowBalancer::new(balancer());
+        let mut builder = builder_with_regions(&THREE_REGIONS);
+        builder.apply(&restricted(targets, &["karachi"]), at(0));
+        let view = builder.build(at(0));
+        let step = decisions.handle_packet(&data(flow(1)), b"data", &view, at(0));
+        let BalancerStep::Search(mut frames) = step else {
+            panic!("not searched: {step:?}");
+        };
+        for millis in 1..200 {
+            for due in decisions.due_searches(&view, at(millis)) {
+                if let DueSearch::Query { frames: due, .. } = due {
+                    frames.extend(due);
+                }
+            }
+        }
+        let excluded = (1..=targets)
+            .map(agent)
+            .filter(|agent| zone_of(*agent) == 0);
+        let excluded: BTreeSet<_> = excluded.collect();
+        let located = frames.iter().filter(|(_, frame)| !frame.carries_packet());
+        let located: Vec<_> = located.map(|(to, _)| *to).collect();
+        assert_eq!(located.len(), excluded.len(), "each is asked once");
+        assert_eq!(BTreeSet::from_iter(located), excluded);
+        let holder = *excluded.first().expect("an agent");
+        decisions.handle_flow_update(&flow_update(flow(1), holder, FlowEvent::Opened), at(201));
+        let step = decisions.handle_packet(&data(flow(1)), b"data", &view, at(202));
+        assert_eq!(sent(step).0, holder);
+        // After a flow lifetime, no other region can hold a flow.
+        let view = builder.build(at(61_000));
+        let step = decisions.handle_packet(&data(flow(2)), b"data", &view, at(61_000));
+        let BalancerStep::Search(frames) = step else {
+            panic!("not searched: {step:?}");
+        };
+        assert!(frames.iter().all(|(_, frame)| frame.carries_packet()));
+    }
+}
+
 #[test]
 fn zones_without_a_region_are_reported_once() {
     let mut builder = builder_with_regions(&TWO_REGIONS);
--- a/tests/matrix/src/opaque/world.rs
+++ b/tests/matrix/src/opaque/world.rs
@@ -621,6 +621,12 @@
                 self.send_flow_update(at, step.update);
                 return;
             }
+            (PeerFrame::Locate { flow, balancer }, _) => {
+                if let Some(update) = machine.logic.handle_locate(flow, balancer, now) {
+                    self.send_from_agent(balancer, at, PeerFrame::Note(update), None);
+                }
+                return;
+            }
             (PeerFrame::Zone(notice), _) => {
                 machine.logic.handle_zone_notice(&notice, now);
                 return;
