flows: document who a search queries, name the limit of vacant addresses

From reading the change as a newcomer: the page of the search said nothing of services outside the configuration. Nothing that runs is changed.

--- a/crates/flows/src/balancer/search.rs
+++ b/crates/flows/src/balancer/search.rs
@@ -32,6 +32,14 @@
 //! valid, because an open flow does not move to a target that does not hold it. So the search waits
 //! until the view is complete, queries the holders that are new in it, and ends.
 //!
+//! Possible holders are all targets that the store lists, also those of services that the
+//! configuration does not name: it may have dropped a service whose flows are still open. Such an
+//! entry may instead belong to another writer and name an address without an agent. Whether there is
+//! one is learned from the agent itself ([`LoadTable::is_vacant`](crate::load::LoadTable::is_vacant)).
+//!
+//! Agents in regions that must not see the packet are only asked whether they hold the flow
+//! ([`PeerFrame::Locate`](crate::frame::PeerFrame::Locate)).
+//!
 //! The work of searching must not grow with what fails. So only a few searches have queries in
 //! flight, and the others wait in order ([`SearchWindow`](super::window::SearchWindow)); a flow's
 //! absence at a target stays known when a search begins again; and copies of a client's packet
--- a/crates/flows/src/frame.rs
+++ b/crates/flows/src/frame.rs
@@ -335,8 +335,8 @@
         /// The agent that does not know the flow.
         agent: AgentAddress,
     },
-    /// A question whether the agent's target holds a flow, for agents that must not be shown its
-    /// packets. The agent answers with an update, or not at all if it does not know.
+    /// Asks an agent that must not be shown a flow's packets whether its target holds the flow. The
+    /// agent answers with an update, or not at all if it does not know.
     Locate {
         /// The flow to locate.
         flow: FlowKey,
--- a/crates/flows/src/load.rs
+++ b/crates/flows/src/load.rs
@@ -50,7 +50,7 @@
 const VACANCY_RECHECK_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Limit on remembered vacant addresses.
-const MAX_VACANT: usize = 1_024;
+const MAX_VACANT_ADDRESSES: usize = 1_024;
 
 /// A balancer that has heard no agent for this long considers itself isolated: fifty normal round
 /// trips, which include two probes of each agent.
@@ -301,7 +301,7 @@
             RESTART_GRACE
         };
         let is_vacant = self.is_unreachable(agent, timeout, now);
-        if is_vacant && self.vacant.len() < MAX_VACANT {
+        if is_vacant && self.vacant.len() < MAX_VACANT_ADDRESSES {
             self.vacant.insert(agent);
         }
         is_vacant
