Log how many balancers an agent told that it stops, and who was told

Callers saw open flows reset during a planned restart of the agent beside them (review/3: 2 of 2 flows on here, told lost 1.02 and 1.14 s after the client's packet). Three causes fit that: the agent notifies nobody; it notifies balancers that do not record or relay it; or a balancer ends the notice too early. No line told them apart: balancers logged only the stops that other balancers relayed, and the agent did not say whom it notified.

"agent stopped" now carries `balancers`, and a balancer logs "agents stop" for stops that agents announced to it.

No behaviour changes.

--- a/bins/agent/src/opaque/process.rs
+++ b/bins/agent/src/opaque/process.rs
@@ -81,7 +81,9 @@
     tokio::time::sleep(STOP_GRACE.min(common.stop_timeout / 2)).await;
     state.shutdown.store(true, Ordering::Relaxed);
     wait_for_packet_thread(&state, common.stop_timeout / 4).await;
-    info!(log, "agent stopped"; "packets" => state.received.load(Ordering::Relaxed));
+    let notified = state.agent.lock().stop_notified();
+    info!(log, "agent stopped"; "packets" => state.received.load(Ordering::Relaxed),
+        "balancers" => notified);
     Ok(())
 }
 
--- a/bins/balancer/src/opaque/catalog.rs
+++ b/bins/balancer/src/opaque/catalog.rs
@@ -93,9 +93,10 @@
         let now = self.state.packets.clock.now();
         let stops = self.state.packets.balancer.direct_stops(now);
         let mut member = self.state.member.lock();
-        member.record_stops(&stops, now);
+        let new = member.record_stops(&stops, now);
         let actions = member.advance(now);
         drop(member);
+        self.log_stops("agents stop", &new);
         self.execute(actions);
     }
 
@@ -203,9 +204,13 @@
     fn record_stops(&self, stops: &[AgentStop]) {
         let now = self.state.packets.clock.now();
         self.state.packets.balancer.record_stops(stops, now);
-        // One line per message: a rolling restart of the fleet announces many agents.
+        self.log_stops("agents stop, by another balancer", stops);
+    }
+
+    /// Writes one line for all stops: a rolling restart of the fleet announces many agents.
+    fn log_stops(&self, message: &str, stops: &[AgentStop]) {
         if let Some(first) = stops.first() {
-            info!(self.state.log, "agents stop, by another balancer";
+            info!(self.state.log, "{message}";
                 "decision" => DecisionKind::LeavingSeen,
                 "agent" => first.agent.to_string(),
                 "age_ms" => first.age.as_secs_f64() * 1_000.0,
--- a/crates/catalog/src/member.rs
+++ b/crates/catalog/src/member.rs
@@ -332,9 +332,9 @@
     }
 
     /// Records stop announcements that agents sent to this balancer; the next
-    /// [`advance`](Self::advance) relays them.
-    pub fn record_stops(&mut self, stops: &[AgentStop], now: Moment) {
-        let _new = self.stops.record(stops, now);
+    /// [`advance`](Self::advance) relays them. Returns those that are new.
+    pub fn record_stops(&mut self, stops: &[AgentStop], now: Moment) -> StopList {
+        self.stops.record(stops, now)
     }
 
     /// Handles a message of another balancer.
--- a/crates/flows/src/agent.rs
+++ b/crates/flows/src/agent.rs
@@ -227,6 +227,8 @@
     warmup: WarmupGate,
     service_times: ServiceTimes,
     leaving: bool,
+    /// Most balancers that a report was returned for since the agent is stopping.
+    stop_notified: usize,
     subscribers: HashMap<AgentAddress, ReportSubscriber>,
     /// The response time of the last answered request, until `take_response_time` returns it.
     response_time: Option<Duration>,
@@ -266,6 +268,7 @@
             warmup: WarmupGate::new(settings.warmup, now),
             service_times: ServiceTimes::default(),
             leaving: false,
+            stop_notified: 0,
             subscribers: HashMap::new(),
             response_time: None,
             delegated_searches: DelegatedSearches::default(),
@@ -304,10 +307,19 @@
             subscriber.last_notified = now;
             *agent
         });
-        let notified = notified.collect();
+        let notified: Vec<_> = notified.collect();
+        if self.leaving {
+            self.stop_notified = self.stop_notified.max(notified.len());
+        }
         (notified, self.load(now))
     }
 
+    /// Returns how many balancers were notified that the agent is stopping.
+    #[must_use]
+    pub fn stop_notified(&self) -> usize {
+        self.stop_notified
+    }
+
     /// Applies a balancer's notice about the target's zone. Returns the age of the notice if it
     /// changed whether the zone is evacuated.
     pub fn handle_zone_notice(&mut self, notice: &ZoneNotice, now: Moment) -> Option<Duration> {
