A stopping agent notifies the balancers of idle flows

Cause: an agent announced its stop to the balancers that receive its load reports, those that sent a frame in the last 5 s. A flow may be idle for three times that, and its balancer then took the silence of the restart for a failure. Evidence: "agent stopped" says `balancers` 0, and no balancer logs a stop, directly or relayed. Ruled out by these lines: announcements that are lost, not relayed, or ended too early.

Fix: who is notified of a stop is kept apart from who receives load reports. A balancer that no longer receives reports stays known for the lifetime of a flow, after which no flow of the former frames can be open. Not a packet more until the stop; then up to 64 more recipients, the most recently heard ones. Keeping all subscribers for longer was not chosen: reports go to 8 of them four times a second, 1.9 KB/s of 2 without margin. A longer silence before a reset was not chosen either: callers of agents that died would learn of it later.

--- a/crates/flows/src/agent.rs
+++ b/crates/flows/src/agent.rs
@@ -5,6 +5,7 @@
 //! flows to its own target: the target holds the flow and answers, or returns the packet.
 
 mod admission;
+mod balancers;
 mod entry;
 mod health;
 mod inbound;
@@ -14,7 +15,7 @@
 mod warmup;
 mod zone;
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use lovagelatch_domain::{AgentAddress, Moment, ServiceId};
@@ -23,6 +24,7 @@
 pub use self::admission::{
     AdmissionEvent, AdmissionOrder, DeliveryReason, OfferRefusal, RefusedOffer, RequestDelivery,
 };
+use self::balancers::BalancerTable;
 use self::entry::{AbsentFlow, EntryState, FlowEntry, RequestPhase, TentativeDelivery};
 use self::health::TargetHealth;
 use self::service_time::ServiceTimes;
@@ -68,19 +70,6 @@
 /// Time constant of the exponential moving average of the load.
 const LOAD_AVERAGE_TIME_CONSTANT: Duration = Duration::from_secs(1);
 
-/// How long after its last packet a balancer receives load reports.
-const SUBSCRIBER_TTL: Duration = Duration::from_secs(5);
-
-/// Maximum number of balancers that receive a load report in one round, least recently notified
-/// first. This bounds what an agent sends: 8 reports of 40 bytes four times a second. An agent that
-/// is stopping notifies all of them in each round: a balancer that did not know took its silence
-/// for a failure, and reset open flows that the target still held. In a fleet of 59 balancers, two
-/// rounds of eight, which is all that a stop leaves time for, reached a third of them.
-const SUBSCRIBERS_PER_ROUND: usize = 8;
-
-/// Maximum number of balancers remembered as subscribers.
-const MAX_SUBSCRIBERS: usize = 256;
-
 /// A target with this many times its slots in progress is skipped for new flows. At twice its slots
 /// a new request waits for about one other.
 const BUSY_FACTOR: u16 = 2;
@@ -229,19 +218,12 @@
     leaving: bool,
     /// Most balancers that a report was returned for since the agent is stopping.
     stop_notified: usize,
-    subscribers: HashMap<AgentAddress, ReportSubscriber>,
+    balancers: BalancerTable,
     /// The response time of the last answered request, until `take_response_time` returns it.
     response_time: Option<Duration>,
     delegated_searches: DelegatedSearches,
 }
 
-/// A balancer that receives load reports because it sent frames recently.
-#[derive(Clone, Copy, Debug)]
-struct ReportSubscriber {
-    last_heard: Moment,
-    last_notified: Moment,
-}
-
 impl FlowAgent {
     /// Creates an agent that has seen no packets yet.
     #[must_use]
@@ -269,7 +251,7 @@
             service_times: ServiceTimes::default(),
             leaving: false,
             stop_notified: 0,
-            subscribers: HashMap::new(),
+            balancers: BalancerTable::new(settings.flow_lifetime),
             response_time: None,
             delegated_searches: DelegatedSearches::default(),
         }
@@ -294,24 +276,17 @@
         self.leaving = true;
     }
 
-    /// Returns the load report of this round and the balancers to send it to.
+    /// Returns the load report of this round and the balancers to send it to: some that sent frames
+    /// recently, or all known ones once the agent is stopping.
     pub fn load_report(&mut self, now: Moment) -> (Vec<AgentAddress>, LoadReport) {
-        self.subscribers
-            .retain(|_, subscriber| now.since(subscriber.last_heard) < SUBSCRIBER_TTL);
-        let mut round: Vec<_> = self.subscribers.iter_mut().collect();
-        round.sort_by_key(|(agent, subscriber)| (subscriber.last_notified, **agent));
-        if !self.leaving {
-            round.truncate(SUBSCRIBERS_PER_ROUND);
-        }
-        let notified = round.into_iter().map(|(agent, subscriber)| {
-            subscriber.last_notified = now;
-            *agent
-        });
-        let notified: Vec<_> = notified.collect();
-        if self.leaving {
-            self.stop_notified = self.stop_notified.max(notified.len());
-        }
-        (notified, self.load(now))
+        let recipients = if self.leaving {
+            let recipients = self.balancers.stop_recipients(now);
+            self.stop_notified = self.stop_notified.max(recipients.len());
+            recipients
+        } else {
+            self.balancers.next_report_round(now)
+        };
+        (recipients, self.load(now))
     }
 
     /// Returns how many balancers were notified that the agent is stopping.
@@ -337,7 +312,7 @@
 
     /// Returns the load, as the answer to a balancer's probe.
     pub fn handle_probe(&mut self, balancer: AgentAddress, now: Moment) -> LoadReport {
-        self.renew_subscriber(balancer, now);
+        self.balancers.record_frame(balancer, now);
         self.load(now)
     }
 
@@ -432,18 +407,6 @@
         self.in_progress >= slots.saturating_mul(BUSY_FACTOR).max(1)
     }
 
-    fn renew_subscriber(&mut self, balancer: AgentAddress, now: Moment) {
-        if self.subscribers.len() >= MAX_SUBSCRIBERS && !self.subscribers.contains_key(&balancer) {
-            return;
-        }
-        let new = ReportSubscriber {
-            last_heard: now,
-            last_notified: Moment::ZERO,
-        };
-        let subscriber = self.subscribers.entry(balancer);
-        subscriber.or_insert(new).last_heard = now;
-    }
-
     fn remove_flow(&mut self, flow: &FlowKey, now: Moment) -> Option<FlowEntry> {
         let entry = self.flows.remove(flow)?;
         if entry.waiting_since.is_some() {
--- a/crates/flows/src/agent/inbound.rs
+++ b/crates/flows/src/agent/inbound.rs
@@ -26,7 +26,7 @@
         packet: &FlowPacket,
         now: Moment,
     ) -> (AgentStep, Option<(AgentAddress, FlowUpdate)>) {
-        self.renew_subscriber(frame.balancer, now);
+        self.balancers.record_frame(frame.balancer, now);
         if frame.service != self.settings.service && !self.is_held(packet) {
             return self.forward(packet, frame.into(), now);
         }
@@ -107,7 +107,7 @@
         balancer: AgentAddress,
         now: Moment,
     ) -> Option<FlowUpdate> {
-        self.renew_subscriber(balancer, now);
+        self.balancers.record_frame(balancer, now);
         let knows_all_flows = self.knows_all_flows(now);
         let event = match self.flows.get_mut(&flow) {
             Some(entry) if entry.state == EntryState::Open => {
--- a/crates/flows/tests/all/agent.rs
+++ b/crates/flows/tests/all/agent.rs
@@ -581,6 +581,87 @@
     }
 }
 
+/// An agent that heard these balancers, each with its time in milliseconds.
+fn agent_of_balancers(heard: &[(u8, u64)]) -> FlowAgent {
+    let mut one = informed_agent();
+    for &(number, millis) in heard {
+        let mut known = frame(FramePurpose::Search, &[]);
+        known.balancer = agent(number);
+        one.handle_frame(known, &data(flow(1)), at(millis));
+        one.load_report(at(millis));
+    }
+    one
+}
+
+// Guards against open flows that are reset at a planned restart because they were idle before it:
+// their balancers were not notified, and took the agent's silence for a failure.
+#[test]
+fn a_stopping_agent_notifies_balancers_whose_flows_are_idle() {
+    struct IdleCase {
+        name: &'static str,
+        /// The balancers that were heard, and when.
+        heard: &'static [(u8, u64)],
+        stops_at: u64,
+        expected: &'static [u8],
+    }
+    let cases = [
+        IdleCase {
+            name: "all flows idle",
+            heard: &[(101, 0), (102, 1_000)],
+            stops_at: 14_000,
+            expected: &[101, 102],
+        },
+        IdleCase {
+            name: "some flows idle",
+            heard: &[(101, 0), (102, 13_000)],
+            stops_at: 14_000,
+            expected: &[101, 102],
+        },
+        IdleCase {
+            name: "idle and active again",
+            heard: &[(101, 0), (102, 13_000), (101, 13_500)],
+            stops_at: 14_000,
+            expected: &[101, 102],
+        },
+        IdleCase {
+            name: "idle for almost the lifetime of a flow",
+            heard: &[(101, 0)],
+            stops_at: 59_000,
+            expected: &[101],
+        },
+        IdleCase {
+            name: "silent for longer than a flow may live",
+            heard: &[(101, 0), (102, 30_000)],
+            stops_at: 61_000,
+            expected: &[102],
+        },
+    ];
+    for case in cases {
+        let mut one = agent_of_balancers(case.heard);
+        one.set_leaving();
+        for round in [0, 250] {
+            let (notified, load) = one.load_report(at(case.stops_at + round));
+            let expected: Vec<_> = case.expected.iter().copied().map(agent).collect();
+            assert_eq!(notified, expected, "{} in round {round}", case.name);
+            assert!(load.leaving, "{}", case.name);
+        }
+    }
+}
+
+// Guards against an agent that remembers balancers without bound, and against one that notifies
+// those that sent frames long ago rather than those that are likely to run.
+#[test]
+fn a_stopping_agent_notifies_the_most_recent_of_many_idle_balancers() {
+    let heard: Vec<_> = (0..200)
+        .map(|number| (number, u64::from(number) * 100))
+        .collect();
+    let mut one = agent_of_balancers(&heard);
+    one.set_leaving();
+    let (notified, _) = one.load_report(at(30_000));
+    let expected: Vec<_> = (136..200).map(agent).collect();
+    assert_eq!(notified, expected);
+}
+
 // Guards against an open flow that is reset under load while its target serves it. The target's
 // answer takes longer than 200 ms, so the client sends a copy of its first packet; the flow opens;
 // the copy arrives, and the target repeats its answer; the client's next packet acknowledges far
--- a/standins/soak/src/client.rs
+++ b/standins/soak/src/client.rs
@@ -34,9 +34,6 @@
 /// Maximum number of attempts of a request after the first.
 const MAX_RETRIES: u32 = 2;
 
-/// Pause between two requests.
-const REQUEST_PAUSE: Duration = Duration::from_millis(40);
-
 /// Pause between two requests of a client that is active only in rushes.
 const RUSH_PAUSE: Duration = Duration::from_millis(10);
 
@@ -74,6 +71,8 @@
     pub(crate) long_flows: bool,
     /// Whether its requests are [`RequestSegment`]s, and it tells targets when it ends a flow.
     pub(crate) hard_load: bool,
+    /// Pause between two requests of a client that is not active in rushes only.
+    pub(crate) request_pause: Duration,
     /// Set for a client that sends requests only during rushes on its route.
     pub(crate) rush: Option<RushControl>,
 }
@@ -88,7 +87,7 @@
         match self.rush {
             Some(_) if served => RUSH_PAUSE,
             Some(_) => FAILURE_PAUSE,
-            None => REQUEST_PAUSE,
+            None => self.request_pause,
         }
     }
 }
--- a/standins/soak/src/main.rs
+++ b/standins/soak/src/main.rs
@@ -36,6 +36,9 @@
     /// Milliseconds from an agent's exit until it is started again
     #[bpaf(argument("MS"), fallback(300))]
     agent_restart_ms: u64,
+    /// Milliseconds between two requests of a client
+    #[bpaf(argument("MS"), fallback(40))]
+    request_pause_ms: u64,
     /// Keep the settings and logs of sound runs too
     keep_logs: bool,
     /// Directory for settings and logs; those of sound runs are removed unless `--keep-logs` is given
@@ -61,6 +64,7 @@
             hard_load: line.hard_load || line.only.iter().any(|fault| fault.needs_hard_load()),
             only: line.only.clone(),
             agent_restart: Duration::from_millis(line.agent_restart_ms),
+            request_pause: Duration::from_millis(line.request_pause_ms),
             programs: programs.clone(),
             directory: directory.clone(),
         };
--- a/standins/soak/src/run.rs
+++ b/standins/soak/src/run.rs
@@ -80,6 +80,8 @@
     pub only: Vec<SoakFault>,
     /// Delay from an agent's exit until it is started again.
     pub agent_restart: Duration,
+    /// Pause of a client between two requests.
+    pub request_pause: Duration,
     /// Directory of the programs.
     pub programs: PathBuf,
     /// Directory for settings and logs of the processes. It is created if missing.
@@ -194,6 +196,8 @@
     restarts: Vec<Option<Instant>>,
     /// Delay from an agent's exit until it is started again.
     agent_restart: Duration,
+    /// Pause of a client between two requests.
+    request_pause: Duration,
     rush: RushControl,
     injected: usize,
 }
@@ -226,6 +230,7 @@
             clients: Vec::new(),
             pending: Vec::new(),
             agent_restart: settings.agent_restart,
+            request_pause: settings.request_pause,
             rush: RushControl::default(),
             injected: 0,
         })
@@ -274,6 +279,7 @@
             idempotent: route != 1,
             long_flows: route == 0 || number.is_multiple_of(2),
             hard_load: self.fleet.hard_load,
+            request_pause: self.request_pause,
             rush: only_in_rush.then(|| self.rush.clone()),
         };
         let (router, log) = (self.router.clone(), Arc::clone(&self.log));
--- a/tests/tests/all/soak.rs
+++ b/tests/tests/all/soak.rs
@@ -232,6 +232,25 @@
     }
 }
 
+/// Guards against resets of open flows that were idle before a planned restart of their agents, by
+/// balancers that the agents no longer knew.
+#[test]
+fn a_planned_restart_resets_no_idle_flow() {
+    let case = SoakCase {
+        seed: "1",
+        minutes: "0.3",
+        processes: "12",
+        further: false,
+        arguments: &[
+            "--request-pause-ms=6500",
+            "--agent-restart-ms=1500",
+            "--only=RollAgents",
+            "--only=StopAgent",
+        ],
+    };
+    case.run();
+}
+
 /// Guards against resets of open flows whose service left the configuration, by balancers that
 /// started afterwards or while the change arrived.
 #[test]
