soak: record the reset of an idle flow when it arrives

A client read nothing between two requests, so a reset that a killed agent's silence caused while the client paused was recorded with its next request, seconds later, when the agent was back and its disturbance no longer counted. Resets of planned restarts are recorded as strictly as before.

--- a/standins/soak/src/client.rs
+++ b/standins/soak/src/client.rs
@@ -142,7 +142,7 @@
             }
             if client.plan.is_active() {
                 let served = client.run_request(request);
-                std::thread::sleep(client.plan.pause(served));
+                client.pause(client.plan.pause(served));
             } else {
                 client.end_flow();
                 std::thread::sleep(RUSH_CHECK_INTERVAL);
@@ -180,6 +180,24 @@
         served
     }
 
+    /// Waits for `duration`. A reset of the idle flow is recorded when it arrives.
+    fn pause(&mut self, duration: Duration) {
+        let until = Instant::now() + duration;
+        while let Some((number, _)) = self.open {
+            let Some((packet, data)) = self.receive(until) else {
+                return;
+            };
+            // No request is waiting, so every response is a copy of an earlier one.
+            if self
+                .handle_packet(&packet, &data, u64::MAX, number)
+                .is_some()
+            {
+                self.open = None;
+            }
+        }
+        std::thread::sleep(until.saturating_duration_since(Instant::now()));
+    }
+
     /// Returns whether one of the attempts was served.
     fn run_attempts(&mut self, request: u64, until: Instant) -> bool {
         for _ in 0..=MAX_RETRIES {
