Balancers make themselves known to agents by hellos

A balancer that was never notified, and has run for over 6 s, takes the silence for a failure.

Cause: agents knew balancers by traffic alone.

Fix: every 500 ms a balancer sends a hello to the agents of two listed targets in turn, and to two agents that told it of a stop, whose successors know nobody. A hello is not answered and starts no load reports; the agent notifies its sender when it stops. Balancers start at different targets, so the hellos spread over the agents. Four hellos a second at most whatever the fleet's size: 160 B/s; at 15,000 balancers and 160,000 targets an agent hears one every 2.7 s. A stopping balancer sends none. Seeds in the agents' settings were weighed and not chosen: they may be stale or down. The number of balancers known is a gauge, lovagelatch.agent.known_balancers.

The new tests need the new frame: hello::*, stop_announcement:: a_balancer_that_said_hello_is_notified_of_a_stop (real agent process). The rig of held_requests moved to a file of its own.

--- a/bins/agent/src/opaque/packets.rs
+++ b/bins/agent/src/opaque/packets.rs
@@ -233,6 +233,9 @@
     fn handle_frame(&mut self, datagram: &mut [u8], now: Moment) {
         let (frame, packet) = match read_frame(datagram) {
             Ok((PeerFrame::Probe { balancer }, _)) => return self.answer_probe(balancer, now),
+            Ok((PeerFrame::Hello { balancer }, _)) => {
+                return self.state.agent.lock().handle_hello(balancer, now);
+            }
             Ok((PeerFrame::Note(update), _)) => return self.handle_flow_update(&update),
             Ok((PeerFrame::Zone(notice), _)) => return self.handle_zone_notice(&notice, now),
             Ok((PeerFrame::Relay { to }, inner)) => return self.relay(to, inner),
--- a/bins/agent/src/opaque/process.rs
+++ b/bins/agent/src/opaque/process.rs
@@ -212,6 +212,16 @@
             observer.observe(status.load.in_progress.into(), &[]);
         })
         .build();
+    let observed = Arc::clone(state);
+    let _balancers = meter
+        .u64_observable_gauge("lovagelatch.agent.known_balancers")
+        .with_unit("{balancer}")
+        .with_description("Balancers that would be notified of a stop")
+        .with_callback(move |observer| {
+            let status = observed.agent.lock().status(observed.clock.now());
+            observer.observe(status.known_balancers as u64, &[]);
+        })
+        .build();
     register_admission_gauges(meter, state);
 }
 
@@ -259,6 +269,7 @@
         "full": status.full,
         "openings": status.openings,
         "held_flows": status.held_flows,
+        "known_balancers": status.known_balancers,
         "average": f64::from(status.load.average_milli) / 1_000.0,
         "flows": status.load.flows,
         "remembered": status.remembered,
--- a/bins/agent/tests/all/held_requests.rs
+++ b/bins/agent/tests/all/held_requests.rs
@@ -1,16 +1,16 @@
 //! An agent process for opaque packets that holds requests, beside a target that answers when told.
 
-use std::net::{Ipv4Addr, SocketAddrV4, UdpSocket};
-use std::process::{Child, Command, Stdio};
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::{Duration, Instant};
 
 use lovagelatch_adapter::{PacketSender, decode_packet};
 use lovagelatch_domain::{AgentAddress, ConfigRevision, ServiceId, ServiceName};
 use lovagelatch_flows::{
     FlowKey, FlowPacket, FramePurpose, PacketFlags, PacketFrame, PeerFrame, RequestClass,
-    write_frame,
 };
 
+use crate::opaque_rig::{ARRIVAL_TIMEOUT, AgentRig, address_of};
+
 /// Requests that an agent gives a target of two slots before the first rejection.
 const FULL: u16 = 16;
 
@@ -19,76 +19,10 @@
 /// The longest wait of a request in these tests.
 const BOUND: Duration = Duration::from_millis(100);
 
-/// How long a packet may take on a busy machine.
-const ARRIVAL_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// The target's initial sequence number.
 const TARGET_SEQUENCE: u32 = 5_000;
 
-/// An agent process with sockets in place of its target and of a balancer.
-struct AgentRig {
-    child: Child,
-    frames: SocketAddrV4,
-    outbound: SocketAddrV4,
-    target: UdpSocket,
-    balancer: UdpSocket,
-    settings: std::path::PathBuf,
-}
-
 impl AgentRig {
-    fn start(name: &str) -> Self {
-        let target = bind();
-        let balancer = bind();
-        let [frames, packets, ready, operations, outbound] = [0; 5].map(|_| free_address());
-        let text = format!(
-            "[process]\nname = {name}\nzone = hall-a\ntraffic = opaque\n\
-             [network]\nframes = {frames}\npackets = {packets}\nready = {ready}\n\
-             operations = {operations}\n\
-             [agent]\nservice = claims\nbackend = {}\noutbound = {outbound}\nfirst_start = true\n",
-            address_of(&target)
-        );
-        let settings = std::env::temp_dir().join(format!("{name}-{}.ini", std::process::id()));
-        std::fs::write(&settings, text).expect("the settings file");
-        let child = Command::new(env!("CARGO_BIN_EXE_lovagelatch-agent"))
-            .arg("--settings")
-            .arg(&settings)
-            .stdout(Stdio::null())
-            .spawn()
-            .expect("an agent");
-        let rig = Self {
-            child,
-            frames,
-            outbound,
-            target,
-            balancer,
-            settings,
-        };
-        rig.wait_until_ready();
-        rig
-    }
-
-    fn wait_until_ready(&self) {
-        let balancer = AgentAddress(address_of(&self.balancer));
-        let started = Instant::now();
-        let mut answer = [0; 2_048];
-        self.balancer
-            .set_read_timeout(Some(Duration::from_millis(50)))
-            .expect("a time-out");
-        while self.balancer.recv(&mut answer).is_err() {
-            assert!(
-                started.elapsed() < ARRIVAL_TIMEOUT,
-                "the agent does not answer"
-            );
-            self.send_frame(&PeerFrame::Probe { balancer }, &[]);
-        }
-    }
-
-    fn send_frame(&self, frame: &PeerFrame, packet: &[u8]) {
-        let mut bytes = Vec::new();
-        write_frame(frame, packet, &mut bytes);
-        self.balancer.send_to(&bytes, self.frames).expect("sent");
-    }
-
     fn send_client_packet(&self, purpose: FramePurpose, packet: &[u8]) {
         let balancer = AgentAddress(address_of(&self.balancer));
         let class = RequestClass {
@@ -154,33 +88,10 @@
     }
 }
 
-impl Drop for AgentRig {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.settings);
-    }
-}
-
 const HEADER_BYTES: usize = 36;
 const SYN: u8 = 2;
 const ACK: u8 = 32;
 
-fn bind() -> UdpSocket {
-    UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).expect("a socket")
-}
-
-fn address_of(socket: &UdpSocket) -> SocketAddrV4 {
-    match socket.local_addr().expect("an address") {
-        std::net::SocketAddr::V4(address) => address,
-        std::net::SocketAddr::V6(_) => unreachable!("bound to an IPv4 address"),
-    }
-}
-
-fn free_address() -> SocketAddrV4 {
-    address_of(&bind())
-}
-
 fn claims() -> ServiceId {
     let name: ServiceName = "claims".parse().expect("a service name");
     name.id()
@@ -272,9 +183,7 @@
     let mut rig = AgentRig::start("held-stop");
     rig.fill();
     send_held_request(&rig, flow(FULL));
-    let pid = i32::try_from(rig.child.id()).expect("a process id");
-    // SAFETY: sends a signal to a child process that has not been waited for.
-    assert_eq!(unsafe { libc::kill(pid, libc::SIGTERM) }, 0);
+    rig.terminate();
     assert_request_arrives(&rig, flow(FULL));
     assert!(rig.child.wait().expect("an exit status").success());
 }
--- a/bins/balancer/src/opaque/packets.rs
+++ b/bins/balancer/src/opaque/packets.rs
@@ -164,6 +164,7 @@
                 | PeerFrame::Zone(_)
                 | PeerFrame::Relay { .. }
                 | PeerFrame::Locate { .. }
+                | PeerFrame::Hello { .. }
                 | PeerFrame::Probe { .. },
                 _,
             ))
@@ -299,6 +300,19 @@
         }
     }
 
+    /// Makes this balancer known to agents, unless it is stopping.
+    fn send_hellos(&mut self, view: &FlowView, now: Moment) {
+        if self.state.leaving.load(Ordering::Relaxed) {
+            return;
+        }
+        let hello = PeerFrame::Hello {
+            balancer: self.state.balancer.own_address(),
+        };
+        for agent in self.state.balancer.due_hellos(view, now) {
+            self.push(agent.0, |out| write_frame(&hello, &[], out));
+        }
+    }
+
     fn reset_lost(&mut self, reset: &FlowReset, view: &FlowView) {
         self.counts.add(PacketOutcome::ResetLost);
         self.log.lost(reset, view);
@@ -388,6 +402,7 @@
         self.retry_offers(&view, as_of);
         self.advance_searches(&view, as_of);
         self.reset_lost_flows(&view, as_of);
+        self.send_hellos(&view, as_of);
     }
 
     fn flush(&mut self) {
--- a/crates/flows/src/agent.rs
+++ b/crates/flows/src/agent.rs
@@ -181,6 +181,8 @@
     pub openings: u16,
     /// Flows that count against the limit of the target's flows.
     pub held_flows: u32,
+    /// Balancers that would be notified of a stop.
+    pub known_balancers: usize,
 }
 
 /// State machine of an agent: packets, frames and the time come in, steps come out.
@@ -310,6 +312,11 @@
         self.warmup.record_sent(now);
     }
 
+    /// Handles a balancer's hello: it is notified when the agent stops.
+    pub fn handle_hello(&mut self, balancer: AgentAddress, now: Moment) {
+        self.balancers.record_hello(balancer, now);
+    }
+
     /// Returns the load, as the answer to a balancer's probe.
     pub fn handle_probe(&mut self, balancer: AgentAddress, now: Moment) -> LoadReport {
         self.balancers.record_frame(balancer, now);
@@ -326,6 +333,7 @@
             full: self.admission.full(),
             openings: self.openings,
             held_flows: self.held_flows,
+            known_balancers: self.balancers.stop_recipients(now).len(),
         }
     }
 
--- a/crates/flows/src/agent/balancers.rs
+++ b/crates/flows/src/agent/balancers.rs
@@ -3,7 +3,8 @@
 //!
 //! A flow may be idle for much longer than its balancer has a use for load reports. If the balancer
 //! were not notified of a planned restart, it would take the agent's silence for a failure and reset
-//! the flow, so it stays known for the lifetime of a flow.
+//! the flow, so it stays known for the lifetime of a flow. Balancers that send no packets make
+//! themselves known by hellos.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -39,14 +40,14 @@
 pub(super) struct BalancerTable {
     /// Invariant: at most [`MAX_SUBSCRIBERS`].
     subscribers: HashMap<AgentAddress, ReportSubscriber>,
-    /// Balancers that no longer receive reports, with the time of their last frame. Invariants: at
-    /// most [`MAX_CONTACTS`], none of them a subscriber after [`expire`](Self::expire).
+    /// Balancers that receive no reports, with the time when they were last heard. Invariants: at most
+    /// [`MAX_CONTACTS`], none of them a subscriber after [`expire`](Self::expire).
     contacts: HashMap<AgentAddress, Moment>,
     flow_lifetime: Duration,
 }
 
 impl BalancerTable {
-    /// Creates an empty table. A balancer stays known for `flow_lifetime` after its last frame.
+    /// Creates an empty table. A balancer stays known for `flow_lifetime` after it was last heard.
     pub(super) fn new(flow_lifetime: Duration) -> Self {
         Self {
             subscribers: HashMap::new(),
@@ -68,6 +69,13 @@
         subscriber.or_insert(new).last_heard = now;
     }
 
+    /// Records a hello of a balancer, which is notified when the agent stops.
+    pub(super) fn record_hello(&mut self, balancer: AgentAddress, now: Moment) {
+        if !self.subscribers.contains_key(&balancer) {
+            add_contact(&mut self.contacts, balancer, now);
+        }
+    }
+
     /// Returns the balancers that receive a load report in this round.
     pub(super) fn next_report_round(&mut self, now: Moment) -> Vec<AgentAddress> {
         self.expire(now);
--- a/crates/flows/src/balancer.rs
+++ b/crates/flows/src/balancer.rs
@@ -10,6 +10,7 @@
 
 mod budget;
 mod entry;
+mod hello;
 mod holders;
 mod loss;
 mod offer;
@@ -32,6 +33,8 @@
 
 use self::budget::SearchBudget;
 use self::entry::{EntryState, FlowEntry, FlowSearch};
+pub use self::hello::HelloRecipients;
+use self::hello::HelloSchedule;
 pub(crate) use self::holders::possible_holders;
 use self::schedule::SearchSchedule;
 pub use self::search::DueSearch;
@@ -205,6 +208,7 @@
     schedule: Mutex<SearchSchedule>,
     /// Locked after a shard, and released before any other lock is taken.
     window: Mutex<SearchWindow>,
+    hellos: Mutex<HelloSchedule>,
     /// Whether the view of the last [`due_searches`](Self::due_searches) call was complete.
     view_was_complete: AtomicBool,
 }
@@ -227,6 +231,7 @@
             budget: Mutex::new(SearchBudget::new()),
             schedule: Mutex::default(),
             window: Mutex::default(),
+            hellos: Mutex::new(HelloSchedule::new(own_address)),
             view_was_complete: AtomicBool::new(false),
         }
     }
--- a/crates/flows/src/frame.rs
+++ b/crates/flows/src/frame.rs
@@ -343,6 +343,11 @@
         /// The balancer that receives the answer.
         balancer: AgentAddress,
     },
+    /// Makes a balancer known to an agent, which notifies it when it stops. Not answered.
+    Hello {
+        /// The balancer.
+        balancer: AgentAddress,
+    },
 }
 
 impl PeerFrame {
--- a/crates/flows/src/lib.rs
+++ b/crates/flows/src/lib.rs
@@ -33,8 +33,8 @@
     WarmupSettings,
 };
 pub use balancer::{
-    BalancerStep, DueOffer, DueSearch, FlowBalancer, FlowReset, LossReason, PlacedFlow,
-    RefusalReason, SearchCounts, SearchFrames, UpdateOutcome,
+    BalancerStep, DueOffer, DueSearch, FlowBalancer, FlowReset, HelloRecipients, LossReason,
+    PlacedFlow, RefusalReason, SearchCounts, SearchFrames, UpdateOutcome,
 };
 pub use explain::{CandidateExplanation, FlowExplanation, FlowStatus};
 pub use frame::{
--- a/crates/flows/tests/all/frame.rs
+++ b/crates/flows/tests/all/frame.rs
@@ -38,6 +38,9 @@
         PeerFrame::Probe {
             balancer: balancer(),
         },
+        PeerFrame::Hello {
+            balancer: balancer(),
+        },
     ];
     for frame in frames {
         let mut bytes = b"left over".to_vec();
--- a/crates/flows/tests/all/main.rs
+++ b/crates/flows/tests/all/main.rs
@@ -15,6 +15,7 @@
 mod fleet;
 mod former_service;
 mod frame;
+mod hello;
 mod load;
 mod loss;
 mod order_model;
