A stopping agent waits until a balancer confirms that it relays the stop

What callers could see: open flows reset during a planned restart although their agent announced it, where all announcements were lost, or went only to balancers that had ended or were ending. An agent announced its stop for half a second, twice or three times, and exited whether it was heard or not. One whose process had just started could exit before it heard a first hello.

Cause: nothing told the agent whether its announcement arrived.

Fix: a balancer confirms an announcement (StopRecorded) once it has relayed the stop to the other balancers; one that is stopping itself does not. The agent repeats the announcement every 250 ms, to balancers that say hello meanwhile too, and exits when one has confirmed it, after half a second at least and half of the stop timeout (3 s of 6) at most. Until then it serves its open flows as before, so waiting costs callers nothing. "agent stopped" says whether a balancer confirmed.

--- a/bins/agent/src/opaque/packets.rs
+++ b/bins/agent/src/opaque/packets.rs
@@ -236,6 +236,9 @@
             Ok((PeerFrame::Hello { balancer }, _)) => {
                 return self.state.agent.lock().handle_hello(balancer, now);
             }
+            Ok((PeerFrame::StopRecorded { .. }, _)) => {
+                return self.state.agent.lock().handle_stop_recorded();
+            }
             Ok((PeerFrame::Note(update), _)) => return self.handle_flow_update(&update),
             Ok((PeerFrame::Zone(notice), _)) => return self.handle_zone_notice(&notice, now),
             Ok((PeerFrame::Relay { to }, inner)) => return self.relay(to, inner),
--- a/bins/agent/src/opaque/process.rs
+++ b/bins/agent/src/opaque/process.rs
@@ -22,12 +22,12 @@
 use super::metrics::PacketMetrics;
 use super::packets::{PacketSockets, PacketState, PacketThread};
 
-/// How long an agent keeps running after it has announced to balancers that it stops: two load
-/// reports, so that new flows go elsewhere while its successor starts.
+/// How long an agent keeps running at least after it has announced to balancers that it stops: two
+/// load reports, so that new flows go elsewhere while its successor starts.
 const STOP_GRACE: Duration = Duration::from_millis(500);
 
-/// How often it is checked whether the packet thread has ended.
-const END_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// How often the progress of a stop is checked.
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Runs an agent for opaque packets until it receives a stop signal or its settings change in a
 /// way that needs a restart. `file` is the file that `settings` were read from; it is watched.
@@ -78,20 +78,34 @@
     }
     info!(log, "agent stops");
     state.agent.lock().set_leaving();
-    tokio::time::sleep(STOP_GRACE.min(common.stop_timeout / 2)).await;
+    announce_stop(&state, common.stop_timeout / 2).await;
     state.shutdown.store(true, Ordering::Relaxed);
     wait_for_packet_thread(&state, common.stop_timeout / 4).await;
-    let notified = state.agent.lock().stop_notified();
+    let announcement = state.agent.lock().stop_announcement();
     info!(log, "agent stopped"; "packets" => state.received.load(Ordering::Relaxed),
-        "balancers" => notified);
+        "balancers" => announcement.recipients, "confirmed" => announcement.confirmed);
     Ok(())
 }
 
+/// Waits until a balancer has confirmed that it relays the announced stop, for at least
+/// [`STOP_GRACE`] and at most `limit`. The agent keeps serving open flows meanwhile. If it exited
+/// unheard, balancers would take its silence for a failure.
+async fn announce_stop(state: &PacketState, limit: Duration) {
+    let wait = async {
+        tokio::time::sleep(STOP_GRACE).await;
+        while !state.agent.lock().stop_announcement().confirmed {
+            tokio::time::sleep(STOP_POLL_INTERVAL).await;
+        }
+    };
+    // Without a confirmation in time, no balancer can be reached.
+    let _timed_out = tokio::time::timeout(limit, wait).await;
+}
+
 /// Waits until the packet thread has delivered what it held, for at most `timeout`.
 async fn wait_for_packet_thread(state: &PacketState, timeout: Duration) {
     let wait = async {
         while !state.ended.load(Ordering::Relaxed) {
-            tokio::time::sleep(END_POLL_INTERVAL).await;
+            tokio::time::sleep(STOP_POLL_INTERVAL).await;
         }
     };
     // A thread that does not end in time has released its requests when the stop was announced.
--- a/bins/balancer/src/opaque/catalog.rs
+++ b/bins/balancer/src/opaque/catalog.rs
@@ -91,7 +91,7 @@
     /// Advances the member to the current time and executes the resulting actions.
     fn advance(self: &Arc<Self>) {
         let now = self.state.packets.clock.now();
-        let stops = self.state.packets.balancer.direct_stops(now);
+        let stops = self.state.packets.balancer.stops_to_relay(now);
         let mut member = self.state.member.lock();
         let new = member.record_stops(&stops, now);
         let actions = member.advance(now);
--- a/bins/balancer/src/opaque/packets.rs
+++ b/bins/balancer/src/opaque/packets.rs
@@ -145,6 +145,7 @@
             Ok((PeerFrame::Load(report), _)) => {
                 self.notify_zone(&report, view, now);
                 self.state.balancer.record_load(&report, now);
+                self.confirm_stop(&report);
             }
             Ok((PeerFrame::ErrandEnd(result), _)) => {
                 if let Some(reset) = self.state.balancer.handle_search_result(&result, now) {
@@ -165,6 +166,7 @@
                 | PeerFrame::Relay { .. }
                 | PeerFrame::Locate { .. }
                 | PeerFrame::Hello { .. }
+                | PeerFrame::StopRecorded { .. }
                 | PeerFrame::Probe { .. },
                 _,
             ))
@@ -183,6 +185,19 @@
         }
     }
 
+    /// Confirms an agent's announcement once it was relayed, unless this balancer is stopping too: it
+    /// may end before the others have received it.
+    fn confirm_stop(&mut self, report: &LoadReport) {
+        if self.state.leaving.load(Ordering::Relaxed) || !self.state.balancer.confirms_stop(report)
+        {
+            return;
+        }
+        let frame = PeerFrame::StopRecorded {
+            balancer: self.state.balancer.own_address(),
+        };
+        self.push(report.agent.0, |out| write_frame(&frame, &[], out));
+    }
+
     fn execute(&mut self, step: BalancerStep, packet: &FlowPacket, bytes: &[u8], view: &FlowView) {
         match step {
             BalancerStep::Send {
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -38,5 +38,5 @@
     EvacuatedZone, PublishedConfig, PublishedRoute, PublishedTarget, RequestPolicy, RouteShare,
     TargetName, TargetRow, TargetStart, WarmupRule,
 };
-pub use stops::{AgentStop, RESTART_GRACE, StopList, StopUpdate};
+pub use stops::{AgentStop, RESTART_GRACE, STOP_REPEAT_WINDOW, StopList, StopUpdate};
 pub use unusable::{MAX_UNUSABLE_VALUES, UnusableValue, ValueDefault, ValueOwner};
--- a/crates/catalog/src/stops.rs
+++ b/crates/catalog/src/stops.rs
@@ -16,7 +16,7 @@
 
 /// An agent repeats its announcement until it exits; one that comes later than this after the
 /// previous one belongs to another stop.
-const REPEAT_WINDOW: Duration = Duration::from_secs(1);
+pub const STOP_REPEAT_WINDOW: Duration = Duration::from_secs(1);
 
 /// Number of gossip rounds in which a new stop is relayed.
 const RELAY_ROUNDS: u8 = 3;
@@ -93,7 +93,7 @@
     fn record_one(&mut self, stop: AgentStop, now: Moment) -> bool {
         let at = now - stop.age;
         if let Some(known) = self.stops.get_mut(&stop.agent) {
-            let is_new = at > known.at + REPEAT_WINDOW;
+            let is_new = at > known.at + STOP_REPEAT_WINDOW;
             known.at = known.at.max(at);
             if is_new {
                 known.rounds = RELAY_ROUNDS;
--- a/crates/flows/src/agent.rs
+++ b/crates/flows/src/agent.rs
@@ -185,6 +185,15 @@
     pub known_balancers: usize,
 }
 
+/// The announcement that an agent is stopping.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StopAnnouncement {
+    /// Most balancers that it was sent to in a round.
+    pub recipients: usize,
+    /// Whether a balancer confirmed that it relays the announcement to the others.
+    pub confirmed: bool,
+}
+
 /// State machine of an agent: packets, frames and the time come in, steps come out.
 #[derive(Debug)]
 pub struct FlowAgent {
@@ -218,8 +227,7 @@
     warmup: WarmupGate,
     service_times: ServiceTimes,
     leaving: bool,
-    /// Most balancers that a report was returned for since the agent is stopping.
-    stop_notified: usize,
+    stop: StopAnnouncement,
     balancers: BalancerTable,
     /// The response time of the last answered request, until `take_response_time` returns it.
     response_time: Option<Duration>,
@@ -252,7 +260,7 @@
             warmup: WarmupGate::new(settings.warmup, now),
             service_times: ServiceTimes::default(),
             leaving: false,
-            stop_notified: 0,
+            stop: StopAnnouncement::default(),
             balancers: BalancerTable::new(settings.flow_lifetime),
             response_time: None,
             delegated_searches: DelegatedSearches::default(),
@@ -283,7 +291,7 @@
     pub fn load_report(&mut self, now: Moment) -> (Vec<AgentAddress>, LoadReport) {
         let recipients = if self.leaving {
             let recipients = self.balancers.stop_recipients(now);
-            self.stop_notified = self.stop_notified.max(recipients.len());
+            self.stop.recipients = self.stop.recipients.max(recipients.len());
             recipients
         } else {
             self.balancers.next_report_round(now)
@@ -291,10 +299,15 @@
         (recipients, self.load(now))
     }
 
-    /// Returns how many balancers were notified that the agent is stopping.
+    /// Handles a balancer's confirmation that it relays the announcement of the agent's stop.
+    pub fn handle_stop_recorded(&mut self) {
+        self.stop.confirmed |= self.leaving;
+    }
+
+    /// Returns what is known about the announcement that the agent is stopping.
     #[must_use]
-    pub fn stop_notified(&self) -> usize {
-        self.stop_notified
+    pub fn stop_announcement(&self) -> StopAnnouncement {
+        self.stop
     }
 
     /// Applies a balancer's notice about the target's zone. Returns the age of the notice if it
--- a/crates/flows/src/balancer.rs
+++ b/crates/flows/src/balancer.rs
@@ -361,10 +361,17 @@
         self.loads.lock().set_stops_known_since(since);
     }
 
-    /// Returns the agents that announced their stop to this balancer directly.
+    /// Returns the stops that agents announced to this balancer directly, which the caller relays to
+    /// the other balancers.
     #[must_use]
-    pub fn direct_stops(&self, now: Moment) -> Vec<AgentStop> {
-        self.loads.lock().direct_stops(now)
+    pub fn stops_to_relay(&self, now: Moment) -> Vec<AgentStop> {
+        self.loads.lock().stops_to_relay(now)
+    }
+
+    /// Returns whether a load report announces a stop that this balancer has relayed.
+    #[must_use]
+    pub fn confirms_stop(&self, report: &LoadReport) -> bool {
+        report.leaving && self.loads.lock().is_stop_relayed(report.agent)
     }
 
     /// Returns the zone notice for an agent whose report shows an older zone revision than this
--- a/crates/flows/src/frame.rs
+++ b/crates/flows/src/frame.rs
@@ -348,6 +348,11 @@
         /// The balancer.
         balancer: AgentAddress,
     },
+    /// Confirms to a stopping agent that a balancer relays its announcement to the others.
+    StopRecorded {
+        /// The balancer.
+        balancer: AgentAddress,
+    },
 }
 
 impl PeerFrame {
--- a/crates/flows/src/lib.rs
+++ b/crates/flows/src/lib.rs
@@ -30,7 +30,7 @@
 pub use agent::{
     AdmissionEvent, AdmissionOrder, AgentSettings, AgentStatus, AgentStep, DelegatedStep,
     DeliveryReason, DropReason, FlowAgent, OfferRefusal, RefusedOffer, RequestDelivery,
-    WarmupSettings,
+    StopAnnouncement, WarmupSettings,
 };
 pub use balancer::{
     BalancerStep, DueOffer, DueSearch, FlowBalancer, FlowReset, HelloRecipients, LossReason,
--- a/crates/flows/src/load.rs
+++ b/crates/flows/src/load.rs
@@ -7,7 +7,7 @@
 use std::num::NonZeroU32;
 use std::time::Duration;
 
-use lovagelatch_catalog::{AgentStop, RESTART_GRACE};
+use lovagelatch_catalog::{AgentStop, RESTART_GRACE, STOP_REPEAT_WINDOW};
 use lovagelatch_domain::{AgentAddress, Moment, ServiceId};
 
 use crate::frame::LoadReport;
@@ -182,6 +182,22 @@
     at: Moment,
     /// Whether the agent itself notified this balancer.
     direct: bool,
+    /// Whether the stop was returned by [`LoadTable::stops_to_relay`].
+    relayed: bool,
+}
+
+impl StopNotice {
+    /// Creates the notice of an announcement by the agent itself, after `former`.
+    fn direct(former: Option<&Self>, now: Moment) -> Self {
+        let is_repeated = |former: &&Self| now.since(former.at) <= STOP_REPEAT_WINDOW;
+        Self {
+            at: now,
+            direct: true,
+            relayed: former
+                .filter(is_repeated)
+                .is_some_and(|former| former.relayed),
+        }
+    }
 }
 
 /// The loads of all targets that this balancer has sent frames to or heard from.
@@ -219,10 +235,7 @@
         self.services.replace(former, Some(report));
         self.vacant.remove(&report.agent);
         if report.leaving {
-            let notice = StopNotice {
-                at: now,
-                direct: true,
-            };
+            let notice = StopNotice::direct(self.stops.get(&report.agent), now);
             self.stops.insert(report.agent, notice);
         } else {
             self.stops.remove(&report.agent);
@@ -238,7 +251,11 @@
             .get(&stop.agent)
             .is_some_and(|load| load.last_heard >= at);
         if !is_back {
-            let notice = StopNotice { at, direct: false };
+            let notice = StopNotice {
+                at,
+                direct: false,
+                relayed: false,
+            };
             self.stops.insert(stop.agent, notice);
         }
     }
@@ -254,6 +271,25 @@
         stops.filter(|stop| stop.age < RESTART_GRACE).collect()
     }
 
+    /// Returns the stops that agents announced to this balancer directly, which the caller relays to
+    /// the other balancers.
+    pub fn stops_to_relay(&mut self, now: Moment) -> Vec<AgentStop> {
+        let stops = self.direct_stops(now);
+        for stop in &stops {
+            if let Some(notice) = self.stops.get_mut(&stop.agent) {
+                notice.relayed = true;
+            }
+        }
+        stops
+    }
+
+    /// Returns whether the stop that an agent announces to this balancer was relayed.
+    #[must_use]
+    pub fn is_stop_relayed(&self, agent: AgentAddress) -> bool {
+        let notice = self.stops.get(&agent);
+        notice.is_some_and(|notice| notice.relayed)
+    }
+
     /// Returns whether an agent may have announced a stop before this balancer could know of it.
     fn may_have_stopped(&self, load: &TargetLoad, now: Moment) -> bool {
         load.last_heard == Moment::ZERO && now.since(self.stops_known_since) < RESTART_GRACE
--- a/crates/flows/tests/all/frame.rs
+++ b/crates/flows/tests/all/frame.rs
@@ -41,6 +41,9 @@
         PeerFrame::Hello {
             balancer: balancer(),
         },
+        PeerFrame::StopRecorded {
+            balancer: balancer(),
+        },
     ];
     for frame in frames {
         let mut bytes = b"left over".to_vec();
--- a/crates/flows/tests/all/loss.rs
+++ b/crates/flows/tests/all/loss.rs
@@ -430,11 +430,84 @@
     };
     balancer.record_load(&stopping, at(0));
     balancer.record_stops(&[second_hand], at(0));
-    let stops = balancer.direct_stops(at(100));
+    let stops = balancer.stops_to_relay(at(100));
     let agents: Vec<_> = stops.iter().map(|stop| stop.agent).collect();
     assert_eq!(agents, [agent(1)]);
     balancer.record_load(&idle_load(agent(1)), at(900));
-    assert_eq!(balancer.direct_stops(at(1_000)), [], "it is back");
+    assert_eq!(balancer.stops_to_relay(at(1_000)), [], "it is back");
+}
+
+// Guards against agents that exit although no balancer has relayed their stop, because the one that
+// confirmed it had recorded an earlier stop, or ended before it relayed this one.
+#[test]
+fn a_stop_is_confirmed_once_it_was_relayed() {
+    struct ConfirmCase {
+        name: &'static str,
+        /// When the agent announces that it stops, in milliseconds.
+        announced: &'static [u64],
+        relayed: u64,
+        /// The last report, and whether it announces a stop.
+        last: (u64, bool),
+        expected: bool,
+    }
+    let base = ConfirmCase {
+        name: "relayed",
+        announced: &[0],
+        relayed: 100,
+        last: (250, true),
+        expected: true,
+    };
+    let cases = [
+        ConfirmCase {
+            name: "not relayed yet",
+            relayed: 300,
+            expected: false,
+            ..base
+        },
+        ConfirmCase {
+            name: "announced several times",
+            announced: &[0, 250, 500, 750],
+            last: (1_000, true),
+            ..base
+        },
+        ConfirmCase {
+            name: "the agent is back",
+            last: (250, false),
+            expected: false,
+            ..base
+        },
+        ConfirmCase {
+            name: "another stop, after a restart without a report",
+            announced: &[0, 250],
+            last: (2_000, true),
+            expected: false,
+            ..base
+        },
+        base,
+    ];
+    for case in cases {
+        let balancer = FlowBalancer::new(balancer());
+        let report = |leaving| LoadReport {
+            leaving,
+            ..idle_load(agent(1))
+        };
+        for now in 0..=case.last.0 {
+            if case.announced.contains(&now) {
+                balancer.record_load(&report(true), at(now));
+            }
+            if now == case.relayed {
+                assert_eq!(balancer.stops_to_relay(at(now)).len(), 1);
+            }
+        }
+        let last = report(case.last.1);
+        balancer.record_load(&last, at(case.last.0));
+        assert_eq!(
+            balancer.confirms_stop(&last),
+            case.expected,
+            "{}",
+            case.name
+        );
+    }
 }
 
 // Guards against clients that wait for dead targets for longer than two seconds after the store has
