--- a/crates/catalog/src/stops.rs
+++ b/crates/catalog/src/stops.rs
@@ -1,8 +1,8 @@
 //! Announcements of agents that they are stopping, as balancers relay them.
 //!
-//! An agent notifies the balancers that sent to it recently. If only those knew, another balancer,
-//! or one that has just started, would take the silence of a planned restart for a failure and
-//! reset open flows that the agent's target still holds.
+//! An agent notifies the balancers that it knows, until one confirms that it relays the stop. If only
+//! those knew, another balancer, or one that has just started, would take the silence of a planned
+//! restart for a failure and reset open flows that the agent's target still holds.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/crates/catalog/tests/all/stops.rs
+++ b/crates/catalog/tests/all/stops.rs
@@ -1,5 +1,5 @@
 //! Tests of the distribution of stop announcements: at a planned restart, an agent notifies only
-//! the balancers that sent to it recently.
+//! the balancers that it knows.
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
--- a/crates/flows/src/balancer/hello.rs
+++ b/crates/flows/src/balancer/hello.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use lovagelatch_catalog::AgentStop;
 use lovagelatch_domain::{AgentAddress, Moment};
 use smallvec::SmallVec;
 
@@ -33,6 +34,8 @@
     next_round: Moment,
     /// Index of the next target, in the order of the view.
     position: usize,
+    /// Index of the next agent that announced a stop, in the order of their addresses.
+    stop_position: usize,
 }
 
 impl HelloSchedule {
@@ -42,6 +45,7 @@
         Self {
             next_round: Moment::ZERO,
             position: address.wrapping_mul(POSITION_MULTIPLIER) as usize,
+            stop_position: 0,
         }
     }
 
@@ -59,6 +63,15 @@
         };
         next
     }
+
+    fn next_stopped(&mut self, mut stops: Vec<AgentStop>) -> HelloRecipients {
+        stops.sort_unstable_by_key(|stop| stop.agent);
+        let count = stops.len().min(HELLOS_PER_ROUND);
+        self.stop_position %= stops.len().max(1);
+        let next = stops.iter().cycle().skip(self.stop_position).take(count);
+        self.stop_position += count;
+        next.map(|stop| stop.agent).collect()
+    }
 }
 
 impl FlowBalancer {
@@ -71,13 +84,9 @@
             return HelloRecipients::new();
         }
         schedule.next_round = now + HELLO_INTERVAL;
-        let mut recipients = schedule.next_targets(view);
-        drop(schedule);
         let stops = self.loads.lock().direct_stops(now);
-        let restarting = stops.iter().map(|stop| stop.agent);
-        let restarting = restarting.filter(|agent| !recipients.contains(agent));
-        let restarting: HelloRecipients = restarting.take(HELLOS_PER_ROUND).collect();
-        recipients.extend(restarting);
+        let mut recipients = schedule.next_stopped(stops);
+        recipients.extend(schedule.next_targets(view));
         recipients
     }
 }
