Status of an agent leaves out the count of known balancers

A refused packet reads the agent's status for its log line, and the count sorted up to 320 addresses each time. It is a call of its own now.

--- a/bins/agent/src/opaque/process.rs
+++ b/bins/agent/src/opaque/process.rs
@@ -232,8 +232,8 @@
         .with_unit("{balancer}")
         .with_description("Balancers that would be notified of a stop")
         .with_callback(move |observer| {
-            let status = observed.agent.lock().status(observed.clock.now());
-            observer.observe(status.known_balancers as u64, &[]);
+            let known = observed.agent.lock().known_balancers(observed.clock.now());
+            observer.observe(known as u64, &[]);
         })
         .build();
     register_admission_gauges(meter, state);
@@ -274,7 +274,10 @@
 }
 
 fn status_json(state: &PacketState) -> serde_json::Value {
-    let status = state.agent.lock().status(state.clock.now());
+    let now = state.clock.now();
+    let mut agent = state.agent.lock();
+    let (status, known_balancers) = (agent.status(now), agent.known_balancers(now));
+    drop(agent);
     let zones_read = StorePosition::from_table_revision(status.load.zones_revision);
     serde_json::json!({
         "in_progress": status.load.in_progress,
@@ -283,7 +286,7 @@
         "full": status.full,
         "openings": status.openings,
         "held_flows": status.held_flows,
-        "known_balancers": status.known_balancers,
+        "known_balancers": known_balancers,
         "average": f64::from(status.load.average_milli) / 1_000.0,
         "flows": status.load.flows,
         "remembered": status.remembered,
--- a/crates/flows/src/agent.rs
+++ b/crates/flows/src/agent.rs
@@ -181,8 +181,6 @@
     pub openings: u16,
     /// Flows that count against the limit of the target's flows.
     pub held_flows: u32,
-    /// Balancers that would be notified of a stop.
-    pub known_balancers: usize,
 }
 
 /// The announcement that an agent is stopping.
@@ -330,6 +328,11 @@
         self.balancers.record_hello(balancer, now);
     }
 
+    /// Returns how many balancers would be notified if the agent stopped now.
+    pub fn known_balancers(&mut self, now: Moment) -> usize {
+        self.balancers.stop_recipients(now).len()
+    }
+
     /// Returns the load, as the answer to a balancer's probe.
     pub fn handle_probe(&mut self, balancer: AgentAddress, now: Moment) -> LoadReport {
         self.balancers.record_frame(balancer, now);
@@ -346,7 +349,6 @@
             full: self.admission.full(),
             openings: self.openings,
             held_flows: self.held_flows,
-            known_balancers: self.balancers.stop_recipients(now).len(),
         }
     }
 
