--- /dev/null
+++ b/review/standin-2.rs
@@ -0,0 +1,1565 @@
+//! Stand-ins for the scripts of the second review: the platform's store, routers, clients and
+//! targets, and the processes of the deploy file as children. Uses the standard library only.
+//!
+//! Usage: standin-2 CASE REPOSITORY WORK_DIRECTORY RECORD TROUBLE
+//!
+//! Exits with 0 if the rule held, 1 if it was broken, 2 if the case could not run.
+
+use std::collections::{BTreeMap, HashMap};
+use std::fs::{self, File};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+type Outcome<T> = Result<T, String>;
+
+const SIGKILL: i32 = 9;
+const SIGTERM: i32 = 15;
+
+unsafe extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+}
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+// ---------------------------------------------------------------- record
+
+/// The record of a run, with times since its start.
+struct Record {
+    start: Instant,
+    file: Mutex<File>,
+}
+
+impl Record {
+    fn line(&self, text: &str) {
+        let at = self.start.elapsed().as_secs_f64();
+        let mut file = self.file.lock().unwrap();
+        let _ = writeln!(file, "{at:9.3} {text}");
+    }
+
+    fn now(&self) -> f64 {
+        self.start.elapsed().as_secs_f64()
+    }
+}
+
+// ---------------------------------------------------------------- packets
+
+const HEADER: usize = 36;
+const SYN: u8 = 2;
+const FIN: u8 = 16;
+const ACK: u8 = 32;
+const RST: u8 = 64;
+const BOUNCED: u8 = 128;
+
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+struct End {
+    ip: Ipv4Addr,
+    port: u16,
+}
+
+#[derive(Clone, Debug)]
+struct Packet {
+    flags: u8,
+    src: End,
+    dst: End,
+    seq: u32,
+    ack: u32,
+    data: Vec<u8>,
+}
+
+/// The keyed sum over all fields but `echo`, `pad` and BOUNCED. Never 0.
+fn sum_of(bytes: &[u8]) -> u32 {
+    let mut hash: u32 = 0x811c_9dc5 ^ 0x5bd1_e995;
+    for (at, byte) in bytes.iter().enumerate().skip(4) {
+        if (5..10).contains(&at) || (22..26).contains(&at) {
+            continue;
+        }
+        let byte = if at == 4 { byte & !BOUNCED } else { *byte };
+        hash = (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193);
+    }
+    hash.max(1)
+}
+
+impl Packet {
+    fn encode(&self) -> Vec<u8> {
+        let mut out = vec![0; HEADER];
+        out[4] = self.flags;
+        out[10..14].copy_from_slice(&u32::from(self.src.ip).to_le_bytes());
+        out[14..18].copy_from_slice(&u32::from(self.dst.ip).to_le_bytes());
+        out[18..20].copy_from_slice(&self.src.port.to_le_bytes());
+        out[20..22].copy_from_slice(&self.dst.port.to_le_bytes());
+        out[26..28].copy_from_slice(&(self.data.len() as u16).to_le_bytes());
+        out[28..32].copy_from_slice(&self.seq.to_le_bytes());
+        out[32..36].copy_from_slice(&self.ack.to_le_bytes());
+        out.extend_from_slice(&self.data);
+        let sum = sum_of(&out);
+        out[..4].copy_from_slice(&sum.to_le_bytes());
+        out
+    }
+
+    /// Decodes a packet; the flag says whether its sum is right.
+    fn decode(bytes: &[u8]) -> Option<(Self, bool)> {
+        if bytes.len() < HEADER {
+            return None;
+        }
+        let u16_at = |at: usize| u16::from_le_bytes([bytes[at], bytes[at + 1]]);
+        let u32_at =
+            |at: usize| u32::from_le_bytes([bytes[at], bytes[at + 1], bytes[at + 2], bytes[at + 3]]);
+        let end = |ip: usize, port: usize| End {
+            ip: Ipv4Addr::from(u32_at(ip)),
+            port: u16_at(port),
+        };
+        let packet = Self {
+            flags: bytes[4],
+            src: end(10, 18),
+            dst: end(14, 20),
+            seq: u32_at(28),
+            ack: u32_at(32),
+            data: bytes[HEADER..].to_vec(),
+        };
+        Some((packet, sum_of(bytes) == u32_at(0)))
+    }
+}
+
+// ---------------------------------------------------------------- store
+
+#[derive(Default)]
+struct StoreState {
+    revision: u64,
+    items: BTreeMap<String, (String, u64)>,
+    log: Vec<(u64, String, Option<String>)>,
+}
+
+/// The platform's store. Each balancer reaches it at an address of its own.
+struct Store {
+    state: Mutex<StoreState>,
+    changed: Condvar,
+}
+
+impl Store {
+    fn put(&self, key: &str, value: Option<&str>) -> u64 {
+        let mut state = self.state.lock().unwrap();
+        state.revision += 1;
+        let revision = state.revision;
+        match value {
+            Some(value) => {
+                state.items.insert(key.to_owned(), (value.to_owned(), revision));
+            }
+            None => {
+                state.items.remove(key);
+            }
+        }
+        state
+            .log
+            .push((revision, key.to_owned(), value.map(str::to_owned)));
+        self.changed.notify_all();
+        revision
+    }
+
+    fn listen(self: &Arc<Self>, address: SocketAddrV4) -> Outcome<()> {
+        let listener = TcpListener::bind(address).map_err(|e| format!("store {address}: {e}"))?;
+        let store = Arc::clone(self);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let store = Arc::clone(&store);
+                thread::spawn(move || store.serve(stream));
+            }
+        });
+        Ok(())
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let Ok(mut out) = stream.try_clone() else {
+            return;
+        };
+        let mut reader = BufReader::new(stream);
+        loop {
+            let mut first = String::new();
+            if !matches!(reader.read_line(&mut first), Ok(count) if count > 0) {
+                return;
+            }
+            loop {
+                let mut line = String::new();
+                match reader.read_line(&mut line) {
+                    Ok(count) if count > 0 && line.trim().is_empty() => break,
+                    Ok(count) if count > 0 => {}
+                    _ => return,
+                }
+            }
+            let path = first.split_whitespace().nth(1).unwrap_or("").to_owned();
+            let (status, body) = self.answer(&path);
+            let head = format!(
+                "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+                body.len()
+            );
+            let whole = [head.as_bytes(), body.as_bytes()].concat();
+            if out.write_all(&whole).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, path: &str) -> (u16, String) {
+        thread::sleep(ms(4));
+        let (name, query) = path.split_once('?').unwrap_or((path, ""));
+        let field = |wanted: &str| {
+            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            pairs
+                .find(|(key, _)| *key == wanted)
+                .map(|(_, value)| decode_query(value))
+                .unwrap_or_default()
+        };
+        let prefix = field("prefix");
+        match name {
+            "/v1/kv-range" => self.range(&prefix, &field("after")),
+            "/v1/kv-watch" => {
+                let after = field("after").parse().unwrap_or(0);
+                let wait = field("wait_ms").parse().unwrap_or(0);
+                self.watch(&prefix, after, ms(wait))
+            }
+            _ => (404, "{}".to_owned()),
+        }
+    }
+
+    fn range(&self, prefix: &str, after: &str) -> (u16, String) {
+        let state = self.state.lock().unwrap();
+        let matching = state.items.iter();
+        let matching: Vec<_> = matching
+            .filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after)
+            .collect();
+        let page: Vec<String> = matching
+            .iter()
+            .take(500)
+            .map(|(key, (value, revision))| item_json(key, value, *revision))
+            .collect();
+        let body = format!(
+            "{{\"items\":[{}],\"has_more\":{},\"current_rev\":{}}}",
+            page.join(","),
+            matching.len() > 500,
+            state.revision
+        );
+        (200, body)
+    }
+
+    fn watch(&self, prefix: &str, after: u64, wait: Duration) -> (u16, String) {
+        let until = Instant::now() + wait;
+        let mut state = self.state.lock().unwrap();
+        loop {
+            let events: Vec<String> = state
+                .log
+                .iter()
+                .filter(|(revision, key, _)| *revision > after && key.starts_with(prefix))
+                .map(|(revision, key, value)| match value {
+                    Some(value) => item_json(key, value, *revision),
+                    None => {
+                        format!("{{\"key\":\"{key}\",\"revision\":{revision},\"removed\":true}}")
+                    }
+                })
+                .collect();
+            let left = until.saturating_duration_since(Instant::now());
+            if !events.is_empty() || left.is_zero() {
+                let body = format!(
+                    "{{\"events\":[{}],\"current_rev\":{}}}",
+                    events.join(","),
+                    state.revision
+                );
+                return (200, body);
+            }
+            state = self.changed.wait_timeout(state, left).unwrap().0;
+        }
+    }
+}
+
+fn item_json(key: &str, value: &str, revision: u64) -> String {
+    let value = base64(value.as_bytes());
+    format!(
+        "{{\"key\":\"{key}\",\"value\":\"{value}\",\"revision\":{revision},\"create_rev\":{revision},\"lease\":0}}"
+    )
+}
+
+fn base64(bytes: &[u8]) -> String {
+    const ALPHABET: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    let mut out = String::new();
+    for chunk in bytes.chunks(3) {
+        let mut word = [0; 3];
+        word[..chunk.len()].copy_from_slice(chunk);
+        let all = u32::from_be_bytes([0, word[0], word[1], word[2]]);
+        for at in 0..4 {
+            if at <= chunk.len() {
+                out.push(char::from(ALPHABET[(all >> (18 - 6 * at)) as usize & 63]));
+            } else {
+                out.push('=');
+            }
+        }
+    }
+    out
+}
+
+fn decode_query(text: &str) -> String {
+    let bytes = text.as_bytes();
+    let mut out = Vec::new();
+    let mut at = 0;
+    while at < bytes.len() {
+        let hex = (bytes[at] == b'%').then(|| text.get(at + 1..at + 3)).flatten();
+        match hex.and_then(|hex| u8::from_str_radix(hex, 16).ok()) {
+            Some(byte) => {
+                out.push(byte);
+                at += 3;
+            }
+            None => {
+                out.push(bytes[at]);
+                at += 1;
+            }
+        }
+    }
+    String::from_utf8_lossy(&out).into_owned()
+}
+
+// ---------------------------------------------------------------- templates
+
+/// A value of the platform's settings.
+#[derive(Clone)]
+enum Value {
+    Text(String),
+    List(Vec<String>),
+    Table(Vec<(String, String)>),
+}
+
+type Fields = HashMap<String, Value>;
+
+/// Fills in a template as the pages describe it, as far as the project's templates need it.
+fn render(template: &str, fields: &Fields) -> String {
+    let mut out = String::new();
+    let mut rest = template;
+    while let Some(start) = rest.find("{{") {
+        out.push_str(&rest[..start]);
+        let Some(end) = rest[start..].find("}}") else {
+            break;
+        };
+        let name = &rest[start + 2..start + end];
+        rest = &rest[start + end + 2..];
+        let Some(kind) = name.chars().next().filter(|c| *c == '#' || *c == '^') else {
+            out.push_str(&lookup(name, fields));
+            continue;
+        };
+        let name = &name[1..];
+        let close = format!("{{{{/{name}}}}}");
+        let Some(at) = rest.find(&close) else {
+            break;
+        };
+        let body = &rest[..at];
+        rest = &rest[at + close.len()..];
+        match (kind, fields.get(name)) {
+            ('^', None) => out.push_str(body),
+            ('#', Some(Value::Text(text))) => out.push_str(&body.replace("{{.}}", text)),
+            ('#', Some(Value::Table(entries))) => {
+                let filled = entries.iter().enumerate().map(|(index, (key, value))| {
+                    let comma = if index + 1 < entries.len() { "," } else { "" };
+                    let text = body.replace("{{@}}", key).replace("{{.}}", value);
+                    text.replace("{{,}}", comma)
+                });
+                out.extend(filled);
+            }
+            _ => {}
+        }
+    }
+    out.push_str(rest);
+    out
+}
+
+fn lookup(name: &str, fields: &Fields) -> String {
+    match fields.get(name) {
+        Some(Value::Text(text)) => text.clone(),
+        Some(Value::List(list)) => list.join(","),
+        Some(Value::Table(_)) => String::new(),
+        None => {
+            let (list, index) = name.rsplit_once('.').unwrap_or((name, ""));
+            match (fields.get(list), index.parse::<usize>()) {
+                (Some(Value::List(list)), Ok(index)) => {
+                    list.get(index).cloned().unwrap_or_default()
+                }
+                _ => String::new(),
+            }
+        }
+    }
+}
+
+// ---------------------------------------------------------------- addresses
+
+/// The addresses of a run: one loopback address for each machine, the same ports on all.
+#[derive(Clone, Copy)]
+struct Net {
+    block: u8,
+    port: u16,
+}
+
+impl Net {
+    fn claim() -> Outcome<Self> {
+        let seed = std::process::id();
+        for attempt in 0..200_u32 {
+            let mixed = (seed.wrapping_mul(2_654_435_761)).wrapping_add(attempt * 7_919);
+            let net = Self {
+                block: 32 + (mixed % 190) as u8,
+                port: 20_000 + (mixed / 190 % 600) as u16 * 20,
+            };
+            if net.is_free() {
+                return Ok(net);
+            }
+        }
+        Err("no free ports".to_owned())
+    }
+
+    fn is_free(self) -> bool {
+        let machines = [self.edge(0), self.side(0), self.store_ip(0), self.client(0)];
+        machines.iter().all(|ip| {
+            (0..20).all(|offset| {
+                let address = SocketAddrV4::new(*ip, self.port + offset);
+                UdpSocket::bind(address).is_ok() && TcpListener::bind(address).is_ok()
+            }) && TcpListener::bind(SocketAddrV4::new(*ip, 9464)).is_ok()
+        })
+    }
+
+    fn edge(self, n: usize) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.block, 1, 10 + n as u8)
+    }
+    fn side(self, n: usize) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.block, 2, 10 + n as u8)
+    }
+    fn store_ip(self, n: usize) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.block, 9, 10 + n as u8)
+    }
+    fn client(self, n: usize) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.block, 8, 10 + n as u8)
+    }
+    fn host(self, n: usize) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.block, 7, 10 + n as u8)
+    }
+    fn packets(self) -> u16 {
+        self.port
+    }
+    fn ready(self) -> u16 {
+        self.port + 1
+    }
+    fn outbound(self) -> u16 {
+        self.port + 2
+    }
+    fn app(self) -> u16 {
+        self.port + 3
+    }
+    fn control(self) -> u16 {
+        self.port + 4
+    }
+    fn range(self) -> (u16, u16) {
+        (self.port + 6, self.port + 15)
+    }
+    fn store(self, n: usize) -> SocketAddrV4 {
+        SocketAddrV4::new(self.store_ip(n), self.port + 5)
+    }
+}
+
+// ---------------------------------------------------------------- processes
+
+const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+
+/// A process of the deploy file on one machine.
+struct Process {
+    name: String,
+    program: PathBuf,
+    file: PathBuf,
+    log: PathBuf,
+    template: String,
+    fields: Fields,
+    child: Option<Child>,
+    started_before: bool,
+}
+
+impl Process {
+    fn start(&mut self, record: &Record) -> Outcome<()> {
+        let bootstrap = if self.started_before { "false" } else { "true" };
+        self.fields
+            .insert("bootstrap".to_owned(), Value::Text(bootstrap.to_owned()));
+        self.started_before = true;
+        let text = render(&self.template, &self.fields);
+        fs::write(&self.file, text).map_err(|e| e.to_string())?;
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .map_err(|e| e.to_string())?;
+        let errors = log.try_clone().map_err(|e| e.to_string())?;
+        let mut command = Command::new(&self.program);
+        command
+            .arg("--settings")
+            .arg(&self.file)
+            .env_clear()
+            .env("PATH", "/usr/bin:/bin")
+            .env("LANG", "C")
+            .env("LOVAGELATCH_NODE_FILE", &self.file)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(errors);
+        let child = command
+            .spawn()
+            .map_err(|e| format!("{}: {e}", self.program.display()))?;
+        record.line(&format!("process {} started, pid {}", self.name, child.id()));
+        self.child = Some(child);
+        Ok(())
+    }
+
+    fn signal(&mut self, signal: i32, record: &Record) {
+        if let Some(child) = &self.child {
+            record.line(&format!("process {} gets signal {signal}", self.name));
+            // SAFETY: sends a signal to a child that has not been reaped.
+            unsafe { kill(child.id() as i32, signal) };
+        }
+    }
+
+    fn reap(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Waits for the process to exit, and kills it after `grace`.
+    fn wait_exit(&mut self, grace: Duration, record: &Record) {
+        let until = Instant::now() + grace;
+        if let Some(child) = &mut self.child {
+            while Instant::now() < until {
+                if matches!(child.try_wait(), Ok(Some(_))) {
+                    record.line(&format!("process {} exited", self.name));
+                    self.child = None;
+                    return;
+                }
+                thread::sleep(ms(10));
+            }
+        }
+        record.line(&format!("process {} is killed after the grace", self.name));
+        self.reap();
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.reap();
+    }
+}
+
+// ---------------------------------------------------------------- targets
+
+#[derive(Default)]
+struct TargetStats {
+    arrivals: AtomicU64,
+    bad_sum: AtomicU64,
+}
+
+struct TargetFlow {
+    isn: u32,
+    /// The next byte expected from the client.
+    expected: u32,
+    sent: u32,
+    open: bool,
+    last: Instant,
+    /// The last response, kept for retransmissions.
+    response: Option<Vec<u8>>,
+    ended: bool,
+}
+
+/// What a target saw, in order.
+#[derive(Clone, Debug)]
+struct Seen {
+    at: f64,
+    target: String,
+    what: &'static str,
+    client: End,
+    service_address: End,
+}
+
+/// A backend server beside an agent.
+struct Target {
+    id: String,
+    stop: Arc<AtomicBool>,
+    stats: Arc<TargetStats>,
+    handle: Option<thread::JoinHandle<()>>,
+}
+
+impl Target {
+    fn start(
+        id: &str,
+        app: SocketAddrV4,
+        outbound: SocketAddrV4,
+        work: Duration,
+        seen: Arc<Mutex<Vec<Seen>>>,
+        record: Arc<Record>,
+    ) -> Outcome<Self> {
+        let socket = UdpSocket::bind(app).map_err(|e| format!("target {app}: {e}"))?;
+        socket
+            .set_read_timeout(Some(ms(2)))
+            .map_err(|e| e.to_string())?;
+        let stop = Arc::new(AtomicBool::new(false));
+        let stats = Arc::new(TargetStats::default());
+        let mut server = TargetServer {
+            id: id.to_owned(),
+            socket,
+            outbound,
+            work,
+            stop: Arc::clone(&stop),
+            stats: Arc::clone(&stats),
+            flows: HashMap::new(),
+            due: Vec::new(),
+            seen,
+            record,
+            counter: 0,
+        };
+        let handle = thread::spawn(move || server.run());
+        Ok(Self {
+            id: id.to_owned(),
+            stop,
+            stats,
+            handle: Some(handle),
+        })
+    }
+
+    fn end(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        if let Some(handle) = self.handle.take() {
+            let _ = handle.join();
+        }
+    }
+}
+
+struct TargetServer {
+    id: String,
+    socket: UdpSocket,
+    outbound: SocketAddrV4,
+    work: Duration,
+    stop: Arc<AtomicBool>,
+    stats: Arc<TargetStats>,
+    flows: HashMap<(End, End), TargetFlow>,
+    due: Vec<(Instant, (End, End))>,
+    seen: Arc<Mutex<Vec<Seen>>>,
+    record: Arc<Record>,
+    counter: u32,
+}
+
+impl TargetServer {
+    fn run(&mut self) {
+        let mut buffer = [0; 2048];
+        while !self.stop.load(Ordering::Relaxed) {
+            if let Ok((length, _)) = self.socket.recv_from(&mut buffer) {
+                self.receive(&buffer[..length]);
+            }
+            self.answer_due();
+        }
+    }
+
+    fn note(&self, what: &'static str, key: (End, End)) {
+        self.seen.lock().unwrap().push(Seen {
+            at: self.record.now(),
+            target: self.id.clone(),
+            what,
+            client: key.0,
+            service_address: key.1,
+        });
+    }
+
+    fn receive(&mut self, bytes: &[u8]) {
+        self.stats.arrivals.fetch_add(1, Ordering::Relaxed);
+        let Some((packet, sum_ok)) = Packet::decode(bytes) else {
+            return;
+        };
+        if !sum_ok {
+            self.stats.bad_sum.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
+        let key = (packet.src, packet.dst);
+        if packet.flags & SYN != 0 {
+            if !self.flows.contains_key(&key) {
+                self.counter = self.counter.wrapping_add(0x0101_3577);
+                let isn = self.counter ^ u32::from(packet.src.port) << 13;
+                let flow = TargetFlow {
+                    isn,
+                    expected: packet.seq.wrapping_add(1),
+                    sent: isn.wrapping_add(1),
+                    open: false,
+                    last: Instant::now(),
+                    response: None,
+                    ended: false,
+                };
+                self.flows.insert(key, flow);
+                self.note("syn", key);
+            }
+            let flow = &self.flows[&key];
+            let (isn, ack) = (flow.isn, flow.expected);
+            if !flow.open {
+                self.send(key, SYN | ACK, isn, ack, Vec::new());
+            }
+            return;
+        }
+        let Some(flow) = self.flows.get_mut(&key) else {
+            return self.bounce(bytes);
+        };
+        flow.last = Instant::now();
+        if !flow.open {
+            if packet.ack != flow.isn.wrapping_add(1) {
+                return self.bounce(bytes);
+            }
+            flow.open = true;
+            self.note("open", key);
+        }
+        let Some(flow) = self.flows.get_mut(&key) else {
+            return;
+        };
+        if packet.flags & RST != 0 {
+            self.flows.remove(&key);
+            return;
+        }
+        if flow.ended {
+            if packet.flags & FIN != 0 {
+                let (seq, ack) = (flow.sent, flow.expected);
+                self.send(key, ACK, seq, ack, Vec::new());
+            } else if !packet.data.is_empty() {
+                let (seq, ack) = (flow.sent, flow.expected);
+                self.send(key, RST | ACK, seq, ack, Vec::new());
+            }
+            return;
+        }
+        if !packet.data.is_empty() {
+            if packet.seq == flow.expected {
+                flow.expected = flow.expected.wrapping_add(packet.data.len() as u32);
+                flow.response = None;
+                self.note("request", key);
+                self.due.push((Instant::now() + self.work, key));
+            } else if let Some(response) = flow.response.clone() {
+                let _ = self.socket.send_to(&response, self.outbound);
+            }
+            return;
+        }
+        if packet.flags & FIN != 0 {
+            flow.ended = true;
+            flow.expected = packet.seq.wrapping_add(1);
+            let (seq, ack) = (flow.sent, flow.expected);
+            self.send(key, FIN | ACK, seq, ack, Vec::new());
+        }
+    }
+
+    fn answer_due(&mut self) {
+        let now = Instant::now();
+        let (due, later): (Vec<_>, Vec<_>) = self.due.drain(..).partition(|(at, _)| *at <= now);
+        self.due = later;
+        for (_, key) in due {
+            let Some(flow) = self.flows.get_mut(&key) else {
+                continue;
+            };
+            let data = format!("done by {}", self.id).into_bytes();
+            let packet = Packet {
+                flags: ACK,
+                src: key.1,
+                dst: key.0,
+                seq: flow.sent,
+                ack: flow.expected,
+                data,
+            };
+            flow.sent = flow.sent.wrapping_add(packet.data.len() as u32);
+            let bytes = packet.encode();
+            flow.response = Some(bytes.clone());
+            let _ = self.socket.send_to(&bytes, self.outbound);
+        }
+    }
+
+    fn send(&self, key: (End, End), flags: u8, seq: u32, ack: u32, data: Vec<u8>) {
+        let packet = Packet {
+            flags,
+            src: key.1,
+            dst: key.0,
+            seq,
+            ack,
+            data,
+        };
+        let _ = self.socket.send_to(&packet.encode(), self.outbound);
+    }
+
+    fn bounce(&self, bytes: &[u8]) {
+        let mut copy = bytes.to_vec();
+        copy[4] |= BOUNCED;
+        copy[5..10].fill(0);
+        let _ = self.socket.send_to(&copy, self.outbound);
+    }
+}
+
+// ---------------------------------------------------------------- routers
+
+/// The platform's routers: forward by a steady hash to the balancers in rotation.
+struct Router {
+    socket: UdpSocket,
+    balancers: Vec<(SocketAddrV4, AtomicBool)>,
+}
+
+impl Router {
+    fn send(&self, key: (End, End), bytes: &[u8]) {
+        let in_rotation = |index: &usize| self.balancers[*index].1.load(Ordering::Relaxed);
+        let all: Vec<usize> = (0..self.balancers.len()).collect();
+        let ready: Vec<usize> = all.iter().copied().filter(in_rotation).collect();
+        let chosen = if ready.len() * 2 < all.len() { all } else { ready };
+        let weight = |index: &usize| {
+            let mut hash = 0xcbf2_9ce4_8422_2325_u64 ^ (*index as u64).wrapping_mul(0x9e37_79b9);
+            let words = [
+                u32::from(key.0.ip),
+                u32::from(key.0.port),
+                u32::from(key.1.ip),
+                u32::from(key.1.port),
+            ];
+            for word in words {
+                hash = (hash ^ u64::from(word)).wrapping_mul(0x0000_0100_0000_01b3);
+                hash ^= hash >> 29;
+            }
+            hash
+        };
+        if let Some(index) = chosen.into_iter().max_by_key(weight) {
+            let _ = self.socket.send_to(bytes, self.balancers[index].0);
+        }
+    }
+
+    fn poll(self: &Arc<Self>, ready_port: u16, stop: Arc<AtomicBool>) {
+        for index in 0..self.balancers.len() {
+            let router = Arc::clone(self);
+            let stop = Arc::clone(&stop);
+            thread::spawn(move || {
+                let address = SocketAddrV4::new(*router.balancers[index].0.ip(), ready_port);
+                let mut misses = 2;
+                while !stop.load(Ordering::Relaxed) {
+                    misses = if is_ready(address) { 0 } else { misses + 1 };
+                    router.balancers[index].1.store(misses < 2, Ordering::Relaxed);
+                    thread::sleep(ms(500));
+                }
+            });
+        }
+    }
+
+    fn ready_count(&self) -> usize {
+        let flags = self.balancers.iter();
+        flags.filter(|(_, ready)| ready.load(Ordering::Relaxed)).count()
+    }
+}
+
+fn is_ready(address: SocketAddrV4) -> bool {
+    let Ok(mut stream) = TcpStream::connect_timeout(&address.into(), ms(400)) else {
+        return false;
+    };
+    let _ = stream.set_read_timeout(Some(ms(400)));
+    let request = format!("GET /v1/ready HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
+    if stream.write_all(request.as_bytes()).is_err() {
+        return false;
+    }
+    let mut head = [0; 12];
+    stream.read_exact(&mut head).is_ok() && &head[9..] == b"200"
+}
+
+// ---------------------------------------------------------------- clients
+
+/// How a flow's request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End2 {
+    Served,
+    Refused,
+    NeverOpened,
+    Reset,
+    TimedOut,
+}
+
+/// One request and how it ended.
+#[derive(Clone, Debug)]
+struct Request {
+    at: f64,
+    flow: (End, End),
+    route: usize,
+    result: End2,
+}
+
+struct ClientFlow {
+    began: Instant,
+    at: f64,
+    route: usize,
+    opened: bool,
+    isn: u32,
+    peer: u32,
+    copies: u32,
+    next_send: Instant,
+    interval: Duration,
+    ended: bool,
+    ending_until: Option<Instant>,
+}
+
+/// Opens one flow for each request, at a steady pace.
+struct Clients {
+    router: Arc<Router>,
+    sockets: Vec<(Ipv4Addr, UdpSocket)>,
+    routes: Vec<End>,
+    flows: HashMap<(End, End), ClientFlow>,
+    done: Arc<Mutex<Vec<Request>>>,
+    bad_sum: Arc<AtomicU64>,
+    record: Arc<Record>,
+    next_port: u16,
+    turn: usize,
+    deadline: Duration,
+}
+
+impl Clients {
+    fn run(mut self, pace: Duration, stop: Arc<AtomicBool>) {
+        let mut next = Instant::now();
+        while !stop.load(Ordering::Relaxed) || !self.flows.is_empty() {
+            let now = Instant::now();
+            if now >= next && !stop.load(Ordering::Relaxed) {
+                next += pace;
+                self.open();
+            }
+            self.receive();
+            self.advance();
+            thread::sleep(ms(1));
+        }
+    }
+
+    fn open(&mut self) {
+        self.turn += 1;
+        let client = self.turn % self.sockets.len();
+        let route = self.turn / self.sockets.len() % self.routes.len();
+        self.next_port = self.next_port.wrapping_add(1).max(2_000);
+        let key = (
+            End {
+                ip: self.sockets[client].0,
+                port: self.next_port,
+            },
+            self.routes[route],
+        );
+        let isn = (self.turn as u32).wrapping_mul(2_654_435_761);
+        let now = Instant::now();
+        let flow = ClientFlow {
+            began: now,
+            at: self.record.now(),
+            route,
+            opened: false,
+            isn,
+            peer: 0,
+            copies: 0,
+            next_send: now + ms(200),
+            interval: ms(200),
+            ended: false,
+            ending_until: None,
+        };
+        self.flows.insert(key, flow);
+        self.send(key, SYN, isn, 0, Vec::new());
+    }
+
+    fn send(&self, key: (End, End), flags: u8, seq: u32, ack: u32, data: Vec<u8>) {
+        let packet = Packet {
+            flags,
+            src: key.0,
+            dst: key.1,
+            seq,
+            ack,
+            data,
+        };
+        self.router.send(key, &packet.encode());
+    }
+
+    fn request_data(route: usize) -> Vec<u8> {
+        format!("request on route {route}").into_bytes()
+    }
+
+    fn receive(&mut self) {
+        let mut buffer = [0; 2048];
+        for index in 0..self.sockets.len() {
+            while let Ok((length, _)) = self.sockets[index].1.recv_from(&mut buffer) {
+                self.handle(&buffer[..length]);
+            }
+        }
+    }
+
+    fn handle(&mut self, bytes: &[u8]) {
+        let Some((packet, sum_ok)) = Packet::decode(bytes) else {
+            return;
+        };
+        let own_reset = packet.flags == RST && bytes[..4] == [0; 4];
+        if !sum_ok && !own_reset {
+            self.bad_sum.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
+        let key = (packet.dst, packet.src);
+        let Some(flow) = self.flows.get_mut(&key) else {
+            return;
+        };
+        if flow.ended {
+            return;
+        }
+        if packet.flags & RST != 0 {
+            if flow.opened && packet.seq.wrapping_sub(flow.peer).wrapping_add(76_800) > 153_600 {
+                return;
+            }
+            let result = if flow.opened { End2::Reset } else { End2::Refused };
+            return self.finish(key, result);
+        }
+        if packet.flags & SYN != 0 {
+            if flow.opened {
+                return;
+            }
+            flow.opened = true;
+            flow.peer = packet.seq.wrapping_add(1);
+            flow.interval = ms(200);
+            flow.next_send = Instant::now() + flow.interval;
+            let (seq, ack, data) = (
+                flow.isn.wrapping_add(1),
+                flow.peer,
+                Self::request_data(flow.route),
+            );
+            return self.send(key, ACK, seq, ack, data);
+        }
+        if !packet.data.is_empty() && flow.opened {
+            let sent = Self::request_data(flow.route).len() as u32;
+            let seq = flow.isn.wrapping_add(1).wrapping_add(sent);
+            let ack = packet.seq.wrapping_add(packet.data.len() as u32);
+            self.send(key, FIN | ACK, seq, ack, Vec::new());
+            self.finish(key, End2::Served);
+        }
+    }
+
+    fn finish(&mut self, key: (End, End), result: End2) {
+        let Some(flow) = self.flows.get_mut(&key) else {
+            return;
+        };
+        flow.ended = true;
+        flow.ending_until = Some(Instant::now() + ms(200));
+        self.done.lock().unwrap().push(Request {
+            at: flow.at,
+            flow: key,
+            route: flow.route,
+            result,
+        });
+    }
+
+    fn advance(&mut self) {
+        let now = Instant::now();
+        let mut sends = Vec::new();
+        let mut ends = Vec::new();
+        for (key, flow) in &mut self.flows {
+            if flow.ended {
+                continue;
+            }
+            let age = now.duration_since(flow.began);
+            if !flow.opened {
+                if age >= ms(1_400) {
+                    ends.push((*key, End2::NeverOpened));
+                } else if flow.copies < 2 && now >= flow.next_send {
+                    flow.copies += 1;
+                    flow.next_send = flow.began + ms(600);
+                    sends.push((*key, SYN, flow.isn, flow.copies, Vec::new()));
+                }
+            } else if age >= self.deadline {
+                ends.push((*key, End2::TimedOut));
+            } else if now >= flow.next_send {
+                flow.interval = (flow.interval * 2).min(ms(1_600));
+                flow.next_send = now + flow.interval;
+                let data = Self::request_data(flow.route);
+                sends.push((*key, ACK, flow.isn.wrapping_add(1), flow.peer, data));
+            }
+        }
+        for (key, flags, seq, ack, data) in sends {
+            self.send(key, flags, seq, ack, data);
+        }
+        for (key, result) in ends {
+            self.finish(key, result);
+        }
+        self.flows
+            .retain(|_, flow| flow.ending_until.is_none_or(|until| now < until));
+    }
+}
+
+// ---------------------------------------------------------------- the deployment
+
+/// What a case sets.
+struct Plan {
+    edges: usize,
+    /// The service of each side machine.
+    sides: Vec<&'static str>,
+    /// The services of the routes.
+    routes: Vec<&'static str>,
+    pace: Duration,
+    work: Duration,
+}
+
+/// A whole deployment.
+struct World {
+    net: Net,
+    record: Arc<Record>,
+    store: Arc<Store>,
+    plan: Plan,
+    balancers: Vec<Process>,
+    agents: Vec<Process>,
+    targets: Vec<Target>,
+    beats: Arc<Mutex<Vec<Beat>>>,
+    seen: Arc<Mutex<Vec<Seen>>>,
+    router: Arc<Router>,
+    stop: Arc<AtomicBool>,
+    traffic_stop: Arc<AtomicBool>,
+    done: Arc<Mutex<Vec<Request>>>,
+    bad_sum: Arc<AtomicU64>,
+    version: u64,
+    clients: Option<thread::JoinHandle<()>>,
+}
+
+/// The entry of a living target, which it writes about every heartbeat.
+#[derive(Clone)]
+struct Beat {
+    id: String,
+    service: String,
+    address: SocketAddrV4,
+    zone: &'static str,
+    state: &'static str,
+}
+
+impl Beat {
+    fn json(&self) -> String {
+        format!(
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":3,\"state\":\"{}\",\"cold_remaining_ms\":0,\"seq\":1}}",
+            self.service, self.address, self.zone, self.state
+        )
+    }
+}
+
+impl World {
+    fn new(plan: Plan, repository: &Path, work: &Path, record: Arc<Record>) -> Outcome<Self> {
+        let net = Net::claim()?;
+        let store = Arc::new(Store {
+            state: Mutex::new(StoreState {
+                revision: 100,
+                ..StoreState::default()
+            }),
+            changed: Condvar::new(),
+        });
+        for edge in 0..plan.edges {
+            store.listen(net.store(edge))?;
+        }
+        let programs = repository.join("target/release");
+        let template = |name: &str| {
+            fs::read_to_string(repository.join("platform").join(name)).map_err(|e| e.to_string())
+        };
+        let mut balancers = Vec::new();
+        for edge in 0..plan.edges {
+            let name = format!("edge-{edge}");
+            let mut fields = common_fields(net, &name, net.edge(edge), ZONES[edge % 3], plan.edges);
+            fields.insert(
+                "platform.address".to_owned(),
+                Value::Text(net.store(edge).to_string()),
+            );
+            balancers.push(Process {
+                program: programs.join("lovagelatch-balancer"),
+                file: work.join(format!("{name}.ini")),
+                log: work.join(format!("{name}.log")),
+                template: template("balancer.ini")?,
+                name,
+                fields,
+                child: None,
+                started_before: false,
+            });
+        }
+        let mut agents = Vec::new();
+        for (side, service) in plan.sides.iter().enumerate() {
+            let name = format!("side-{side}");
+            let ip = net.side(side);
+            let mut fields = common_fields(net, &name, ip, ZONES[side % 3], plan.edges);
+            let text = |text: String| Value::Text(text);
+            fields.insert("service".to_owned(), text((*service).to_owned()));
+            fields.insert("app".to_owned(), text(format!("{ip}:{}", net.app())));
+            fields.insert(
+                "listen.outbound".to_owned(),
+                text(format!("{ip}:{}", net.outbound())),
+            );
+            agents.push(Process {
+                program: programs.join("lovagelatch-agent"),
+                file: work.join(format!("{name}.ini")),
+                log: work.join(format!("{name}.log")),
+                template: template("agent.ini")?,
+                name,
+                fields,
+                child: None,
+                started_before: false,
+            });
+        }
+        let router = Arc::new(Router {
+            socket: UdpSocket::bind("127.0.0.1:0").map_err(|e| e.to_string())?,
+            balancers: (0..plan.edges)
+                .map(|edge| {
+                    let address = SocketAddrV4::new(net.edge(edge), net.packets());
+                    (address, AtomicBool::new(false))
+                })
+                .collect(),
+        });
+        Ok(Self {
+            net,
+            record,
+            store,
+            plan,
+            balancers,
+            agents,
+            targets: Vec::new(),
+            beats: Arc::default(),
+            seen: Arc::default(),
+            router,
+            stop: Arc::default(),
+            traffic_stop: Arc::default(),
+            done: Arc::default(),
+            bad_sum: Arc::default(),
+            version: 0,
+            clients: None,
+        })
+    }
+
+    /// Writes the configuration; returns its version.
+    fn write_config(&mut self) -> u64 {
+        self.version += 3;
+        let routes: Vec<String> = self
+            .plan
+            .routes
+            .iter()
+            .enumerate()
+            .map(|(index, service)| {
+                format!(
+                    "{{\"name\":\"r-{index}\",\"host\":\"{}\",\"prefix\":\"/443/\",\"kind\":\"unsafe\",\"timeout_ms\":{},\"aim_ms\":150,\"priority\":1,\"service\":\"{service}\",\"max_attempts\":2}}",
+                    self.net.host(index),
+                    1_000 + self.version,
+                )
+            })
+            .collect();
+        let mut names = self.plan.sides.clone();
+        names.sort_unstable();
+        names.dedup();
+        let services: Vec<String> = names
+            .iter()
+            .map(|name| {
+                format!("{{\"name\":\"{name}\",\"health_path\":\"/health\",\"max_conns\":2000,\"protocol\":\"h1\",\"tls\":false}}")
+            })
+            .collect();
+        let value = format!(
+            "{{\"version\":{},\"routes\":[{}],\"services\":[{}],\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":262144,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}}}",
+            self.version,
+            routes.join(","),
+            services.join(","),
+        );
+        self.store.put("op/config", Some(&value));
+        self.record
+            .line(&format!("configuration {} is acknowledged", self.version));
+        self.version
+    }
+
+    fn start_balancers(&mut self) -> Outcome<()> {
+        for process in &mut self.balancers {
+            process.start(&self.record)?;
+        }
+        Ok(())
+    }
+
+    fn start_agents(&mut self) -> Outcome<()> {
+        for process in &mut self.agents {
+            process.start(&self.record)?;
+        }
+        Ok(())
+    }
+
+    /// Starts a target on each side machine, without entries yet.
+    fn start_targets(&mut self) -> Outcome<()> {
+        for (side, service) in self.plan.sides.clone().into_iter().enumerate() {
+            let ip = self.net.side(side);
+            let id = format!("i-{side:02}a7f3");
+            let app = SocketAddrV4::new(ip, self.net.app());
+            let target = Target::start(
+                &id,
+                app,
+                SocketAddrV4::new(ip, self.net.outbound()),
+                self.plan.work,
+                Arc::clone(&self.seen),
+                Arc::clone(&self.record),
+            )?;
+            self.targets.push(target);
+            self.beats.lock().unwrap().push(Beat {
+                id,
+                service: service.to_owned(),
+                address: app,
+                zone: ZONES[side % 3],
+                state: "ready",
+            });
+        }
+        Ok(())
+    }
+
+    /// The targets write their entries. An entry changes when more than `seq` changes, so that a
+    /// heartbeat of a target whose entry is there changes nothing.
+    fn register_targets(&self) {
+        for beat in self.beats.lock().unwrap().iter() {
+            self.store
+                .put(&format!("servers/{}", beat.id), Some(&beat.json()));
+            self.record.line(&format!(
+                "target {} of {} registers at {}",
+                beat.id, beat.service, beat.address
+            ));
+        }
+    }
+
+    fn start_traffic(&mut self) -> Outcome<()> {
+        self.router.poll(self.net.ready(), Arc::clone(&self.stop));
+        let sockets = (0..4).map(|client| {
+            let ip = self.net.client(client);
+            let address = SocketAddrV4::new(ip, self.net.packets());
+            let socket = UdpSocket::bind(address).map_err(|e| e.to_string())?;
+            socket.set_nonblocking(true).map_err(|e| e.to_string())?;
+            Ok((ip, socket))
+        });
+        let clients = Clients {
+            router: Arc::clone(&self.router),
+            sockets: sockets.collect::<Outcome<_>>()?,
+            routes: (0..self.plan.routes.len())
+                .map(|route| End {
+                    ip: self.net.host(route),
+                    port: 443,
+                })
+                .collect(),
+            flows: HashMap::new(),
+            done: Arc::clone(&self.done),
+            bad_sum: Arc::clone(&self.bad_sum),
+            record: Arc::clone(&self.record),
+            next_port: 2_000,
+            turn: 0,
+            deadline: ms(2_000),
+        };
+        let (pace, stop) = (self.plan.pace, Arc::clone(&self.traffic_stop));
+        self.clients = Some(thread::spawn(move || clients.run(pace, stop)));
+        Ok(())
+    }
+
+    fn stop_traffic(&mut self) {
+        self.traffic_stop.store(true, Ordering::Relaxed);
+        if let Some(clients) = self.clients.take() {
+            let _ = clients.join();
+        }
+    }
+
+    fn wait_ready(&self, limit: Duration) -> Outcome<()> {
+        let until = Instant::now() + limit;
+        let all: Vec<SocketAddrV4> = (0..self.plan.edges)
+            .map(|edge| SocketAddrV4::new(self.net.edge(edge), self.net.ready()))
+            .collect();
+        while Instant::now() < until {
+            if all.iter().all(|address| is_ready(*address)) {
+                return Ok(());
+            }
+            thread::sleep(ms(50));
+        }
+        Err("the balancers do not become ready".to_owned())
+    }
+
+    /// Returns the requests sent in a span, and how many of them were served.
+    fn share(&self, from: f64, to: f64) -> (usize, usize) {
+        let done = self.done.lock().unwrap();
+        let sent = done.iter().filter(|request| request.at >= from && request.at < to);
+        let (mut all, mut served) = (0, 0);
+        for request in sent {
+            all += 1;
+            served += usize::from(request.result == End2::Served);
+        }
+        (all, served)
+    }
+
+    /// Writes how the requests of each second ended.
+    fn write_seconds(&self) {
+        let mut seconds: BTreeMap<u64, BTreeMap<String, usize>> = BTreeMap::new();
+        for request in self.done.lock().unwrap().iter() {
+            let second = seconds.entry(request.at as u64).or_default();
+            *second.entry(format!("{:?}", request.result)).or_default() += 1;
+        }
+        for (second, ends) in seconds {
+            let ends: Vec<String> = ends.iter().map(|(end, n)| format!("{end} {n}")).collect();
+            self.record
+                .line(&format!("requests sent in second {second}: {}", ends.join(", ")));
+        }
+        for target in &self.targets {
+            self.record.line(&format!(
+                "target {}: {} packets, {} with a wrong sum",
+                target.id,
+                target.stats.arrivals.load(Ordering::Relaxed),
+                target.stats.bad_sum.load(Ordering::Relaxed)
+            ));
+        }
+    }
+
+    fn end(&mut self) {
+        self.stop_traffic();
+        self.stop.store(true, Ordering::Relaxed);
+        for process in self.balancers.iter_mut().chain(&mut self.agents) {
+            process.reap();
+        }
+        for target in &mut self.targets {
+            target.end();
+        }
+    }
+}
+
+fn common_fields(net: Net, name: &str, ip: Ipv4Addr, zone: &str, edges: usize) -> Fields {
+    let seeds = (0..edges.min(3)).map(|edge| format!("{}:{}", net.edge(edge), net.control()));
+    let (first, last) = net.range();
+    let texts = [
+        ("node_name", name.to_owned()),
+        ("zone", zone.to_owned()),
+        ("region", "north".to_owned()),
+        ("ip", ip.to_string()),
+        ("listen.packet_addr", format!("{ip}:{}", net.packets())),
+        ("listen.ready", format!("{ip}:{}", net.ready())),
+        ("listen.control", format!("{ip}:{}", net.control())),
+        ("bounds.flow_max_s", "60".to_owned()),
+        ("bounds.grace_s", "6".to_owned()),
+        ("limits.link_mbps", "1000.0".to_owned()),
+    ];
+    let mut fields: Fields = texts
+        .into_iter()
+        .map(|(key, text)| (key.to_owned(), Value::Text(text)))
+        .collect();
+    fields.insert(
+        "port_range".to_owned(),
+        Value::List(vec![first.to_string(), last.to_string()]),
+    );
+    fields.insert("seeds".to_owned(), Value::List(seeds.collect()));
+    fields.insert(
+        "zones".to_owned(),
+        Value::Table(
+            ZONES
+                .iter()
+                .map(|zone| ((*zone).to_owned(), "north".to_owned()))
+                .collect(),
+        ),
+    );
+    fields
+}
+
+// ---------------------------------------------------------------- cases
+
+/// RECOVER with entries of another writer: programs that run on the targets' machines and are
+/// registered under a service that no configuration names.
+fn foreign_entries(world: &mut World, trouble: bool) -> Outcome<bool> {
+    const RECOVERY_S: f64 = 15.0;
+    world.write_config();
+    world.start_balancers()?;
+    world.start_agents()?;
+    world.start_targets()?;
+    thread::sleep(ms(1_000));
+    world.register_targets();
+    world.wait_ready(Duration::from_secs(8))?;
+    thread::sleep(ms(1_500));
+    world.start_traffic()?;
+    thread::sleep(ms(1_500));
+    let from = world.record.now();
+    thread::sleep(Duration::from_secs(12));
+    world.write_config();
+    let fault = world.record.now();
+    world
+        .record
+        .line("final fault: all processes of the system are killed");
+    for process in world.balancers.iter_mut().chain(&mut world.agents) {
+        process.signal(SIGKILL, &world.record);
+    }
+    for process in world.balancers.iter_mut().chain(&mut world.agents) {
+        process.reap();
+    }
+    thread::sleep(ms(800));
+    world.start_balancers()?;
+    world.start_agents()?;
+    let back = world.record.now();
+    thread::sleep(ms(3_000));
+    if trouble {
+        for side in 0..world.plan.sides.len() {
+            let ip = world.net.side(side);
+            let entry = format!(
+                "{{\"service\":\"host-metrics\",\"address\":\"{ip}:{}\",\"zone\":\"{}\",\"version\":\"4.1\",\"slots\":1,\"state\":\"ready\",\"cold_remaining_ms\":0,\"seq\":1}}",
+                world.net.app() + 15,
+                ZONES[side % 3],
+            );
+            world
+                .store
+                .put(&format!("servers/host-metrics-{side}"), Some(&entry));
+            world
+                .record
+                .line(&format!("another writer's entry: servers/host-metrics-{side} {entry}"));
+        }
+    }
+    let until = Duration::from_secs_f64(back + RECOVERY_S + 15.0 - world.record.now());
+    thread::sleep(until);
+    let end = world.record.now();
+    world.stop_traffic();
+    let (before, before_served) = world.share(from, fault - 1.0);
+    let (after, after_served) = world.share(back + RECOVERY_S, end - 2.0);
+    world.record.line(&format!(
+        "before the final fault: {before_served} of {before} served; from {RECOVERY_S} s after the machines are back: {after_served} of {after} served"
+    ));
+    world.write_seconds();
+    if before == 0 || before_served * 4 < before {
+        return Err("too little was served before the final fault".to_owned());
+    }
+    Ok(after_served * 4 < after)
+}
+
+fn plan_of(case: &str) -> Option<Plan> {
+    let sides = vec!["desk", "desk", "desk", "vault", "vault", "vault"];
+    match case {
+        "foreign" => Some(Plan {
+            edges: 3,
+            sides,
+            routes: vec!["desk", "vault"],
+            pace: ms(20),
+            work: ms(5),
+        }),
+        _ => None,
+    }
+}
+
+fn run(arguments: &[String]) -> Outcome<bool> {
+    let [case, repository, work, record, trouble] = arguments else {
+        return Err("usage: standin-2 CASE REPOSITORY WORK RECORD TROUBLE".to_owned());
+    };
+    let plan = plan_of(case).ok_or("unknown case")?;
+    let file = File::create(record).map_err(|e| e.to_string())?;
+    let record = Arc::new(Record {
+        start: Instant::now(),
+        file: Mutex::new(file),
+    });
+    let trouble = trouble != "0";
+    record.line(&format!("case {case}, trouble {trouble}"));
+    let mut world = World::new(plan, Path::new(repository), Path::new(work), Arc::clone(&record))?;
+    let outcome = match case.as_str() {
+        "foreign" => foreign_entries(&mut world, trouble),
+        _ => Err("unknown case".to_owned()),
+    };
+    world.end();
+    match &outcome {
+        Ok(true) => record.line("the rule was broken"),
+        Ok(false) => record.line("the rule held"),
+        Err(reason) => record.line(&format!("the case could not run: {reason}")),
+    }
+    outcome
+}
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let code = match run(&arguments) {
+        Ok(false) => 0,
+        Ok(true) => 1,
+        Err(reason) => {
+            eprintln!("{reason}");
+            2
+        }
+    };
+    std::process::exit(code);
+}
