--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -12,7 +12,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, RwLock};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -110,8 +110,9 @@
             return None;
         }
         let u16_at = |at: usize| u16::from_le_bytes([bytes[at], bytes[at + 1]]);
-        let u32_at =
-            |at: usize| u32::from_le_bytes([bytes[at], bytes[at + 1], bytes[at + 2], bytes[at + 3]]);
+        let u32_at = |at: usize| {
+            u32::from_le_bytes([bytes[at], bytes[at + 1], bytes[at + 2], bytes[at + 3]])
+        };
         let end = |ip: usize, port: usize| End {
             ip: Ipv4Addr::from(u32_at(ip)),
             port: u16_at(port),
@@ -150,7 +151,9 @@
         let revision = state.revision;
         match value {
             Some(value) => {
-                state.items.insert(key.to_owned(), (value.to_owned(), revision));
+                state
+                    .items
+                    .insert(key.to_owned(), (value.to_owned(), revision));
             }
             None => {
                 state.items.remove(key);
@@ -163,6 +166,18 @@
         revision
     }
 
+    /// Writes an item unless it has this value. Returns whether it was written.
+    fn put_changed(&self, key: &str, value: &str) -> bool {
+        let state = self.state.lock().unwrap();
+        let known = state.items.get(key);
+        let changed = known.is_none_or(|(known, _)| known != value);
+        drop(state);
+        if changed {
+            self.put(key, Some(value));
+        }
+        changed
+    }
+
     fn listen(self: &Arc<Self>, address: SocketAddrV4) -> Outcome<()> {
         let listener = TcpListener::bind(address).map_err(|e| format!("store {address}: {e}"))?;
         let store = Arc::clone(self);
@@ -274,6 +289,10 @@
                 return (200, body);
             }
             state = self.changed.wait_timeout(state, left).unwrap().0;
+            // An answer takes some milliseconds, and holds what is written meanwhile.
+            drop(state);
+            thread::sleep(ms(4));
+            state = self.state.lock().unwrap();
         }
     }
 }
@@ -308,7 +327,9 @@
     let mut out = Vec::new();
     let mut at = 0;
     while at < bytes.len() {
-        let hex = (bytes[at] == b'%').then(|| text.get(at + 1..at + 3)).flatten();
+        let hex = (bytes[at] == b'%')
+            .then(|| text.get(at + 1..at + 3))
+            .flatten();
         match hex.and_then(|hex| u8::from_str_radix(hex, 16).ok()) {
             Some(byte) => {
                 out.push(byte);
@@ -431,7 +452,7 @@
         Ipv4Addr::new(127, self.block, 1, 10 + n as u8)
     }
     fn side(self, n: usize) -> Ipv4Addr {
-        Ipv4Addr::new(127, self.block, 2, 10 + n as u8)
+        Ipv4Addr::new(127, self.block, 20 + (n / 200) as u8, 10 + (n % 200) as u8)
     }
     fn store_ip(self, n: usize) -> Ipv4Addr {
         Ipv4Addr::new(127, self.block, 9, 10 + n as u8)
@@ -467,6 +488,9 @@
 
 // ---------------------------------------------------------------- processes
 
+/// The time between two heartbeats of a target.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 
 /// A process of the deploy file on one machine.
@@ -509,7 +533,11 @@
         let child = command
             .spawn()
             .map_err(|e| format!("{}: {e}", self.program.display()))?;
-        record.line(&format!("process {} started, pid {}", self.name, child.id()));
+        record.line(&format!(
+            "process {} started, pid {}",
+            self.name,
+            child.id()
+        ));
         self.child = Some(child);
         Ok(())
     }
@@ -529,21 +557,11 @@
         }
     }
 
-    /// Waits for the process to exit, and kills it after `grace`.
-    fn wait_exit(&mut self, grace: Duration, record: &Record) {
-        let until = Instant::now() + grace;
-        if let Some(child) = &mut self.child {
-            while Instant::now() < until {
-                if matches!(child.try_wait(), Ok(Some(_))) {
-                    record.line(&format!("process {} exited", self.name));
-                    self.child = None;
-                    return;
-                }
-                thread::sleep(ms(10));
-            }
+    fn has_exited(&mut self) -> bool {
+        match &mut self.child {
+            Some(child) => matches!(child.try_wait(), Ok(Some(_))),
+            None => true,
         }
-        record.line(&format!("process {} is killed after the grace", self.name));
-        self.reap();
     }
 }
 
@@ -587,6 +605,9 @@
 struct Target {
     id: String,
     stop: Arc<AtomicBool>,
+    draining: Arc<AtomicBool>,
+    /// When the target ended.
+    ended_at: Option<f64>,
     stats: Arc<TargetStats>,
     handle: Option<thread::JoinHandle<()>>,
 }
@@ -605,6 +626,7 @@
             .set_read_timeout(Some(ms(2)))
             .map_err(|e| e.to_string())?;
         let stop = Arc::new(AtomicBool::new(false));
+        let draining = Arc::new(AtomicBool::new(false));
         let stats = Arc::new(TargetStats::default());
         let mut server = TargetServer {
             id: id.to_owned(),
@@ -612,6 +634,7 @@
             outbound,
             work,
             stop: Arc::clone(&stop),
+            draining: Arc::clone(&draining),
             stats: Arc::clone(&stats),
             flows: HashMap::new(),
             due: Vec::new(),
@@ -623,6 +646,8 @@
         Ok(Self {
             id: id.to_owned(),
             stop,
+            draining,
+            ended_at: None,
             stats,
             handle: Some(handle),
         })
@@ -642,6 +667,7 @@
     outbound: SocketAddrV4,
     work: Duration,
     stop: Arc<AtomicBool>,
+    draining: Arc<AtomicBool>,
     stats: Arc<TargetStats>,
     flows: HashMap<(End, End), TargetFlow>,
     due: Vec<(Instant, (End, End))>,
@@ -760,6 +786,7 @@
                 continue;
             };
             let data = format!("done by {}", self.id).into_bytes();
+            let draining = self.draining.load(Ordering::Relaxed);
             let packet = Packet {
                 flags: ACK,
                 src: key.1,
@@ -771,7 +798,13 @@
             flow.sent = flow.sent.wrapping_add(packet.data.len() as u32);
             let bytes = packet.encode();
             flow.response = Some(bytes.clone());
+            let (seq, ack) = (flow.sent, flow.expected);
             let _ = self.socket.send_to(&bytes, self.outbound);
+            if draining {
+                // A draining target closes each flow after its next response.
+                flow.ended = true;
+                self.send(key, FIN | ACK, seq, ack, Vec::new());
+            }
         }
     }
 
@@ -800,17 +833,34 @@
 /// The platform's routers: forward by a steady hash to the balancers in rotation.
 struct Router {
     socket: UdpSocket,
-    balancers: Vec<(SocketAddrV4, AtomicBool)>,
+    balancers: RwLock<Vec<Arc<RoutedBalancer>>>,
+}
+
+/// A balancer as the routers know it.
+struct RoutedBalancer {
+    number: usize,
+    address: SocketAddrV4,
+    in_rotation: AtomicBool,
 }
 
 impl Router {
     fn send(&self, key: (End, End), bytes: &[u8]) {
-        let in_rotation = |index: &usize| self.balancers[*index].1.load(Ordering::Relaxed);
-        let all: Vec<usize> = (0..self.balancers.len()).collect();
-        let ready: Vec<usize> = all.iter().copied().filter(in_rotation).collect();
-        let chosen = if ready.len() * 2 < all.len() { all } else { ready };
-        let weight = |index: &usize| {
-            let mut hash = 0xcbf2_9ce4_8422_2325_u64 ^ (*index as u64).wrapping_mul(0x9e37_79b9);
+        let zone = zone_of_client(key.0.ip);
+        let balancers = self.balancers.read().unwrap();
+        let in_zone = balancers
+            .iter()
+            .filter(|balancer| balancer.number % ZONES.len() == zone);
+        let all: Vec<&Arc<RoutedBalancer>> = in_zone.collect();
+        let ready = all.iter().copied();
+        let ready = ready.filter(|balancer| balancer.in_rotation.load(Ordering::Relaxed));
+        let ready: Vec<&Arc<RoutedBalancer>> = ready.collect();
+        let chosen = if ready.len() * 2 < all.len() {
+            all
+        } else {
+            ready
+        };
+        let weight = |index: usize| {
+            let mut hash = 0xcbf2_9ce4_8422_2325_u64 ^ (index as u64).wrapping_mul(0x9e37_79b9);
             let words = [
                 u32::from(key.0.ip),
                 u32::from(key.0.port),
@@ -823,33 +873,38 @@
             }
             hash
         };
-        if let Some(index) = chosen.into_iter().max_by_key(weight) {
-            let _ = self.socket.send_to(bytes, self.balancers[index].0);
-        }
-    }
-
-    fn poll(self: &Arc<Self>, ready_port: u16, stop: Arc<AtomicBool>) {
-        for index in 0..self.balancers.len() {
-            let router = Arc::clone(self);
-            let stop = Arc::clone(&stop);
-            thread::spawn(move || {
-                let address = SocketAddrV4::new(*router.balancers[index].0.ip(), ready_port);
-                let mut misses = 2;
-                while !stop.load(Ordering::Relaxed) {
-                    misses = if is_ready(address) { 0 } else { misses + 1 };
-                    router.balancers[index].1.store(misses < 2, Ordering::Relaxed);
-                    thread::sleep(ms(500));
-                }
-            });
+        let balancer = chosen
+            .into_iter()
+            .max_by_key(|balancer| weight(balancer.number));
+        if let Some(balancer) = balancer {
+            let _ = self.socket.send_to(bytes, balancer.address);
         }
     }
 
-    fn ready_count(&self) -> usize {
-        let flags = self.balancers.iter();
-        flags.filter(|(_, ready)| ready.load(Ordering::Relaxed)).count()
+    /// Adds a balancer, which joins the rotation when it is ready.
+    fn add(&self, number: usize, address: SocketAddrV4, ready_port: u16, stop: Arc<AtomicBool>) {
+        let balancer = Arc::new(RoutedBalancer {
+            number,
+            address,
+            in_rotation: AtomicBool::new(false),
+        });
+        self.balancers.write().unwrap().push(Arc::clone(&balancer));
+        let ready = SocketAddrV4::new(*address.ip(), ready_port);
+        thread::spawn(move || {
+            let mut misses = 2;
+            while !stop.load(Ordering::Relaxed) {
+                misses = if is_ready(ready) { 0 } else { misses + 1 };
+                balancer.in_rotation.store(misses < 2, Ordering::Relaxed);
+                thread::sleep(ms(500));
+            }
+        });
     }
 }
 
+fn zone_of_client(client: Ipv4Addr) -> usize {
+    usize::from(client.octets()[3]) % ZONES.len()
+}
+
 fn is_ready(address: SocketAddrV4) -> bool {
     let Ok(mut stream) = TcpStream::connect_timeout(&address.into(), ms(400)) else {
         return false;
@@ -867,11 +922,14 @@
 
 /// How a flow's request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum End2 {
+enum FlowEnd {
     Served,
     Refused,
     NeverOpened,
+    /// An open flow got a reset of the system's own.
     Reset,
+    /// The target ended an open flow.
+    TargetReset,
     TimedOut,
 }
 
@@ -879,9 +937,9 @@
 #[derive(Clone, Debug)]
 struct Request {
     at: f64,
+    ended_at: f64,
     flow: (End, End),
-    route: usize,
-    result: End2,
+    result: FlowEnd,
 }
 
 struct ClientFlow {
@@ -896,6 +954,13 @@
     interval: Duration,
     ended: bool,
     ending_until: Option<Instant>,
+    /// Requests answered so far.
+    answered: u32,
+    /// The next byte to send.
+    sent: u32,
+    /// Whether a request waits for its answer.
+    waiting: bool,
+    asked: Instant,
 }
 
 /// Opens one flow for each request, at a steady pace.
@@ -910,6 +975,9 @@
     next_port: u16,
     turn: usize,
     deadline: Duration,
+    /// Requests of each flow, and the pause between two of them.
+    requests: u32,
+    pause: Duration,
 }
 
 impl Clients {
@@ -953,6 +1021,10 @@
             interval: ms(200),
             ended: false,
             ending_until: None,
+            answered: 0,
+            sent: isn.wrapping_add(1),
+            waiting: false,
+            asked: now,
         };
         self.flows.insert(key, flow);
         self.send(key, SYN, isn, 0, Vec::new());
@@ -1003,7 +1075,11 @@
             if flow.opened && packet.seq.wrapping_sub(flow.peer).wrapping_add(76_800) > 153_600 {
                 return;
             }
-            let result = if flow.opened { End2::Reset } else { End2::Refused };
+            let result = match (flow.opened, own_reset) {
+                (false, _) => FlowEnd::Refused,
+                (true, true) => FlowEnd::Reset,
+                (true, false) => FlowEnd::TargetReset,
+            };
             return self.finish(key, result);
         }
         if packet.flags & SYN != 0 {
@@ -1012,25 +1088,46 @@
             }
             flow.opened = true;
             flow.peer = packet.seq.wrapping_add(1);
-            flow.interval = ms(200);
-            flow.next_send = Instant::now() + flow.interval;
-            let (seq, ack, data) = (
-                flow.isn.wrapping_add(1),
-                flow.peer,
-                Self::request_data(flow.route),
-            );
-            return self.send(key, ACK, seq, ack, data);
+            return self.ask(key);
         }
-        if !packet.data.is_empty() && flow.opened {
-            let sent = Self::request_data(flow.route).len() as u32;
-            let seq = flow.isn.wrapping_add(1).wrapping_add(sent);
-            let ack = packet.seq.wrapping_add(packet.data.len() as u32);
+        if !packet.data.is_empty() && flow.opened && packet.seq == flow.peer {
+            flow.peer = packet.seq.wrapping_add(packet.data.len() as u32);
+            flow.answered += 1;
+            flow.waiting = false;
+            flow.sent = flow
+                .sent
+                .wrapping_add(Self::request_data(flow.route).len() as u32);
+            let (seq, ack) = (flow.sent, flow.peer);
+            if flow.answered >= self.requests {
+                self.send(key, FIN | ACK, seq, ack, Vec::new());
+                return self.finish(key, FlowEnd::Served);
+            }
+            flow.next_send = Instant::now() + self.pause;
+            self.send(key, ACK, seq, ack, Vec::new());
+            return;
+        }
+        if packet.flags & FIN != 0 && flow.opened && !flow.waiting {
+            // The target closes the flow after a response.
+            let (seq, ack) = (flow.sent, packet.seq.wrapping_add(1));
             self.send(key, FIN | ACK, seq, ack, Vec::new());
-            self.finish(key, End2::Served);
+            self.finish(key, FlowEnd::Served);
         }
     }
 
-    fn finish(&mut self, key: (End, End), result: End2) {
+    /// Sends the next request of a flow.
+    fn ask(&mut self, key: (End, End)) {
+        let Some(flow) = self.flows.get_mut(&key) else {
+            return;
+        };
+        flow.waiting = true;
+        flow.asked = Instant::now();
+        flow.interval = ms(200);
+        flow.next_send = flow.asked + flow.interval;
+        let (seq, ack, data) = (flow.sent, flow.peer, Self::request_data(flow.route));
+        self.send(key, ACK, seq, ack, data);
+    }
+
+    fn finish(&mut self, key: (End, End), result: FlowEnd) {
         let Some(flow) = self.flows.get_mut(&key) else {
             return;
         };
@@ -1038,8 +1135,8 @@
         flow.ending_until = Some(Instant::now() + ms(200));
         self.done.lock().unwrap().push(Request {
             at: flow.at,
+            ended_at: self.record.now(),
             flow: key,
-            route: flow.route,
             result,
         });
     }
@@ -1048,6 +1145,7 @@
         let now = Instant::now();
         let mut sends = Vec::new();
         let mut ends = Vec::new();
+        let mut asks = Vec::new();
         for (key, flow) in &mut self.flows {
             if flow.ended {
                 continue;
@@ -1055,21 +1153,28 @@
             let age = now.duration_since(flow.began);
             if !flow.opened {
                 if age >= ms(1_400) {
-                    ends.push((*key, End2::NeverOpened));
+                    ends.push((*key, FlowEnd::NeverOpened));
                 } else if flow.copies < 2 && now >= flow.next_send {
                     flow.copies += 1;
                     flow.next_send = flow.began + ms(600);
                     sends.push((*key, SYN, flow.isn, flow.copies, Vec::new()));
                 }
-            } else if age >= self.deadline {
-                ends.push((*key, End2::TimedOut));
+            } else if !flow.waiting {
+                if now >= flow.next_send {
+                    asks.push(*key);
+                }
+            } else if now.duration_since(flow.asked) >= self.deadline {
+                ends.push((*key, FlowEnd::TimedOut));
             } else if now >= flow.next_send {
                 flow.interval = (flow.interval * 2).min(ms(1_600));
                 flow.next_send = now + flow.interval;
                 let data = Self::request_data(flow.route);
-                sends.push((*key, ACK, flow.isn.wrapping_add(1), flow.peer, data));
+                sends.push((*key, ACK, flow.sent, flow.peer, data));
             }
         }
+        for key in asks {
+            self.ask(key);
+        }
         for (key, flags, seq, ack, data) in sends {
             self.send(key, flags, seq, ack, data);
         }
@@ -1090,12 +1195,19 @@
     sides: Vec<&'static str>,
     /// The services of the routes.
     routes: Vec<&'static str>,
+    /// The store's revision before its first change.
+    first_revision: u64,
     pace: Duration,
     work: Duration,
+    /// Requests of each flow, and the pause between two of them.
+    requests: u32,
+    pause: Duration,
 }
 
 /// A whole deployment.
 struct World {
+    repository: PathBuf,
+    work: PathBuf,
     net: Net,
     record: Arc<Record>,
     store: Arc<Store>,
@@ -1138,76 +1250,25 @@
         let net = Net::claim()?;
         let store = Arc::new(Store {
             state: Mutex::new(StoreState {
-                revision: 100,
+                revision: plan.first_revision,
                 ..StoreState::default()
             }),
             changed: Condvar::new(),
         });
-        for edge in 0..plan.edges {
-            store.listen(net.store(edge))?;
-        }
-        let programs = repository.join("target/release");
-        let template = |name: &str| {
-            fs::read_to_string(repository.join("platform").join(name)).map_err(|e| e.to_string())
-        };
-        let mut balancers = Vec::new();
-        for edge in 0..plan.edges {
-            let name = format!("edge-{edge}");
-            let mut fields = common_fields(net, &name, net.edge(edge), ZONES[edge % 3], plan.edges);
-            fields.insert(
-                "platform.address".to_owned(),
-                Value::Text(net.store(edge).to_string()),
-            );
-            balancers.push(Process {
-                program: programs.join("lovagelatch-balancer"),
-                file: work.join(format!("{name}.ini")),
-                log: work.join(format!("{name}.log")),
-                template: template("balancer.ini")?,
-                name,
-                fields,
-                child: None,
-                started_before: false,
-            });
-        }
-        let mut agents = Vec::new();
-        for (side, service) in plan.sides.iter().enumerate() {
-            let name = format!("side-{side}");
-            let ip = net.side(side);
-            let mut fields = common_fields(net, &name, ip, ZONES[side % 3], plan.edges);
-            let text = |text: String| Value::Text(text);
-            fields.insert("service".to_owned(), text((*service).to_owned()));
-            fields.insert("app".to_owned(), text(format!("{ip}:{}", net.app())));
-            fields.insert(
-                "listen.outbound".to_owned(),
-                text(format!("{ip}:{}", net.outbound())),
-            );
-            agents.push(Process {
-                program: programs.join("lovagelatch-agent"),
-                file: work.join(format!("{name}.ini")),
-                log: work.join(format!("{name}.log")),
-                template: template("agent.ini")?,
-                name,
-                fields,
-                child: None,
-                started_before: false,
-            });
-        }
+        store.listen(net.store(0))?;
         let router = Arc::new(Router {
             socket: UdpSocket::bind("127.0.0.1:0").map_err(|e| e.to_string())?,
-            balancers: (0..plan.edges)
-                .map(|edge| {
-                    let address = SocketAddrV4::new(net.edge(edge), net.packets());
-                    (address, AtomicBool::new(false))
-                })
-                .collect(),
+            balancers: RwLock::default(),
         });
-        Ok(Self {
+        let mut world = Self {
+            repository: repository.to_owned(),
+            work: work.to_owned(),
             net,
             record,
             store,
             plan,
-            balancers,
-            agents,
+            balancers: Vec::new(),
+            agents: Vec::new(),
             targets: Vec::new(),
             beats: Arc::default(),
             seen: Arc::default(),
@@ -1218,7 +1279,111 @@
             bad_sum: Arc::default(),
             version: 0,
             clients: None,
-        })
+        };
+        for _ in 0..world.plan.edges {
+            world.add_edge()?;
+        }
+        for service in world.plan.sides.clone() {
+            world.add_side(service)?;
+        }
+        Ok(world)
+    }
+
+    /// Adds an edge machine without starting anything on it. Returns its number.
+    fn add_edge(&mut self) -> Outcome<usize> {
+        let edge = self.balancers.len();
+        let name = format!("edge-{edge}");
+        let mut fields = common_fields(self.net, &name, self.net.edge(edge), ZONES[edge % 3]);
+        fields.insert(
+            "platform.address".to_owned(),
+            Value::Text(self.net.store(0).to_string()),
+        );
+        let first_seed = edge.saturating_sub(3);
+        let seeds = first_seed.max(0)..first_seed + 3;
+        let seeds = seeds.map(|seed| format!("{}:{}", self.net.edge(seed), self.net.control()));
+        fields.insert("seeds".to_owned(), Value::List(seeds.collect()));
+        let template = self.repository.join("platform/balancer.ini");
+        self.balancers.push(Process {
+            program: self.repository.join("target/release/lovagelatch-balancer"),
+            file: self.work.join(format!("{name}.ini")),
+            log: self.work.join(format!("{name}.log")),
+            template: fs::read_to_string(template).map_err(|e| e.to_string())?,
+            name,
+            fields,
+            child: None,
+            started_before: false,
+        });
+        Ok(edge)
+    }
+
+    /// Makes the routers know a balancer.
+    fn route_to(&self, edge: usize) {
+        let address = SocketAddrV4::new(self.net.edge(edge), self.net.packets());
+        self.router
+            .add(edge, address, self.net.ready(), Arc::clone(&self.stop));
+    }
+
+    /// Adds a side machine without starting anything on it. Returns its number.
+    fn add_side(&mut self, service: &str) -> Outcome<usize> {
+        let side = self.agents.len();
+        let name = format!("side-{side}");
+        let ip = self.net.side(side);
+        let zone = ZONES[side % 3];
+        let mut fields = common_fields(self.net, &name, ip, zone);
+        let text = |text: String| Value::Text(text);
+        fields.insert("service".to_owned(), text(service.to_owned()));
+        fields.insert("app".to_owned(), text(format!("{ip}:{}", self.net.app())));
+        let outbound = format!("{ip}:{}", self.net.outbound());
+        fields.insert("listen.outbound".to_owned(), text(outbound));
+        let template = self.repository.join("platform/agent.ini");
+        self.agents.push(Process {
+            program: self.repository.join("target/release/lovagelatch-agent"),
+            file: self.work.join(format!("{name}.ini")),
+            log: self.work.join(format!("{name}.log")),
+            template: fs::read_to_string(template).map_err(|e| e.to_string())?,
+            name,
+            fields,
+            child: None,
+            started_before: false,
+        });
+        Ok(side)
+    }
+
+    /// Starts the target of a side machine, without an entry yet.
+    fn start_target(&mut self, side: usize, service: &str) -> Outcome<()> {
+        let ip = self.net.side(side);
+        let id = format!("i-{side:02}a7f3");
+        let app = SocketAddrV4::new(ip, self.net.app());
+        let target = Target::start(
+            &id,
+            app,
+            SocketAddrV4::new(ip, self.net.outbound()),
+            self.plan.work,
+            Arc::clone(&self.seen),
+            Arc::clone(&self.record),
+        )?;
+        self.targets.push(target);
+        self.beats.lock().unwrap().push(Beat {
+            id,
+            service: service.to_owned(),
+            address: app,
+            zone: ZONES[side % 3],
+            state: "ready",
+        });
+        Ok(())
+    }
+
+    /// Writes the entry of a target, in its state.
+    fn register(&self, side: usize, state: &'static str) {
+        let mut beats = self.beats.lock().unwrap();
+        let beat = &mut beats[side];
+        beat.state = state;
+        self.store
+            .put(&format!("servers/{}", beat.id), Some(&beat.json()));
+        self.record.line(&format!(
+            "target {} of {} is {} at {}",
+            beat.id, beat.service, beat.state, beat.address
+        ));
     }
 
     /// Writes the configuration; returns its version.
@@ -1275,45 +1440,43 @@
     /// Starts a target on each side machine, without entries yet.
     fn start_targets(&mut self) -> Outcome<()> {
         for (side, service) in self.plan.sides.clone().into_iter().enumerate() {
-            let ip = self.net.side(side);
-            let id = format!("i-{side:02}a7f3");
-            let app = SocketAddrV4::new(ip, self.net.app());
-            let target = Target::start(
-                &id,
-                app,
-                SocketAddrV4::new(ip, self.net.outbound()),
-                self.plan.work,
-                Arc::clone(&self.seen),
-                Arc::clone(&self.record),
-            )?;
-            self.targets.push(target);
-            self.beats.lock().unwrap().push(Beat {
-                id,
-                service: service.to_owned(),
-                address: app,
-                zone: ZONES[side % 3],
-                state: "ready",
-            });
+            self.start_target(side, service)?;
         }
         Ok(())
     }
 
+    /// Makes each living target write its entry about every heartbeat. A write that changes nothing
+    /// but `seq` changes no entry.
+    fn start_heartbeats(&self) {
+        let (store, beats) = (Arc::clone(&self.store), Arc::clone(&self.beats));
+        let (stop, record) = (Arc::clone(&self.stop), Arc::clone(&self.record));
+        thread::spawn(move || {
+            while !stop.load(Ordering::Relaxed) {
+                thread::sleep(HEARTBEAT);
+                for beat in beats.lock().unwrap().iter() {
+                    let key = format!("servers/{}", beat.id);
+                    if store.put_changed(&key, &beat.json()) {
+                        record.line(&format!("target {} writes its entry again", beat.id));
+                    }
+                }
+            }
+        });
+    }
+
     /// The targets write their entries. An entry changes when more than `seq` changes, so that a
     /// heartbeat of a target whose entry is there changes nothing.
     fn register_targets(&self) {
-        for beat in self.beats.lock().unwrap().iter() {
-            self.store
-                .put(&format!("servers/{}", beat.id), Some(&beat.json()));
-            self.record.line(&format!(
-                "target {} of {} registers at {}",
-                beat.id, beat.service, beat.address
-            ));
+        for side in 0..self.targets.len() {
+            self.register(side, "ready");
         }
     }
 
     fn start_traffic(&mut self) -> Outcome<()> {
-        self.router.poll(self.net.ready(), Arc::clone(&self.stop));
-        let sockets = (0..4).map(|client| {
+        for edge in 0..self.plan.edges {
+            self.route_to(edge);
+        }
+        thread::sleep(ms(600));
+        let sockets = (0..6).map(|client| {
             let ip = self.net.client(client);
             let address = SocketAddrV4::new(ip, self.net.packets());
             let socket = UdpSocket::bind(address).map_err(|e| e.to_string())?;
@@ -1336,6 +1499,8 @@
             next_port: 2_000,
             turn: 0,
             deadline: ms(2_000),
+            requests: self.plan.requests,
+            pause: self.plan.pause,
         };
         let (pace, stop) = (self.plan.pace, Arc::clone(&self.traffic_stop));
         self.clients = Some(thread::spawn(move || clients.run(pace, stop)));
@@ -1366,15 +1531,54 @@
     /// Returns the requests sent in a span, and how many of them were served.
     fn share(&self, from: f64, to: f64) -> (usize, usize) {
         let done = self.done.lock().unwrap();
-        let sent = done.iter().filter(|request| request.at >= from && request.at < to);
+        let sent = done
+            .iter()
+            .filter(|request| request.at >= from && request.at < to);
         let (mut all, mut served) = (0, 0);
         for request in sent {
             all += 1;
-            served += usize::from(request.result == End2::Served);
+            served += usize::from(request.result == FlowEnd::Served);
         }
         (all, served)
     }
 
+    /// Returns how many open flows got a reset of the system's own while their targets lived, and
+    /// writes each.
+    fn flows_broken(&self) -> usize {
+        let mut opened: HashMap<(End, End), Seen> = HashMap::new();
+        for seen in self
+            .seen
+            .lock()
+            .unwrap()
+            .iter()
+            .filter(|seen| seen.what == "open")
+        {
+            opened.insert((seen.client, seen.service_address), seen.clone());
+        }
+        let mut broken = 0;
+        let done = self.done.lock().unwrap();
+        for request in done
+            .iter()
+            .filter(|request| request.result == FlowEnd::Reset)
+        {
+            let Some(seen) = opened.get(&request.flow) else {
+                continue;
+            };
+            let target = self.targets.iter().find(|target| target.id == seen.target);
+            let ended_at = target.and_then(|target| target.ended_at);
+            let alive = ended_at.is_none_or(|at| request.ended_at < at);
+            broken += usize::from(alive);
+            self.record.line(&format!(
+                "flow from {}:{} opened at {:.3} at target {}; its client got a reset of the system at {:.3}; target alive: {alive}",
+                request.flow.0.ip, request.flow.0.port, seen.at, seen.target, request.ended_at
+            ));
+        }
+        self.record.line(&format!(
+            "open flows that were reset though their targets lived: {broken}"
+        ));
+        broken
+    }
+
     /// Writes how the requests of each second ended.
     fn write_seconds(&self) {
         let mut seconds: BTreeMap<u64, BTreeMap<String, usize>> = BTreeMap::new();
@@ -1384,8 +1588,10 @@
         }
         for (second, ends) in seconds {
             let ends: Vec<String> = ends.iter().map(|(end, n)| format!("{end} {n}")).collect();
-            self.record
-                .line(&format!("requests sent in second {second}: {}", ends.join(", ")));
+            self.record.line(&format!(
+                "requests sent in second {second}: {}",
+                ends.join(", ")
+            ));
         }
         for target in &self.targets {
             self.record.line(&format!(
@@ -1409,8 +1615,7 @@
     }
 }
 
-fn common_fields(net: Net, name: &str, ip: Ipv4Addr, zone: &str, edges: usize) -> Fields {
-    let seeds = (0..edges.min(3)).map(|edge| format!("{}:{}", net.edge(edge), net.control()));
+fn common_fields(net: Net, name: &str, ip: Ipv4Addr, zone: &str) -> Fields {
     let (first, last) = net.range();
     let texts = [
         ("node_name", name.to_owned()),
@@ -1432,7 +1637,6 @@
         "port_range".to_owned(),
         Value::List(vec![first.to_string(), last.to_string()]),
     );
-    fields.insert("seeds".to_owned(), Value::List(seeds.collect()));
     fields.insert(
         "zones".to_owned(),
         Value::Table(
@@ -1490,9 +1694,9 @@
             world
                 .store
                 .put(&format!("servers/host-metrics-{side}"), Some(&entry));
-            world
-                .record
-                .line(&format!("another writer's entry: servers/host-metrics-{side} {entry}"));
+            world.record.line(&format!(
+                "another writer's entry: servers/host-metrics-{side} {entry}"
+            ));
         }
     }
     let until = Duration::from_secs_f64(back + RECOVERY_S + 15.0 - world.record.now());
@@ -1511,6 +1715,237 @@
     Ok(after_served * 4 < after)
 }
 
+/// FLOW while targets are released and balancers are stopped and started in turn.
+fn young_targets(world: &mut World, trouble: bool) -> Outcome<bool> {
+    const DRAIN: Duration = Duration::from_millis(5_000);
+    const EXTRA: Duration = Duration::from_millis(1_000);
+    const RELEASED_AT_A_TIME: usize = 3;
+    // A roll: 0.45 of 19 balancers, 4 at a time, each 1.3 s; the next one follows.
+    const ROLL_STEPS: [usize; 3] = [4, 4, 1];
+    world.write_config();
+    world.start_balancers()?;
+    world.start_agents()?;
+    world.start_targets()?;
+    thread::sleep(ms(1_000));
+    world.register_targets();
+    world.wait_ready(Duration::from_secs(10))?;
+    thread::sleep(ms(1_500));
+    world.start_traffic()?;
+    thread::sleep(ms(3_000));
+    let begin = Instant::now();
+    let mut next_release = begin;
+    let mut next_roll = begin;
+    let mut oldest = 0;
+    let (mut rolled, mut roll_step) = (0, 0);
+    let mut starting: Vec<(usize, Instant)> = Vec::new();
+    let mut replacing: Vec<(usize, Instant)> = Vec::new();
+    let mut draining: Vec<(usize, Instant)> = Vec::new();
+    let mut restarting: Vec<(usize, Instant)> = Vec::new();
+    let mut stopping: Vec<(usize, Instant)> = Vec::new();
+    while begin.elapsed() < Duration::from_secs(100) {
+        let now = Instant::now();
+        if now >= next_release {
+            next_release += ms(1_000);
+            for spread in 0..RELEASED_AT_A_TIME as u64 {
+                let side = world.add_side("desk")?;
+                world.agents[side].started_before = true;
+                world.start_target(side, "desk")?;
+                world.agents[side].start(&world.record)?;
+                // Machines start within 0.3 s of each other.
+                starting.push((side, now + ms(500 + 150 * spread)));
+            }
+        }
+        for (side, _) in take_due(&mut starting, now) {
+            world.register(side, "ready");
+            replacing.push((oldest, now + ms(500)));
+            oldest += 1;
+        }
+        for (side, _) in take_due(&mut replacing, now) {
+            world.register(side, "draining");
+            world.targets[side].draining.store(true, Ordering::Relaxed);
+            draining.push((side, now + DRAIN + EXTRA));
+        }
+        for (side, _) in take_due(&mut draining, now) {
+            world.targets[side].end();
+            world.targets[side].ended_at = Some(world.record.now());
+            let key = format!("servers/{}", world.targets[side].id);
+            world.store.put(&key, None);
+            let id = &world.targets[side].id;
+            world.record.line(&format!("target {id} has left"));
+            world.agents[side].signal(SIGTERM, &world.record);
+        }
+        if trouble && now >= next_roll {
+            next_roll += ms(1_300);
+            let count = ROLL_STEPS[roll_step % ROLL_STEPS.len()];
+            roll_step += 1;
+            for _ in 0..count {
+                let edge = rolled % world.plan.edges;
+                rolled += 1;
+                let is_stopped = |list: &[(usize, Instant)]| list.iter().any(|(n, _)| *n == edge);
+                if is_stopped(&stopping) || is_stopped(&restarting) {
+                    continue;
+                }
+                world.balancers[edge].signal(SIGTERM, &world.record);
+                stopping.push((edge, now + Duration::from_secs(6)));
+            }
+        }
+        stopping.retain(|(edge, until)| {
+            let process = &mut world.balancers[*edge];
+            if process.has_exited() || now >= *until {
+                process.reap();
+                restarting.push((*edge, now + ms(500)));
+                return false;
+            }
+            true
+        });
+        for (edge, _) in take_due(&mut restarting, now) {
+            world.balancers[edge].start(&world.record)?;
+        }
+        thread::sleep(ms(20));
+    }
+    world.stop_traffic();
+    let broken = world.flows_broken();
+    world.write_seconds();
+    Ok(broken > 0)
+}
+
+/// DRAIN where the store's revisions are large numbers: the targets of a service are replaced.
+fn large_revision(world: &mut World, trouble: bool) -> Outcome<bool> {
+    const DRAIN_S: f64 = 3.0;
+    world.write_config();
+    world.start_targets()?;
+    world.register_targets();
+    thread::sleep(ms(300));
+    world.start_balancers()?;
+    world.start_agents()?;
+    world.wait_ready(Duration::from_secs(8))?;
+    thread::sleep(ms(1_500));
+    world.start_traffic()?;
+    thread::sleep(Duration::from_secs(6));
+    let old: Vec<usize> = (0..3).collect();
+    let mut acknowledged = f64::INFINITY;
+    if trouble {
+        for _ in &old {
+            let side = world.add_side("desk")?;
+            world.agents[side].started_before = true;
+            world.start_target(side, "desk")?;
+            world.agents[side].start(&world.record)?;
+            thread::sleep(ms(500));
+            world.register(side, "ready");
+        }
+        thread::sleep(ms(1_000));
+        for side in &old {
+            world.register(*side, "draining");
+            world.targets[*side].draining.store(true, Ordering::Relaxed);
+        }
+        acknowledged = world.record.now();
+    }
+    thread::sleep(Duration::from_secs(9));
+    for side in old.iter().filter(|_| trouble) {
+        world.targets[*side].end();
+        let key = format!("servers/{}", world.targets[*side].id);
+        world.store.put(&key, None);
+        let id = &world.targets[*side].id;
+        world.record.line(&format!("target {id} has left"));
+        world.agents[*side].signal(SIGTERM, &world.record);
+    }
+    thread::sleep(Duration::from_secs(8));
+    world.stop_traffic();
+    let mut late = 0;
+    for seen in world
+        .seen
+        .lock()
+        .unwrap()
+        .iter()
+        .filter(|seen| seen.what == "syn")
+    {
+        let is_old = old
+            .iter()
+            .any(|side| world.targets[*side].id == seen.target);
+        if is_old && seen.at > acknowledged + DRAIN_S {
+            late += 1;
+            let after = seen.at - acknowledged;
+            world.record.line(&format!(
+                "target {} took the opening packet of {}:{} {after:.3} s after the store acknowledged that it is draining",
+                seen.target, seen.client.ip, seen.client.port
+            ));
+        }
+    }
+    world.record.line(&format!(
+        "opening packets at draining targets later than {DRAIN_S} s: {late}"
+    ));
+    world.write_seconds();
+    Ok(late > 0)
+}
+
+/// FLOW while balancers are stopped and started in turn, and another writer writes its own entry
+/// under the key of a living target.
+fn overwritten_entry(world: &mut World, trouble: bool) -> Outcome<bool> {
+    world.write_config();
+    world.start_balancers()?;
+    world.start_agents()?;
+    world.start_targets()?;
+    thread::sleep(ms(1_000));
+    world.register_targets();
+    world.start_heartbeats();
+    world.wait_ready(Duration::from_secs(8))?;
+    thread::sleep(ms(1_500));
+    world.start_traffic()?;
+    thread::sleep(Duration::from_secs(8));
+    let begin = Instant::now();
+    let mut next_roll = begin;
+    let mut next_write = begin + ms(600);
+    let mut edge = 0;
+    let mut stopping: Vec<(usize, Instant)> = Vec::new();
+    let mut restarting: Vec<(usize, Instant)> = Vec::new();
+    while begin.elapsed() < Duration::from_secs(14) {
+        let now = Instant::now();
+        if now >= next_roll && edge < world.plan.edges {
+            next_roll += ms(1_300);
+            world.balancers[edge].signal(SIGTERM, &world.record);
+            stopping.push((edge, now + Duration::from_secs(6)));
+            edge += 1;
+        }
+        if trouble && now >= next_write {
+            next_write += HEARTBEAT;
+            let id = world.targets[0].id.clone();
+            let entry = format!(
+                "{{\"service\":\"host-metrics\",\"address\":\"{}:{}\",\"zone\":\"zone-a\",\"version\":\"4.1\",\"slots\":1,\"state\":\"ready\",\"cold_remaining_ms\":0,\"seq\":1}}",
+                world.net.host(9),
+                world.net.app(),
+            );
+            world.store.put(&format!("servers/{id}"), Some(&entry));
+            world
+                .record
+                .line(&format!("another writer writes servers/{id} {entry}"));
+        }
+        stopping.retain(|(edge, until)| {
+            let process = &mut world.balancers[*edge];
+            if process.has_exited() || now >= *until {
+                process.reap();
+                restarting.push((*edge, now + ms(500)));
+                return false;
+            }
+            true
+        });
+        for (edge, _) in take_due(&mut restarting, now) {
+            world.balancers[edge].start(&world.record)?;
+        }
+        thread::sleep(ms(10));
+    }
+    thread::sleep(Duration::from_secs(4));
+    world.stop_traffic();
+    let broken = world.flows_broken();
+    world.write_seconds();
+    Ok(broken > 0)
+}
+
+fn take_due(list: &mut Vec<(usize, Instant)>, now: Instant) -> Vec<(usize, Instant)> {
+    let (due, later) = list.drain(..).partition(|(_, at)| *at <= now);
+    *list = later;
+    due
+}
+
 fn plan_of(case: &str) -> Option<Plan> {
     let sides = vec!["desk", "desk", "desk", "vault", "vault", "vault"];
     match case {
@@ -1518,8 +1953,41 @@
             edges: 3,
             sides,
             routes: vec!["desk", "vault"],
+            first_revision: 100,
             pace: ms(20),
             work: ms(5),
+            requests: 1,
+            pause: ms(0),
+        }),
+        "revision" => Some(Plan {
+            edges: 3,
+            sides,
+            routes: vec!["desk", "vault"],
+            first_revision: 1 << 40,
+            pace: ms(20),
+            work: ms(5),
+            requests: 1,
+            pause: ms(0),
+        }),
+        "overwritten" => Some(Plan {
+            edges: 6,
+            sides: vec!["desk"; 7],
+            routes: vec!["desk", "desk"],
+            first_revision: 100,
+            pace: ms(30),
+            work: ms(5),
+            requests: 40,
+            pause: ms(150),
+        }),
+        "young" => Some(Plan {
+            edges: 19,
+            sides: vec!["desk"; 8],
+            routes: vec!["desk", "desk"],
+            first_revision: 100,
+            pace: ms(2),
+            work: ms(5),
+            requests: 8,
+            pause: ms(50),
         }),
         _ => None,
     }
@@ -1537,9 +2005,17 @@
     });
     let trouble = trouble != "0";
     record.line(&format!("case {case}, trouble {trouble}"));
-    let mut world = World::new(plan, Path::new(repository), Path::new(work), Arc::clone(&record))?;
+    let mut world = World::new(
+        plan,
+        Path::new(repository),
+        Path::new(work),
+        Arc::clone(&record),
+    )?;
     let outcome = match case.as_str() {
         "foreign" => foreign_entries(&mut world, trouble),
+        "revision" => large_revision(&mut world, trouble),
+        "overwritten" => overwritten_entry(&mut world, trouble),
+        "young" => young_targets(&mut world, trouble),
         _ => Err("unknown case".to_owned()),
     };
     world.end();
