--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -135,9 +135,15 @@
 struct StoreState {
     revision: u64,
     items: BTreeMap<String, (String, u64)>,
-    log: Vec<(u64, String, Option<String>)>,
+    /// Changes that watches can still return.
+    log: Vec<(Instant, u64, String, Option<String>)>,
+    /// The last change that they can't return any more.
+    forgotten: u64,
 }
 
+/// How long the store keeps its history.
+const HISTORY: Duration = Duration::from_secs(20);
+
 /// The platform's store. Each balancer reaches it at an address of its own.
 struct Store {
     state: Mutex<StoreState>,
@@ -159,9 +165,16 @@
                 state.items.remove(key);
             }
         }
-        state
-            .log
-            .push((revision, key.to_owned(), value.map(str::to_owned)));
+        let now = Instant::now();
+        let change = (now, revision, key.to_owned(), value.map(str::to_owned));
+        state.log.push(change);
+        let old = state.log.iter();
+        let old = old
+            .take_while(|(at, ..)| now.duration_since(*at) > HISTORY)
+            .count();
+        if let Some((_, last, ..)) = state.log.drain(..old).last() {
+            state.forgotten = last;
+        }
         self.changed.notify_all();
         revision
     }
@@ -250,15 +263,21 @@
         let matching: Vec<_> = matching
             .filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after)
             .collect();
-        let page: Vec<String> = matching
-            .iter()
-            .take(500)
-            .map(|(key, (value, revision))| item_json(key, value, *revision))
-            .collect();
+        // A page has at most 500 items or 1 MB, and one item at least.
+        let mut page: Vec<String> = Vec::new();
+        let mut bytes = 0;
+        for (key, (value, revision)) in &matching {
+            let item = item_json(key, value, *revision);
+            bytes += item.len();
+            if !page.is_empty() && (bytes > 1_000_000 || page.len() == 500) {
+                break;
+            }
+            page.push(item);
+        }
         let body = format!(
             "{{\"items\":[{}],\"has_more\":{},\"current_rev\":{}}}",
             page.join(","),
-            matching.len() > 500,
+            matching.len() > page.len(),
             state.revision
         );
         (200, body)
@@ -268,11 +287,14 @@
         let until = Instant::now() + wait;
         let mut state = self.state.lock().unwrap();
         loop {
+            if after < state.forgotten {
+                return (410, "{}".to_owned());
+            }
             let events: Vec<String> = state
                 .log
                 .iter()
-                .filter(|(revision, key, _)| *revision > after && key.starts_with(prefix))
-                .map(|(revision, key, value)| match value {
+                .filter(|(_, revision, key, _)| *revision > after && key.starts_with(prefix))
+                .map(|(_, revision, key, value)| match value {
                     Some(value) => item_json(key, value, *revision),
                     None => {
                         format!("{{\"key\":\"{key}\",\"revision\":{revision},\"removed\":true}}")
@@ -1940,6 +1962,87 @@
     Ok(broken > 0)
 }
 
+/// CONFIG while another writer's entries change that hold large values.
+fn large_entries(world: &mut World, trouble: bool) -> Outcome<bool> {
+    const CONFIG_S: f64 = 3.0;
+    const ENTRIES: usize = 5;
+    const VALUE_BYTES: usize = 1_000_000;
+    world.write_config();
+    world.start_balancers()?;
+    world.start_agents()?;
+    world.start_targets()?;
+    thread::sleep(ms(1_000));
+    world.register_targets();
+    world.wait_ready(Duration::from_secs(8))?;
+    thread::sleep(ms(1_500));
+    world.start_traffic()?;
+    thread::sleep(ms(2_000));
+    let stop = Arc::new(AtomicBool::new(!trouble));
+    let (store, stopped) = (Arc::clone(&world.store), Arc::clone(&stop));
+    let record = Arc::clone(&world.record);
+    let writer = thread::spawn(move || {
+        let mut turn = 0;
+        while !stopped.load(Ordering::Relaxed) {
+            turn += 1;
+            for entry in 0..ENTRIES {
+                let value = format!("image {entry} {turn} {}", "x".repeat(VALUE_BYTES));
+                store.put(&format!("servers/image-{entry}"), Some(&value));
+            }
+            record.line(&format!(
+                "another writer writes {ENTRIES} entries servers/image-N of {VALUE_BYTES} bytes, turn {turn}"
+            ));
+            thread::sleep(HEARTBEAT);
+        }
+    });
+    thread::sleep(Duration::from_secs(10));
+    // Each change moves the first route to the other service.
+    let mut changes = Vec::new();
+    for turn in 0..5 {
+        world.plan.routes[0] = if turn % 2 == 0 { "vault" } else { "desk" };
+        world.write_config();
+        changes.push((world.record.now(), world.plan.routes[0]));
+        thread::sleep(Duration::from_secs(6));
+    }
+    stop.store(true, Ordering::Relaxed);
+    let _ = writer.join();
+    world.stop_traffic();
+    let first_route = world.net.host(0);
+    let mut runs: HashMap<(End, End), String> = HashMap::new();
+    for seen in world
+        .seen
+        .lock()
+        .unwrap()
+        .iter()
+        .filter(|seen| seen.what == "request")
+    {
+        runs.insert((seen.client, seen.service_address), seen.target.clone());
+    }
+    let mut outdated = 0;
+    for (index, (acknowledged, service)) in changes.iter().enumerate() {
+        let next = changes.get(index + 1).map_or(f64::INFINITY, |(at, _)| *at);
+        let (mut all, mut old) = (0, 0);
+        for request in world.done.lock().unwrap().iter() {
+            let is_due = request.at > acknowledged + CONFIG_S && request.at < next;
+            if !is_due || request.flow.1.ip != first_route {
+                continue;
+            }
+            let Some(target) = runs.get(&request.flow) else {
+                continue;
+            };
+            all += 1;
+            let side = world.targets.iter().position(|known| known.id == *target);
+            let ran_by = side.map_or("", |side| world.plan.sides[side]);
+            old += usize::from(ran_by != *service);
+        }
+        outdated += old;
+        world.record.line(&format!(
+            "change {index}, acknowledged at {acknowledged:.3}: of {all} requests sent on the first route later than {CONFIG_S} s after it, {old} were run by the former service instead of {service}"
+        ));
+    }
+    world.write_seconds();
+    Ok(outdated > 0)
+}
+
 fn take_due(list: &mut Vec<(usize, Instant)>, now: Instant) -> Vec<(usize, Instant)> {
     let (due, later) = list.drain(..).partition(|(_, at)| *at <= now);
     *list = later;
@@ -1979,6 +2082,16 @@
             requests: 40,
             pause: ms(150),
         }),
+        "blobs" => Some(Plan {
+            edges: 6,
+            sides,
+            routes: vec!["desk", "vault"],
+            first_revision: 100,
+            pace: ms(20),
+            work: ms(5),
+            requests: 1,
+            pause: ms(0),
+        }),
         "young" => Some(Plan {
             edges: 19,
             sides: vec!["desk"; 8],
@@ -2015,6 +2128,7 @@
         "foreign" => foreign_entries(&mut world, trouble),
         "revision" => large_revision(&mut world, trouble),
         "overwritten" => overwritten_entry(&mut world, trouble),
+        "blobs" => large_entries(&mut world, trouble),
         "young" => young_targets(&mut world, trouble),
         _ => Err("unknown case".to_owned()),
     };
