--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -564,6 +564,15 @@
         Ok(())
     }
 
+    /// Adds a zone to the settings and writes the file again. No signal tells the process.
+    fn add_zone(&mut self, zone: &str, region: &str) -> Outcome<()> {
+        if let Some(Value::Table(zones)) = self.fields.get_mut("zones") {
+            zones.push((zone.to_owned(), region.to_owned()));
+        }
+        let text = render(&self.template, &self.fields);
+        fs::write(&self.file, text).map_err(|e| e.to_string())
+    }
+
     fn signal(&mut self, signal: i32, record: &Record) {
         if let Some(child) = &self.child {
             record.line(&format!("process {} gets signal {signal}", self.name));
@@ -2043,6 +2052,77 @@
     Ok(outdated > 0)
 }
 
+/// DRAIN while the settings files change: the only target of a service drains.
+fn changed_settings(world: &mut World, trouble: bool) -> Outcome<bool> {
+    const DRAIN_S: f64 = 3.0;
+    const LAST: usize = 6;
+    world.write_config();
+    world.start_balancers()?;
+    world.start_agents()?;
+    world.start_targets()?;
+    thread::sleep(ms(1_000));
+    world.register_targets();
+    world.wait_ready(Duration::from_secs(8))?;
+    thread::sleep(ms(1_500));
+    world.start_traffic()?;
+    thread::sleep(Duration::from_secs(5));
+    world.register(LAST, "draining");
+    world.targets[LAST].draining.store(true, Ordering::Relaxed);
+    let acknowledged = world.record.now();
+    thread::sleep(Duration::from_secs(4));
+    if trouble {
+        for process in &mut world.balancers {
+            process.add_zone("zone-d", "north")?;
+            let name = &process.name;
+            world
+                .record
+                .line(&format!("the settings file of {name} has a fourth zone"));
+        }
+    }
+    let until = Instant::now() + Duration::from_secs(14);
+    let mut restarting: Vec<(usize, Instant)> = Vec::new();
+    while Instant::now() < until {
+        let now = Instant::now();
+        for (edge, process) in world.balancers.iter_mut().enumerate() {
+            let is_restarting = restarting.iter().any(|(known, _)| *known == edge);
+            if !is_restarting && process.has_exited() {
+                world
+                    .record
+                    .line(&format!("process {} ended by itself", process.name));
+                restarting.push((edge, now + ms(500)));
+            }
+        }
+        for (edge, _) in take_due(&mut restarting, now) {
+            world.balancers[edge].reap();
+            world.balancers[edge].start(&world.record)?;
+        }
+        thread::sleep(ms(20));
+    }
+    world.stop_traffic();
+    let mut late = 0;
+    for seen in world
+        .seen
+        .lock()
+        .unwrap()
+        .iter()
+        .filter(|seen| seen.what == "syn")
+    {
+        if world.targets[LAST].id == seen.target && seen.at > acknowledged + DRAIN_S {
+            late += 1;
+            let after = seen.at - acknowledged;
+            world.record.line(&format!(
+                "target {} took the opening packet of {}:{} {after:.3} s after the store acknowledged that it is draining",
+                seen.target, seen.client.ip, seen.client.port
+            ));
+        }
+    }
+    world.record.line(&format!(
+        "opening packets at the draining target later than {DRAIN_S} s: {late}"
+    ));
+    world.write_seconds();
+    Ok(late > 0)
+}
+
 fn take_due(list: &mut Vec<(usize, Instant)>, now: Instant) -> Vec<(usize, Instant)> {
     let (due, later) = list.drain(..).partition(|(_, at)| *at <= now);
     *list = later;
@@ -2092,6 +2172,16 @@
             requests: 1,
             pause: ms(0),
         }),
+        "settings" => Some(Plan {
+            edges: 6,
+            sides: vec!["desk", "desk", "desk", "desk", "desk", "desk", "vault"],
+            routes: vec!["desk", "vault"],
+            first_revision: 100,
+            pace: ms(10),
+            work: ms(5),
+            requests: 1,
+            pause: ms(0),
+        }),
         "young" => Some(Plan {
             edges: 19,
             sides: vec!["desk"; 8],
@@ -2129,6 +2219,7 @@
         "revision" => large_revision(&mut world, trouble),
         "overwritten" => overwritten_entry(&mut world, trouble),
         "blobs" => large_entries(&mut world, trouble),
+        "settings" => changed_settings(&mut world, trouble),
         "young" => young_targets(&mut world, trouble),
         _ => Err("unknown case".to_owned()),
     };
