--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -5,7 +5,7 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 repository=$(cd "$folder/../.." && pwd) || exit 2
 work=$(mktemp -d) || exit 2
-"$repository/target/review-2/standin-2" blobs "$repository" "$work" \
+"$repository/target/review-2/standin-2" young "$repository" "$work" \
     "$folder/record.txt" "${TROUBLE:-1}"
 code=$?
 rm -rf "$work"
