Searches end as lost only in a view that was compared with the store

Hypotheses: the balancer that resets lacks the flow's target; an agent denies a flow that its target holds; the reset is of a silent agent. The reason in the log is "nobody holds it", for both flows, so not the third. The balancer that reset them knew the targets up to revision 551; another had placed the flows 0.14 s before at a target of revision 553, and the first heard of revision 558 0.04 s after the reset. All 16 agents that it asked denied truly: the first.

Cause: a view counts as complete while the store does not fail, whatever this balancer has not heard yet, so the denials of all agents that it knows passed for proof. In fleets above 13 balancers a head goes to three of them.

A search now ends as lost only if the view was compared with the store after the flow's first packet arrived. The flow was placed before that at a target that was listed before that, so the view contains it, whichever balancer placed it and whoever is ahead of whom. The balancer asks an elected reader, which reads without waiting and answers with what the balancer lacks; one read answers all requests that came before it.

Ways weighed: an agent's word on the newest revision it has heard (no proof: only the new target's agent is sure to have heard of it); a wait as long as a change takes to spread (no bound in a large fleet, and each lost flow waits); no new flows at young targets (no bound either, and none where nothing else serves); every balancer reading the store itself (calls grow with the fleet).

The tests fail without the condition. The number of messages between balancers changes their version.

--- a/bins/balancer/src/opaque/catalog.rs
+++ b/bins/balancer/src/opaque/catalog.rs
@@ -14,7 +14,7 @@
 use lovagelatch_flows::{FlowViewBuilder, SupersededTargets};
 use lovagelatch_network::{read_frame, write_frame};
 use lovagelatch_operations::ReadyFlag;
-use lovagelatch_telemetry::{DecisionKind, Logger, info, warn};
+use lovagelatch_telemetry::{DecisionKind, Histogram, Logger, info, warn};
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::{Notify, mpsc};
@@ -45,6 +45,7 @@
     pub(crate) packets: Arc<PacketState>,
     pub(crate) ready: ReadyFlag,
     pub(crate) calls: StoreCallCounts,
+    pub(crate) verifications: Histogram<f64>,
     pub(crate) coverage: Mutex<CoverageLog>,
     pub(crate) zones: Mutex<ZoneTracker>,
     pub(crate) log: Logger,
@@ -58,13 +59,20 @@
     store: SocketAddrV4,
 ) -> Arc<CatalogTasks> {
     let (calls, queue) = mpsc::channel(CALL_QUEUE_LENGTH);
+    let (verifying_calls, verifying_queue) = mpsc::channel(CALL_QUEUE_LENGTH);
     let tasks = Arc::new(CatalogTasks {
         state,
         socket,
         calls,
+        verifying_calls,
         due_changed: Notify::new(),
     });
-    tokio::spawn(make_store_calls(Arc::clone(&tasks), queue, store));
+    let settings = StoreSettings { address: store };
+    let calls = StoreCalls::new(&tasks, settings, CatalogTasks::store_answered);
+    tokio::spawn(calls.run(queue));
+    let calls = StoreCalls::new(&tasks, settings, CatalogTasks::store_verified);
+    tokio::spawn(calls.run(verifying_queue));
+    tokio::spawn(request_verifications(Arc::clone(&tasks)));
     tokio::spawn(receive_datagrams(Arc::clone(&tasks)));
     tokio::spawn(accept_streams(Arc::clone(&tasks), listener));
     tokio::spawn(tick(Arc::clone(&tasks)));
@@ -76,6 +84,8 @@
     pub(crate) state: CatalogState,
     socket: UdpSocket,
     calls: mpsc::Sender<StoreCall>,
+    /// Calls that are made beside those of `calls`.
+    verifying_calls: mpsc::Sender<StoreCall>,
     /// Signals that the member's next due time may have changed.
     due_changed: Notify,
 }
@@ -104,6 +114,27 @@
         let now = self.state.packets.clock.now();
         let actions = self.state.member.lock().accept(message, now);
         self.execute(actions);
+        self.due_changed.notify_one();
+    }
+
+    fn request_verification(self: &Arc<Self>, moment: Moment) {
+        let now = self.state.packets.clock.now();
+        let mut member = self.state.member.lock();
+        let actions = member.request_verification(moment, now);
+        drop(member);
+        self.execute(actions);
+        self.due_changed.notify_one();
+    }
+
+    fn store_verified(
+        self: &Arc<Self>,
+        call: StoreCall,
+        outcome: Result<StoreAnswer, StoreFailure>,
+    ) {
+        let now = self.state.packets.clock.now();
+        let actions = self.state.member.lock().store_verified(call, outcome, now);
+        self.execute(actions);
+        self.due_changed.notify_one();
     }
 
     fn store_answered(
@@ -125,12 +156,8 @@
                 CatalogAction::AskByStream { to, ask } => {
                     tokio::spawn(ask_by_stream(Arc::clone(self), to, ask));
                 }
-                // The queue cannot fill up: the member has at most one call in flight.
-                CatalogAction::Call(call) => {
-                    if self.calls.try_send(call).is_err() {
-                        warn!(self.state.log, "store call dropped: queue is full");
-                    }
-                }
+                CatalogAction::Call(call) => self.call(&self.calls, call),
+                CatalogAction::Verify(call) => self.call(&self.verifying_calls, call),
                 CatalogAction::Publish { catalog, changes } => {
                     let now = self.state.packets.clock.now();
                     let mut builder = self.state.builder.lock();
@@ -150,7 +177,12 @@
                     self.record_zones(&catalog, now);
                 }
                 CatalogAction::RecordStops(stops) => self.record_stops(&stops),
-                CatalogAction::Notice(notice) => log_notice(&self.state.log, &notice),
+                CatalogAction::Notice(notice) => {
+                    if let CatalogNotice::Verified { elapsed, .. } = &notice {
+                        self.state.verifications.record(elapsed.as_secs_f64(), &[]);
+                    }
+                    log_notice(&self.state.log, &notice);
+                }
             }
         }
         if ready {
@@ -159,6 +191,13 @@
         self.publish_if_due();
     }
 
+    fn call(&self, queue: &mpsc::Sender<StoreCall>, call: StoreCall) {
+        // The queue cannot fill up: the member has at most one call of each kind in flight.
+        if queue.try_send(call).is_err() {
+            warn!(self.state.log, "store call dropped: queue is full");
+        }
+    }
+
     /// Passes the member's state to the view builder, which derives from it whether the next view
     /// is complete. Returns whether the member is ready.
     ///
@@ -173,6 +212,7 @@
         let restore_possible_until = member.restore_possible_until();
         let zones_read_at = member.zones_read_at();
         let stops_known_since = member.stops_known_since();
+        let verified_at = member.verified_at();
         let cut_off = member.is_cut_off(now);
         drop(member);
         self.state
@@ -184,6 +224,7 @@
         builder.set_store_recovered_at(recovered_at);
         builder.set_restore_possible_until(restore_possible_until);
         builder.set_zones_read_at(zones_read_at);
+        builder.set_verified_at(verified_at);
         if cut_off != builder.is_cut_off() {
             builder.set_cut_off(cut_off);
             info!(self.state.log, "touch with the fleet changed";
@@ -249,9 +290,13 @@
         let expired = builder.next_expiry().is_some_and(|end| end <= now);
         let coverage = builder.coverage(now);
         let cut_off = builder.is_cut_off();
+        let verified_at = builder.verified_at();
         drop(builder);
         let view = self.state.packets.view.load();
-        if expired || coverage != view.coverage || cut_off != view.zones.cut_off {
+        let is_outdated = coverage != view.coverage
+            || cut_off != view.zones.cut_off
+            || verified_at != view.verified_at;
+        if expired || is_outdated {
             self.publish();
         }
     }
@@ -338,24 +383,48 @@
     }
 }
 
-async fn make_store_calls(
+/// Passes the requests of the packet thread to the member.
+async fn request_verifications(tasks: Arc<CatalogTasks>) {
+    let mut requests = tasks.state.packets.verification.subscribe();
+    while requests.changed().await.is_ok() {
+        let moment = *requests.borrow_and_update();
+        tasks.request_verification(moment);
+    }
+}
+
+/// Handles the result of a call to the store.
+type CallHandler = fn(&Arc<CatalogTasks>, StoreCall, Result<StoreAnswer, StoreFailure>);
+
+/// Makes calls to the store, one at a time.
+struct StoreCalls {
     tasks: Arc<CatalogTasks>,
-    mut queue: mpsc::Receiver<StoreCall>,
-    address: SocketAddrV4,
-) {
-    let mut client = StoreClient::new(StoreSettings { address });
-    while let Some(call) = queue.recv().await {
-        let outcome = client.call(call).await.map_err(|error| {
-            let after = match call {
-                StoreCall::List => None,
-                StoreCall::Watch { after, .. } => Some(after),
-            };
-            info!(tasks.state.log, "store call failed";
-                "error" => error.to_string(), "after" => after);
-            error.failure()
-        });
-        tasks.state.calls.add(outcome.as_ref().err().copied());
-        tasks.store_answered(call, outcome);
+    client: StoreClient,
+    handler: CallHandler,
+}
+
+impl StoreCalls {
+    fn new(tasks: &Arc<CatalogTasks>, settings: StoreSettings, handler: CallHandler) -> Self {
+        Self {
+            tasks: Arc::clone(tasks),
+            client: StoreClient::new(settings),
+            handler,
+        }
+    }
+
+    async fn run(mut self, mut queue: mpsc::Receiver<StoreCall>) {
+        while let Some(call) = queue.recv().await {
+            let outcome = self.client.call(call).await.map_err(|error| {
+                let after = match call {
+                    StoreCall::List => None,
+                    StoreCall::Watch { after, .. } => Some(after),
+                };
+                info!(self.tasks.state.log, "store call failed";
+                    "error" => error.to_string(), "after" => after);
+                error.failure()
+            });
+            self.tasks.state.calls.add(outcome.as_ref().err().copied());
+            (self.handler)(&self.tasks, call, outcome);
+        }
     }
 }
 
@@ -429,6 +498,14 @@
         CatalogNotice::Reading(reason) => info!(log, "reads the store";
             "reason" => reason.as_str()),
         CatalogNotice::ReadingEnded => info!(log, "elected reader no longer"),
+        // Otherwise every lost flow would add a line.
+        CatalogNotice::Verified { from, to, .. } if from == to => {}
+        CatalogNotice::Verified { elapsed, from, to } => {
+            info!(log, "targets were outdated when the store was read again";
+                "decision" => DecisionKind::ViewCoverage,
+                "from_revision" => from.revision, "targets_revision" => to.revision,
+                "elapsed_ms" => elapsed.as_secs_f64() * 1_000.0);
+        }
         CatalogNotice::Members(members) => info!(log, "balancers known"; "members" => members),
     }
 }
--- a/bins/balancer/src/opaque/metrics.rs
+++ b/bins/balancer/src/opaque/metrics.rs
@@ -215,6 +215,17 @@
         .build()
 }
 
+/// Creates the histogram of the time that comparing the catalog with the store takes, which a flow
+/// waits for before it counts as lost.
+pub(crate) fn verification_duration(meter: &Meter) -> Histogram<f64> {
+    meter
+        .f64_histogram("lovagelatch.balancer.verification.duration")
+        .with_unit("s")
+        .with_description("From a request to compare the catalog with the store until it is done")
+        .with_boundaries(DURATION_BOUNDS.to_vec())
+        .build()
+}
+
 fn packet_counts(meter: &Meter) -> PacketCounts {
     EventCounts::new(
         meter,
--- a/bins/balancer/src/opaque/packets.rs
+++ b/bins/balancer/src/opaque/packets.rs
@@ -16,6 +16,7 @@
     write_relay_frame,
 };
 use lovagelatch_network::{BATCH_DATAGRAMS, BUFFER_BYTES, ReceiveBatch, SendBatch, wait_readable};
+use tokio::sync::watch;
 
 use super::cycle::{CycleSteps, PacketCycle, ReadyInput};
 use super::decision_log::DecisionLog;
@@ -49,6 +50,8 @@
     /// Set to make the packet thread exit.
     pub(crate) shutdown: AtomicBool,
     pub(crate) clock: ProcessClock,
+    /// The latest moment for which a search needs a view that has been compared with the store.
+    pub(crate) verification: watch::Sender<Moment>,
 }
 
 /// The sockets of the packet path.
@@ -416,6 +419,9 @@
         let view = Arc::clone(&self.view);
         self.retry_offers(&view, as_of);
         self.advance_searches(&view, as_of);
+        if let Some(moment) = self.state.balancer.take_verification_request() {
+            self.state.verification.send_replace(moment);
+        }
         self.reset_lost_flows(&view, as_of);
         self.send_hellos(&view, as_of);
     }
--- a/bins/balancer/src/opaque/process.rs
+++ b/bins/balancer/src/opaque/process.rs
@@ -8,7 +8,7 @@
 use arc_swap::ArcSwap;
 use lovagelatch_adapter::READY_PATH;
 use lovagelatch_catalog::{CatalogMember, MemberSettings};
-use lovagelatch_domain::{AgentAddress, StorePosition};
+use lovagelatch_domain::{AgentAddress, Moment, StorePosition};
 use lovagelatch_fleet::ProcessClock;
 use lovagelatch_flows::{FlowBalancer, FlowKey, FlowView, FlowViewBuilder, ViewSettings};
 use lovagelatch_operations::{
@@ -16,14 +16,17 @@
     start_packet_thread,
 };
 use lovagelatch_settings::{OpaqueBalancerSettings, SettingsFile};
-use lovagelatch_telemetry::{Logger, Meter, MetricsRegistry, info, warn};
+use lovagelatch_telemetry::{Histogram, Logger, Meter, MetricsRegistry, info, warn};
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::watch;
 
 use super::catalog::{CatalogState, CatalogTasks, start_catalog};
 use super::coverage::CoverageLog;
 use super::decision_log::DecisionLog;
-use super::metrics::{PacketMetrics, StoreCallCounts, register_search_metrics, zone_delay};
+use super::metrics::{
+    PacketMetrics, StoreCallCounts, register_search_metrics, verification_duration, zone_delay,
+};
 use super::millis;
 use super::packets::{PacketSockets, PacketState, PacketThread};
 use super::zones::ZoneTracker;
@@ -66,11 +69,22 @@
         leaving: AtomicBool::new(false),
         shutdown: AtomicBool::new(false),
         clock: ProcessClock::new(),
+        verification: watch::Sender::new(Moment::ZERO),
     });
     start_packets(&settings, &packets, packet_metrics, &log)?;
     let calls = StoreCallCounts::new(&metrics.meter());
+    let verifications = verification_duration(&metrics.meter());
     let zones = ZoneTracker::new(zone_delay(&metrics.meter()));
-    let tasks = start_control(&settings, &packets, &ready, calls, zones, &log).await?;
+    let tasks = start_control(
+        &settings,
+        &packets,
+        &ready,
+        calls,
+        verifications,
+        zones,
+        &log,
+    )
+    .await?;
     register_gauges(&metrics.meter(), &tasks);
     serve_operations(&settings, metrics, &tasks, ready.clone(), &log);
     info!(log, "balancer runs"; "packets" => common.packets.to_string(),
@@ -150,6 +164,7 @@
     packets: &Arc<PacketState>,
     ready: &ReadyFlag,
     calls: StoreCallCounts,
+    verifications: Histogram<f64>,
     zones: ZoneTracker,
     log: &Logger,
 ) -> Result<Arc<CatalogTasks>, OpaqueError> {
@@ -174,6 +189,7 @@
         packets: Arc::clone(packets),
         ready: ready.clone(),
         calls,
+        verifications,
         coverage: Mutex::new(CoverageLog::new(now)),
         zones: Mutex::new(zones),
         log: log.clone(),
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -24,6 +24,7 @@
 mod stops;
 mod table;
 mod unusable;
+mod verification;
 
 pub use answer::{StoreAnswer, StoreCall, StoreEvent, StoreFailure};
 pub use catalog::{Catalog, CatalogChanges, CatalogError, CatalogTables};
--- a/crates/catalog/src/member.rs
+++ b/crates/catalog/src/member.rs
@@ -17,6 +17,7 @@
 use crate::reader::{ReadReason, ReaderInputs, ReaderState};
 use crate::stops::{AgentStop, StopList, StopTable, StopUpdate};
 use crate::unusable::UnusableValue;
+use crate::verification::{RequestNumber, VerificationQueue, VerificationRequests};
 
 /// How often [`CatalogMember::advance`] must be called, in addition to the moments that
 /// [`CatalogMember::next_due`] returns.
@@ -104,6 +105,15 @@
     ReadingEnded,
     /// The number of live balancers changed, this one included.
     Members(usize),
+    /// The catalog was compared with the store, as requested.
+    Verified {
+        /// Time from the request to the answer.
+        elapsed: Duration,
+        /// The position up to which the targets were known before.
+        from: StorePosition,
+        /// The position up to which they are known now.
+        to: StorePosition,
+    },
 }
 
 /// An action that the caller must carry out.
@@ -125,6 +135,9 @@
     },
     /// Call the store and pass the result to [`CatalogMember::store_answered`].
     Call(StoreCall),
+    /// Call the store, beside any other call, and pass the result to
+    /// [`CatalogMember::store_verified`].
+    Verify(StoreCall),
     /// Publish a new catalog.
     Publish {
         /// The catalog. Drop it after processing: a change clones tables that are referenced
@@ -178,6 +191,8 @@
     zones_read_at: Moment,
     sighting: EraSighting,
     stops: StopTable,
+    verification: VerificationRequests,
+    verifying: VerificationQueue,
     /// When the call in flight, or the last one, was made.
     called_at: Moment,
     next_head_at: Moment,
@@ -203,7 +218,6 @@
             settings,
             started: now,
             tables: CatalogTables::default(),
-            random,
             confirmed_at: None,
             last_failure: None,
             recovered_at: None,
@@ -212,6 +226,8 @@
             zones_read_at: now,
             sighting: EraSighting::default(),
             stops: StopTable::new(now),
+            verification: VerificationRequests::new(random.clone().random()),
+            verifying: VerificationQueue::default(),
             called_at: now,
             next_head_at: now,
             asked_at: None,
@@ -221,6 +237,7 @@
             ready: false,
             members: 1,
             actions: Vec::new(),
+            random,
         }
     }
 
@@ -316,7 +333,24 @@
     pub fn next_due(&self, now: Moment) -> Option<Moment> {
         let discovery = (!self.is_informed(now)).then_some(self.next_head_at);
         let discovery = discovery.filter(|due| now < *due);
-        self.reader.next_due(now).into_iter().chain(discovery).min()
+        let verification = self.verification.next_due();
+        let verification = verification.filter(|due| now < *due);
+        let call = self.reader.next_due(now);
+        [call, discovery, verification].into_iter().flatten().min()
+    }
+
+    /// Returns the moment at which the catalog was last compared with the store at this process's
+    /// request: it contains every target that the store listed then.
+    #[must_use]
+    pub fn verified_at(&self) -> Moment {
+        self.verification.verified_at()
+    }
+
+    /// Requests that the catalog is compared with the store at or after `moment`.
+    pub fn request_verification(&mut self, moment: Moment, now: Moment) -> Vec<CatalogAction> {
+        self.verification.want(moment);
+        self.send_verification(now);
+        self.take_actions()
     }
 
     /// Performs the work that is due at `now`.
@@ -326,6 +360,7 @@
             self.send_heads(now);
         }
         self.relay_stops(now);
+        self.send_verification(now);
         self.update_members(now);
         self.call_store(now);
         self.take_actions()
@@ -347,7 +382,15 @@
                     self.call_store(now);
                 }
             }
-            CatalogMessage::Ask { sender, head } => {
+            CatalogMessage::Ask {
+                sender,
+                head,
+                verification: Some(number),
+            } => {
+                self.verifying.push(sender, number, head);
+                self.read_for_verification(now);
+            }
+            CatalogMessage::Ask { sender, head, .. } => {
                 let message = self.answer_to(&head, now);
                 self.send(sender, message);
             }
@@ -355,10 +398,15 @@
                 sender,
                 age,
                 zones_age,
+                verification,
                 delta,
             } => {
                 let zones_read_at = now - zones_age;
-                self.accept_answer(sender, age, zones_read_at, *delta, now);
+                let before = self.tables.position();
+                let applied = self.accept_answer(sender, age, zones_read_at, *delta, now);
+                if let Some(number) = verification.filter(|_| applied) {
+                    self.record_verified(number, before, now);
+                }
             }
             CatalogMessage::TooLarge { sender } => {
                 let ask = self.ask_message();
@@ -393,6 +441,7 @@
             sender: self.settings.gossip,
             age: self.age(now).unwrap_or(Duration::MAX),
             zones_age: now.since(self.zones_read_at),
+            verification: None,
             delta: Box::new(self.tables.delta_since(head)),
         }
     }
@@ -431,15 +480,21 @@
         if std::mem::take(&mut self.store_failing) {
             self.notice(CatalogNotice::StoreRecovered);
         }
+        self.apply_store_answer(call, answer, now);
+    }
+
+    /// Applies an answer of the store and publishes what it changes. Returns whether all tables are
+    /// up to date; otherwise a list follows.
+    fn apply_store_answer(&mut self, call: StoreCall, answer: StoreAnswer, now: Moment) -> bool {
         let zones_before = self.tables.head().zones;
         let (changed, errors) = match call {
             StoreCall::List => self.tables.apply_list(answer),
             StoreCall::Watch { .. } => self.tables.apply_events(answer),
         };
-        if errors
+        let is_current = !errors
             .iter()
-            .any(|error| matches!(error, CatalogError::Table(_)))
-        {
+            .any(|error| matches!(error, CatalogError::Table(_)));
+        if !is_current {
             self.reader.list_again();
         }
         for error in errors {
@@ -454,6 +509,92 @@
         for value in self.tables.take_unusable() {
             self.notice(CatalogNotice::DefaultUsed { version, value });
         }
+        is_current
+    }
+
+    /// Sends a request for a verification if one is due: to the elected readers in turn, and to this
+    /// process itself if it is one of them or if they do not answer.
+    fn send_verification(&mut self, now: Moment) {
+        let Some(attempt) = self.verification.due_attempt(now) else {
+            return;
+        };
+        let is_reader = self.reader_rank(now).is_some() && self.reader.store_reachable();
+        let readers = self.peers.other_readers(self.age(now), now);
+        let reader = readers.get(attempt % (readers.len() + 1));
+        let reader = reader.filter(|_| !is_reader);
+        let members = self.peers.known_count(now) + 1;
+        let number = self
+            .verification
+            .record_sent(reader.is_none(), members, now);
+        let head = self.tables.head();
+        match reader {
+            Some(&reader) => {
+                let ask = CatalogMessage::Ask {
+                    sender: self.settings.gossip,
+                    head,
+                    verification: Some(number),
+                };
+                self.send(reader, ask);
+            }
+            None => {
+                self.verifying.push(self.settings.gossip, number, head);
+                self.read_for_verification(now);
+            }
+        }
+    }
+
+    /// Reads the store for the requests that wait, unless a read for earlier ones is in flight.
+    fn read_for_verification(&mut self, now: Moment) {
+        let has_catalog = self.tables.position() != StorePosition::default();
+        if has_catalog && self.verifying.begin_read() {
+            let call = self.reader.verifying_call(&self.reader_inputs(now));
+            self.actions.push(CatalogAction::Verify(call));
+        }
+    }
+
+    /// Handles the result of a call that [`CatalogAction::Verify`] requested.
+    pub fn store_verified(
+        &mut self,
+        call: StoreCall,
+        outcome: Result<StoreAnswer, StoreFailure>,
+        now: Moment,
+    ) -> Vec<CatalogAction> {
+        let requests = self.verifying.end_read();
+        let before = self.tables.position();
+        let is_current = match outcome {
+            Ok(answer) if answer.era == self.tables.position().era => {
+                self.apply_store_answer(call, answer, now)
+            }
+            // The history that this process lacks is gone, or the store is in another era.
+            Ok(_) | Err(StoreFailure::HistoryGone) => {
+                self.reader.list_again();
+                false
+            }
+            // The regular calls notice failures of the store.
+            Err(StoreFailure::Refused | StoreFailure::Unanswered) => false,
+        };
+        for request in requests.into_iter().filter(|_| is_current) {
+            if request.sender == self.settings.gossip {
+                self.record_verified(request.number, before, now);
+                continue;
+            }
+            let mut message = self.answer_to(&request.head, now);
+            if let CatalogMessage::Answer { verification, .. } = &mut message {
+                *verification = Some(request.number);
+            }
+            self.send(request.sender, message);
+        }
+        self.read_for_verification(now);
+        self.take_actions()
+    }
+
+    /// Records the answer to a request for a verification. `from` is the position before it.
+    fn record_verified(&mut self, number: RequestNumber, from: StorePosition, now: Moment) {
+        if let Some(elapsed) = self.verification.record_answer(number, now) {
+            let to = self.tables.position();
+            self.notice(CatalogNotice::Verified { elapsed, from, to });
+        }
+        self.send_verification(now);
     }
 
     /// Records a return of the store from a copy if `position`, which this process or another read,
@@ -585,9 +726,11 @@
             } else {
                 self.tables.head()
             },
+            verification: None,
         }
     }
 
+    /// Applies a delta of another balancer. Returns whether it could be applied.
     fn accept_answer(
         &mut self,
         sender: SocketAddrV4,
@@ -595,7 +738,7 @@
         zones_read_at: Moment,
         delta: CatalogDelta,
         now: Moment,
-    ) {
+    ) -> bool {
         self.asked_at = None;
         if let Some(targets) = &delta.targets {
             self.record_position(StorePosition::from_table_revision(targets.to.revision), now);
@@ -609,10 +752,12 @@
                 if changed {
                     self.publish(Some(sender), now);
                 }
+                true
             }
             Err(error) => {
                 self.ask_full = true;
                 self.notice(CatalogNotice::Refused(error));
+                false
             }
         }
     }
--- a/crates/catalog/src/message.rs
+++ b/crates/catalog/src/message.rs
@@ -2,7 +2,7 @@
 //!
 //! ```text
 //! UDP  Head     every half second and after each change: known state and its last confirmation
-//! UDP  Ask  ->  known state; requests everything newer
+//! UDP  Ask  ->  known state; requests everything newer, after a read of the store if it has a number
 //! UDP  <- Answer | TooLarge
 //! TCP  Ask  ->  <- Answer      for an answer that does not fit a datagram
 //! UDP  Stops    agents that announced that they are stopping
@@ -21,7 +21,7 @@
 use crate::stops::StopUpdate;
 
 /// First byte of an encoded message. The first byte of the unversioned format before it was 0 to 4.
-const MESSAGE_VERSION: u8 = 0x84;
+const MESSAGE_VERSION: u8 = 0x85;
 
 /// Why a message could not be decoded.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
@@ -126,6 +126,8 @@
         sender: SocketAddrV4,
         /// The state that the requester holds.
         head: CatalogHead,
+        /// Set if the responder must read the store before it answers, and repeat this number.
+        verification: Option<u32>,
     },
     /// The answer to an [`Ask`](Self::Ask).
     Answer {
@@ -136,6 +138,8 @@
         /// Time since the store read that brought the current evacuated zones; shows how long an
         /// evacuation takes to come into force.
         zones_age: Duration,
+        /// The number of the [`Ask`](Self::Ask), if the responder has read the store since.
+        verification: Option<u32>,
         /// The changes since the requested head.
         delta: Box<CatalogDelta>,
     },
--- a/crates/catalog/src/peers.rs
+++ b/crates/catalog/src/peers.rs
@@ -286,6 +286,23 @@
         (position < READER_COUNT).then_some(position)
     }
 
+    /// Returns the elected readers other than this process, as far as it knows, the first one first.
+    pub(crate) fn other_readers(
+        &self,
+        age: Option<Duration>,
+        now: Moment,
+    ) -> SmallVec<[SocketAddrV4; READER_COUNT]> {
+        let ttl = self.status_ttl(age, now);
+        let candidates = self.active_within(ttl, now);
+        let candidates = candidates.filter(|(_, peer, _)| !peer.leaving);
+        let mut ranked: Vec<_> = candidates
+            .map(|(address, peer, _)| (!peer.reads, rank(address), address))
+            .collect();
+        ranked.sort_unstable();
+        let readers = ranked.into_iter().take(READER_COUNT);
+        readers.map(|(_, _, address)| address).collect()
+    }
+
     /// Returns up to `count` random balancers to send to, including seeds and peers not heard yet.
     pub(crate) fn choose(
         &self,
--- a/crates/catalog/src/reader.rs
+++ b/crates/catalog/src/reader.rs
@@ -214,6 +214,16 @@
         })
     }
 
+    /// Returns the call that reads what has changed since the catalog of this process.
+    pub(crate) fn verifying_call(&self, inputs: &ReaderInputs) -> StoreCall {
+        let position = inputs.position;
+        let known = self.watch_after.filter(|after| after.era >= position.era);
+        StoreCall::Watch {
+            after: known.map_or(position, |after| after.max(position)).revision,
+            wait: Duration::ZERO,
+        }
+    }
+
     /// Returns whether the answer to the watch in flight continues its position. Otherwise the
     /// store has come back from a copy, and changes before those in the answer are unknown.
     pub(crate) fn continues(&self, position: StorePosition) -> bool {
--- a/crates/catalog/tests/all/main.rs
+++ b/crates/catalog/tests/all/main.rs
@@ -7,4 +7,5 @@
 mod stops;
 mod support;
 mod tables;
+mod verification;
 mod zones;
--- a/crates/catalog/tests/all/messages.rs
+++ b/crates/catalog/tests/all/messages.rs
@@ -8,6 +8,7 @@
     CatalogMessage::Ask {
         sender: address(1),
         head: CatalogHead::default(),
+        verification: None,
     }
 }
 
--- a/crates/catalog/tests/all/support.rs
+++ b/crates/catalog/tests/all/support.rs
@@ -153,6 +153,8 @@
     /// Stop announcements that other balancers relayed.
     pub(crate) stops: Vec<AgentStop>,
     outstanding: Option<(StoreCall, Moment)>,
+    /// Calls that are made beside the outstanding one, with the time at which they are answered.
+    verifying: Vec<(StoreCall, Moment)>,
     pub(crate) calls: u64,
     /// Cut off from the store: its calls get no answer.
     pub(crate) store_cut: bool,
@@ -305,6 +307,7 @@
             notices: Vec::new(),
             stops: Vec::new(),
             outstanding: None,
+            verifying: Vec::new(),
             calls: 0,
             store_cut: false,
             peers_cut: false,
@@ -333,6 +336,7 @@
                 continue;
             }
             self.answer_call(at);
+            self.answer_verifying_calls(at);
             let now = self.now;
             let node = self.nodes.get_mut(&at).expect("a node");
             let due = node
@@ -377,6 +381,37 @@
         self.execute(at, actions);
     }
 
+    fn answer_verifying_calls(&mut self, at: SocketAddrV4) {
+        let now = self.now;
+        let node = self.nodes.get_mut(&at).expect("a node");
+        let due: Vec<_> = node
+            .verifying
+            .extract_if(.., |(_, due)| *due <= now)
+            .collect();
+        let store_cut = node.store_cut;
+        for (call, _) in due {
+            let outcome = match (store_cut, self.failure) {
+                (true, _) => Err(StoreFailure::Unanswered),
+                (false, Some(failure)) => Err(failure),
+                (false, None) => self.store.answer(call).unwrap_or(Ok(StoreAnswer {
+                    era: self.store.era,
+                    events: Vec::new(),
+                    revision: self.store.revision,
+                })),
+            };
+            let node = self.nodes.get_mut(&at).expect("a node");
+            let actions = node.member.store_verified(call, outcome, now);
+            self.execute(at, actions);
+        }
+    }
+
+    /// Makes a balancer request a verification now.
+    pub(crate) fn request_verification(&mut self, number: u8) {
+        let (at, now) = (address(number), self.now);
+        let actions = self.node(number).member.request_verification(now, now);
+        self.execute(at, actions);
+    }
+
     fn execute(&mut self, at: SocketAddrV4, actions: Vec<CatalogAction>) {
         for action in actions {
             match action {
@@ -389,6 +424,18 @@
                     node.calls += 1;
                     self.store.calls += 1;
                 }
+                CatalogAction::Verify(call) => {
+                    let now = self.now;
+                    let node = self.nodes.get_mut(&at).expect("a node");
+                    let wait = if node.store_cut {
+                        Duration::from_millis(700)
+                    } else {
+                        STEP
+                    };
+                    node.verifying.push((call, now + wait));
+                    node.calls += 1;
+                    self.store.calls += 1;
+                }
                 CatalogAction::Publish { catalog, .. } => {
                     let node = self.nodes.get_mut(&at).expect("a node");
                     assert!(
--- a/crates/catalog/tests/all/zones.rs
+++ b/crates/catalog/tests/all/zones.rs
@@ -212,6 +212,7 @@
         sender: address(1),
         age: Duration::ZERO,
         zones_age: Duration::ZERO,
+        verification: None,
         delta: Box::new(delta),
     };
     let now = Moment::from_millis(1_000);
--- a/crates/domain/src/moment.rs
+++ b/crates/domain/src/moment.rs
@@ -19,6 +19,9 @@
     /// The origin of the clock.
     pub const ZERO: Self = Self(0);
 
+    /// The latest moment.
+    pub const MAX: Self = Self(u64::MAX);
+
     /// Returns the moment `micros` microseconds after the origin.
     #[must_use]
     pub const fn from_micros(micros: u64) -> Self {
--- a/crates/flows/src/balancer.rs
+++ b/crates/flows/src/balancer.rs
@@ -209,6 +209,8 @@
     /// Locked after a shard, and released before any other lock is taken.
     window: Mutex<SearchWindow>,
     hellos: Mutex<HelloSchedule>,
+    /// The latest packet whose flow may be lost, for which the view has to be verified.
+    verification_request: Mutex<Option<Moment>>,
     /// Whether the view of the last [`due_searches`](Self::due_searches) call was complete.
     view_was_complete: AtomicBool,
 }
@@ -232,6 +234,7 @@
             schedule: Mutex::default(),
             window: Mutex::default(),
             hellos: Mutex::new(HelloSchedule::new(own_address)),
+            verification_request: Mutex::default(),
             view_was_complete: AtomicBool::new(false),
         }
     }
--- a/crates/flows/src/balancer/entry.rs
+++ b/crates/flows/src/balancer/entry.rs
@@ -175,6 +175,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct FlowSearch {
     pub(super) last_packet: Moment,
+    /// When the first packet arrived. The flow was open by then.
+    pub(super) created: Moment,
     /// When the search began, or last began again.
     pub(super) started: Moment,
     /// When the search continues without another packet of the client.
@@ -202,6 +204,8 @@
     pub(super) is_repeated: bool,
     /// Whether the view that the search uses includes every live target.
     pub(super) view_complete: bool,
+    /// Whether that view was compared with the store after the first packet arrived.
+    pub(super) view_verified: bool,
     /// Whether some possible holder must not be queried, so that the answers of the others prove
     /// nothing.
     pub(super) holder_excluded: bool,
@@ -218,6 +222,7 @@
     pub(super) fn new(packet: &FlowPacket, bytes: &[u8], idempotent: bool, now: Moment) -> Self {
         Self {
             last_packet: now,
+            created: now,
             started: now,
             due: now,
             queried_at: now,
@@ -232,6 +237,7 @@
             is_waiting: false,
             is_repeated: false,
             view_complete: false,
+            view_verified: false,
             holder_excluded: false,
             excluded: SmallVec::new(),
             located: 0,
--- a/crates/flows/src/balancer/search.rs
+++ b/crates/flows/src/balancer/search.rs
@@ -32,6 +32,11 @@
 //! valid, because an open flow does not move to a target that does not hold it. So the search waits
 //! until the view is complete, queries the holders that are new in it, and ends.
 //!
+//! A view may also lack a target that the store has listed since: other balancers may have heard of
+//! it first and placed the flow there. So before a flow counts as lost, the view must have been
+//! compared with the store after the flow's packet arrived
+//! ([`FlowBalancer::take_verification_request`]).
+//!
 //! Possible holders are all targets that the store lists, also those of services that the
 //! configuration does not name: it may have dropped a service whose flows are still open. Such an
 //! entry may instead belong to another writer and name an address without an agent. Whether there is
@@ -186,6 +191,7 @@
             return QueriedAgents::new();
         };
         search.view_complete = view.is_complete();
+        search.view_verified = view.verified_at >= search.created;
         let agents = self.first_agents(flow, search, route, view, now);
         search.is_repeated = true;
         self.drop_silent(search, view, now);
--- a/crates/flows/src/balancer/search_answers.rs
+++ b/crates/flows/src/balancer/search_answers.rs
@@ -141,11 +141,13 @@
             return None;
         }
         self.window.lock().leave(&flow);
-        if !search.view_complete || search.holder_excluded {
+        if !search.view_complete || !search.view_verified || search.holder_excluded {
             search.phase = SearchPhase::Inconclusive;
-            // Only a view that becomes complete can change the result before the next packet.
+            // Only another view can change the result before the next packet.
             if !search.view_complete {
                 self.reschedule(now + COVERAGE_CHECK_INTERVAL, flow, search);
+            } else if !search.view_verified {
+                self.reschedule(now, flow, search);
             }
             return None;
         }
--- a/crates/flows/src/balancer/search_timers.rs
+++ b/crates/flows/src/balancer/search_timers.rs
@@ -33,6 +33,9 @@
 /// searches are checked together.
 pub(super) const COVERAGE_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
+/// The same while the view is being compared with the store, which takes some milliseconds.
+const VERIFICATION_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Whether a search could be widened to all possible holders.
 pub(super) enum WidenOutcome {
     Query(QueriedAgents),
@@ -112,6 +115,25 @@
         self.schedule.lock().push(flow, due);
     }
 
+    /// Makes an inconclusive search wait for a view that proves something.
+    fn await_view(&self, flow: FlowKey, search: &mut FlowSearch, view: &FlowView, now: Moment) {
+        let interval = if view.is_complete() {
+            let mut request = self.verification_request.lock();
+            *request = (*request).max(Some(search.created));
+            VERIFICATION_CHECK_INTERVAL
+        } else {
+            COVERAGE_CHECK_INTERVAL
+        };
+        self.reschedule(now + interval, flow, search);
+    }
+
+    /// Returns the moment at or after which the view has to be compared with the store for a search
+    /// to end, and clears it; `None` if no search has asked for that since the last call.
+    #[must_use]
+    pub fn take_verification_request(&self) -> Option<Moment> {
+        self.verification_request.lock().take()
+    }
+
     fn continue_search(&self, flow: FlowKey, view: &FlowView, now: Moment) -> Option<DueSearch> {
         let mut shard = self.shard(flow.point()).lock();
         let search = shard.searches.get_mut(&flow)?;
@@ -119,8 +141,8 @@
             return None;
         }
         if search.phase == SearchPhase::Inconclusive {
-            if !view.is_complete() {
-                self.reschedule(now + COVERAGE_CHECK_INTERVAL, flow, search);
+            if !view.proves_absence(search.created) {
+                self.await_view(flow, search, view, now);
                 return None;
             }
             search.resume();
@@ -327,6 +349,7 @@
     /// absent.
     fn resume(&mut self) {
         self.view_complete = true;
+        self.view_verified = true;
         self.phase = SearchPhase::Candidates;
     }
 }
--- a/crates/flows/src/view.rs
+++ b/crates/flows/src/view.rs
@@ -99,6 +99,8 @@
     /// Whether the view includes every live target. Only then is a flow that no target holds known
     /// to be lost.
     pub coverage: ViewCoverage,
+    /// The view includes every target that the store listed at this moment.
+    pub verified_at: Moment,
     /// The zones, and which of them get no new flows.
     pub zones: ZoneTable,
     routes: Arc<RouteMap>,
@@ -131,6 +133,12 @@
         self.coverage == ViewCoverage::Complete
     }
 
+    /// Returns whether a flow that was open at `moment` is lost if no target of the view holds it.
+    /// Otherwise another balancer may have placed it at a target that this one has not heard of.
+    pub(crate) fn proves_absence(&self, moment: Moment) -> bool {
+        self.is_complete() && self.verified_at >= moment
+    }
+
     /// Returns the route of a flow.
     #[must_use]
     pub fn route(&self, flow: &FlowKey) -> Option<&FlowRoute> {
--- a/crates/flows/src/view/builder.rs
+++ b/crates/flows/src/view/builder.rs
@@ -99,6 +99,7 @@
             configured: HashSet::new(),
             coverage: CoverageTracker::new(),
         };
+        builder.view.verified_at = Moment::MAX;
         builder.view.zones.own_zone = builder.zone_index(&zone);
         builder
     }
@@ -136,6 +137,18 @@
         self.coverage.set_restore_possible_until(until);
     }
 
+    /// Sets the moment at which the next catalog was last compared with the store: it contains
+    /// every target that the store listed then. Without a call, catalogs count as current.
+    pub fn set_verified_at(&mut self, verified_at: Moment) {
+        self.view.verified_at = verified_at;
+    }
+
+    /// Returns the moment that [`set_verified_at`](Self::set_verified_at) set.
+    #[must_use]
+    pub fn verified_at(&self) -> Moment {
+        self.view.verified_at
+    }
+
     /// Sets whether this process would know of store failures before its start.
     pub fn set_informed(&mut self, informed: bool) {
         self.coverage.set_informed(informed);
--- a/crates/flows/tests/all/main.rs
+++ b/crates/flows/tests/all/main.rs
@@ -29,6 +29,7 @@
 mod service_time;
 mod superseded;
 mod support;
+mod verification;
 mod view;
 mod view_changes;
 mod warmup;
