Tables that follow the store take any revision of 64 bits

Hypotheses: the store's answers are refused, changes are read and rejected, or views are not rebuilt. Calls are answered, nothing is refused, and `targets_revision` in "catalog taken" stands still at 2^40 - 1 from the first list on: changes are read and count as known.

Cause: a table's revision was one number of 64 bits, 40 for the store's revision and 24 for its era. A larger revision was cut to 2^40 - 1 without a word, so all revisions above were equal, and an era above 2^24 lost its upper bits, so that a return of the store from a copy could look older.

The revision of a table is a position now: era and revision, each in full. Nothing is packed or cut.

Both tests of `revisions` that play a large counter and a large era failed before, as did the new cases of `tables::table_revisions_are_ordered_by_era_and_then_by_revision`.

--- a/bins/agent/src/opaque/decision_log.rs
+++ b/bins/agent/src/opaque/decision_log.rs
@@ -3,7 +3,7 @@
 use std::num::NonZeroU32;
 use std::time::Instant;
 
-use lovagelatch_domain::{AgentAddress, StorePosition};
+use lovagelatch_domain::AgentAddress;
 use lovagelatch_flows::{
     FlowPacket, FlowUpdate, LoadReport, PacketFrame, RefusedOffer, RequestDelivery, SearchResult,
     ZoneNotice,
@@ -103,7 +103,7 @@
         };
         info!(self.log, "{message}";
             "decision" => DecisionKind::ZoneChanged,
-            "revision" => StorePosition::from_table_revision(notice.revision).revision,
+            "revision" => notice.revision.revision,
             "age_ms" => notice.age.as_secs_f64() * 1_000.0);
     }
 
@@ -181,7 +181,7 @@
             "in_progress" => load.in_progress,
             "responsive" => load.responsive,
             "evacuated" => load.evacuated,
-            "zones_revision" => StorePosition::from_table_revision(load.zones_revision).revision,
+            "zones_revision" => load.zones_revision.revision,
             "cold_room" => load.room,
             "left_out" => left_out);
     }
--- a/bins/agent/src/opaque/process.rs
+++ b/bins/agent/src/opaque/process.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use lovagelatch_adapter::READY_PATH;
-use lovagelatch_domain::{AgentAddress, ServiceName, StorePosition};
+use lovagelatch_domain::{AgentAddress, ServiceName};
 use lovagelatch_fleet::ProcessClock;
 use lovagelatch_flows::{AgentSettings, FlowAgent, FlowKey, WarmupSettings};
 use lovagelatch_operations::{
@@ -278,7 +278,7 @@
     let mut agent = state.agent.lock();
     let (status, known_balancers) = (agent.status(now), agent.known_balancers(now));
     drop(agent);
-    let zones_read = StorePosition::from_table_revision(status.load.zones_revision);
+    let zones_read = status.load.zones_revision;
     serde_json::json!({
         "in_progress": status.load.in_progress,
         "waiting": status.load.waiting,
--- a/bins/balancer/src/opaque/catalog.rs
+++ b/bins/balancer/src/opaque/catalog.rs
@@ -10,7 +10,7 @@
     AgentStop, Catalog, CatalogAction, CatalogMember, CatalogMessage, CatalogNotice, MEMBER_TICK,
     StoreAnswer, StoreCall, StoreFailure, UnusableValue, ValueOwner,
 };
-use lovagelatch_domain::{ConfigRevision, Moment, StorePosition};
+use lovagelatch_domain::{ConfigRevision, Moment};
 use lovagelatch_flows::{FlowViewBuilder, SupersededTargets};
 use lovagelatch_network::{read_frame, write_frame};
 use lovagelatch_operations::ReadyFlag;
@@ -476,7 +476,7 @@
             version,
             from,
         } => {
-            let targets = StorePosition::from_table_revision(head.targets.revision);
+            let targets = head.targets.revision;
             info!(log, "catalog taken";
                 "decision" => DecisionKind::ConfigTaken,
                 "version" => version.0,
--- a/bins/balancer/src/opaque/process.rs
+++ b/bins/balancer/src/opaque/process.rs
@@ -8,7 +8,7 @@
 use arc_swap::ArcSwap;
 use lovagelatch_adapter::READY_PATH;
 use lovagelatch_catalog::{CatalogMember, MemberSettings};
-use lovagelatch_domain::{AgentAddress, Moment, StorePosition};
+use lovagelatch_domain::{AgentAddress, Moment};
 use lovagelatch_fleet::ProcessClock;
 use lovagelatch_flows::{FlowBalancer, FlowKey, FlowView, FlowViewBuilder, ViewSettings};
 use lovagelatch_operations::{
@@ -304,8 +304,8 @@
     let view = packets.view.load();
     let (routes, targets) = view.counts();
     let (_, unconfigured_targets) = view.unconfigured_counts();
-    let targets_read = StorePosition::from_table_revision(catalog.head.targets.revision);
-    let zones_read = StorePosition::from_table_revision(catalog.head.zones.revision);
+    let targets_read = catalog.head.targets.revision;
+    let zones_read = catalog.head.zones.revision;
     serde_json::json!({
         "ready": ready.is_set(),
         "coverage": view.coverage,
--- a/bins/balancer/src/opaque/zones.rs
+++ b/bins/balancer/src/opaque/zones.rs
@@ -20,7 +20,7 @@
 /// Tracks the evacuated zones in force and logs each change.
 #[derive(Debug)]
 pub(crate) struct ZoneTracker {
-    revision: u64,
+    revision: StorePosition,
     tracked: Vec<TrackedZone>,
     /// Time from reading a change from the store until it is in force here.
     delay: Histogram<f64>,
@@ -29,7 +29,7 @@
 impl ZoneTracker {
     pub(crate) fn new(delay: Histogram<f64>) -> Self {
         Self {
-            revision: 0,
+            revision: StorePosition::default(),
             tracked: Vec::new(),
             delay,
         }
@@ -41,7 +41,7 @@
         if catalog.zones_revision == self.revision {
             return;
         }
-        let is_first = self.revision == 0;
+        let is_first = !self.revision.is_known();
         self.revision = catalog.zones_revision;
         let restored = self
             .tracked
@@ -52,7 +52,7 @@
             info!(log, "zone takes new flows again";
                 "decision" => DecisionKind::ZoneChanged,
                 "zone" => tracked.zone.0.as_str().to_owned(),
-                "revision" => StorePosition::from_table_revision(catalog.zones_revision).revision,
+                "revision" => catalog.zones_revision.revision,
                 "evacuated_ms" => millis(now.since(tracked.since)));
         }
         for zone in catalog.evacuated.iter() {
@@ -81,7 +81,7 @@
         info!(log, "zone evacuated: its targets get no new flows";
             "decision" => DecisionKind::ZoneChanged,
             "zone" => zone.0.as_str().to_owned(),
-            "revision" => StorePosition::from_table_revision(catalog.zones_revision).revision,
+            "revision" => catalog.zones_revision.revision,
             "targets" => targets,
             "age_ms" => millis(now.since(read_at)));
         if targets == 0 {
--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -17,9 +17,12 @@
 /// Why a change was rejected. The current state stays in force.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum CatalogError {
-    /// A delta did not fit the table that it was applied to.
+    /// A delta did not fit the table of routes.
     #[error(transparent)]
-    Table(#[from] TableError),
+    Routes(#[from] TableError),
+    /// A delta did not fit the table of targets or of evacuated zones.
+    #[error(transparent)]
+    Rows(#[from] TableError<StorePosition>),
     /// The store lists an older configuration than the one in force, as it does after its return
     /// from a copy.
     #[error("the store lists version {version}, version {held} is in force")]
@@ -52,9 +55,9 @@
     pub targets: Arc<Vec<TargetRow>>,
     /// Services that the configuration lists without sending flows of any route to them.
     pub unrouted: Arc<Vec<ServiceName>>,
-    /// The [`StorePosition`] up to which the evacuated zones are known, as a table revision; 0 while
+    /// The [`StorePosition`] up to which the evacuated zones are known, the default while
     /// they are unknown, and then no flow may be placed.
-    pub zones_revision: u64,
+    pub zones_revision: StorePosition,
     /// The zones whose targets get no new flows. Invariant: sorted by name.
     pub evacuated: Arc<Vec<EvacuatedZone>>,
 }
@@ -121,9 +124,9 @@
     /// copy that the store comes back from may hold an older configuration than the one in force.
     routes: TableIndex<SocketAddrV4>,
     /// Its revision is a [`StorePosition`].
-    targets: TableIndex<TargetName>,
+    targets: TableIndex<TargetName, StorePosition>,
     /// Its revision is a [`StorePosition`].
-    zones: TableIndex<ZoneName>,
+    zones: TableIndex<ZoneName, StorePosition>,
     /// Changes since the last call of [`take_changes`](Self::take_changes).
     changes: CatalogChanges,
     /// Unusable values of the configuration in force that were not taken yet. Empty if the
@@ -145,7 +148,7 @@
     /// Returns the position in the store's history that the targets are known up to.
     #[must_use]
     pub fn position(&self) -> StorePosition {
-        StorePosition::from_table_revision(self.targets.head().revision)
+        self.targets.head().revision
     }
 
     /// Returns the catalog in force.
@@ -216,7 +219,7 @@
 
     fn merge_zones(
         &mut self,
-        zones: TableDelta<ZoneName, EvacuatedZone>,
+        zones: TableDelta<ZoneName, EvacuatedZone, StorePosition>,
     ) -> Result<bool, CatalogError> {
         if zones.to.revision <= self.zones.head().revision {
             return Ok(false);
@@ -229,14 +232,14 @@
     /// Updates the revision up to which the evacuated zones are known and returns whether that
     /// changes the catalog. The first update always does, even if no zone is evacuated.
     fn advance_zones(&mut self, changes: &[RowChange<EvacuatedZone>]) -> bool {
-        let is_first = self.catalog.zones_revision == 0;
+        let is_first = !self.catalog.zones_revision.is_known();
         self.catalog.zones_revision = self.zones.head().revision;
         is_first || !changes.is_empty()
     }
 
     fn merge_targets(
         &mut self,
-        targets: TableDelta<TargetName, TargetRow>,
+        targets: TableDelta<TargetName, TargetRow, StorePosition>,
     ) -> Result<bool, CatalogError> {
         if targets.to.revision <= self.targets.head().revision {
             return Ok(false);
@@ -266,7 +269,7 @@
     ///
     /// Returns the values that could not be decoded; everything else was applied.
     pub fn apply_list(&mut self, answer: StoreAnswer) -> (bool, Vec<CatalogError>) {
-        let revision = answer.position().to_table_revision();
+        let revision = answer.position();
         let mut errors = Vec::new();
         let mut changed = false;
         let mut targets = Vec::new();
@@ -317,7 +320,7 @@
         let mut update = CatalogUpdate::default();
         let era = answer.era;
         for (revision, event) in answer.events {
-            let revision = StorePosition::new(era, revision).to_table_revision();
+            let revision = StorePosition::new(era, revision);
             match event {
                 StoreEvent::Config(config) => changed |= self.apply_config(config, &mut errors),
                 StoreEvent::Unreadable {
@@ -373,7 +376,12 @@
     }
 
     /// Adds a target entry to the changes of a watch, unless a peer has already reported it.
-    fn queue_target(&self, row: TargetRow, revision: u64, update: &mut TableUpdate<TargetRow>) {
+    fn queue_target(
+        &self,
+        row: TargetRow,
+        revision: StorePosition,
+        update: &mut TableUpdate<TargetRow>,
+    ) {
         if revision > self.targets.head().revision {
             update.write(row, revision);
         }
@@ -382,7 +390,7 @@
     fn replace_targets(
         &mut self,
         next: Vec<TargetRow>,
-        revision: u64,
+        revision: StorePosition,
         errors: &mut Vec<CatalogError>,
     ) -> bool {
         let rows = &mut self.catalog.targets;
--- a/crates/catalog/src/member.rs
+++ b/crates/catalog/src/member.rs
@@ -493,7 +493,7 @@
         };
         let is_current = !errors
             .iter()
-            .any(|error| matches!(error, CatalogError::Table(_)));
+            .any(|error| matches!(error, CatalogError::Routes(_) | CatalogError::Rows(_)));
         if !is_current {
             self.reader.list_again();
         }
@@ -545,7 +545,7 @@
 
     /// Reads the store for the requests that wait, unless a read for earlier ones is in flight.
     fn read_for_verification(&mut self, now: Moment) {
-        let has_catalog = self.tables.position() != StorePosition::default();
+        let has_catalog = self.tables.position().is_known();
         if has_catalog && self.verifying.begin_read() {
             let call = self.reader.verifying_call(&self.reader_inputs(now));
             self.actions.push(CatalogAction::Verify(call));
@@ -603,7 +603,7 @@
     fn record_position(&mut self, position: StorePosition, now: Moment) {
         self.sighting.record_read(position.era, now);
         let known = self.tables.position();
-        if known.revision == 0 || position.era <= known.era {
+        if !known.is_known() || position.era <= known.era {
             return;
         }
         self.last_failure = Some(now);
@@ -673,7 +673,7 @@
         }
         self.last_failure = self.last_failure.max(message.trouble.map(|age| now - age));
         if let Some(remaining) = message.era_settles_in {
-            let position = StorePosition::from_table_revision(message.head.targets.revision);
+            let position = message.head.targets.revision;
             self.sighting.record_settling(position.era, now + remaining);
         }
         let (known, offered) = (self.tables.head(), message.head);
@@ -699,10 +699,9 @@
 
     fn is_conflict(&self, offered: &CatalogHead) -> bool {
         let known = self.tables.head();
-        let differs = |a: TableHead, b: TableHead| a.revision == b.revision && a.digest != b.digest;
-        differs(known.routes, offered.routes)
-            || differs(known.targets, offered.targets)
-            || differs(known.zones, offered.zones)
+        known.routes.conflicts_with(&offered.routes)
+            || known.targets.conflicts_with(&offered.targets)
+            || known.zones.conflicts_with(&offered.zones)
     }
 
     fn ask(&mut self, peer: SocketAddrV4, now: Moment) {
@@ -741,7 +740,7 @@
     ) -> bool {
         self.asked_at = None;
         if let Some(targets) = &delta.targets {
-            self.record_position(StorePosition::from_table_revision(targets.to.revision), now);
+            self.record_position(targets.to.revision, now);
         }
         let zones_before = self.tables.head().zones;
         let applied = self.tables.apply_delta(delta);
@@ -763,7 +762,7 @@
     }
 
     /// Records when the evacuated zones were read, if they changed.
-    fn record_zones_read(&mut self, before: TableHead, read_at: Moment) {
+    fn record_zones_read(&mut self, before: TableHead<StorePosition>, read_at: Moment) {
         if self.tables.head().zones != before {
             self.zones_read_at = read_at;
         }
@@ -791,7 +790,7 @@
         // Wait until the evacuated zones are known: a flow placed in one violates the operator's
         // decision.
         let head = self.tables.head();
-        let known = head.routes.revision > 0 && head.zones.revision > 0;
+        let known = head.routes.revision > 0 && head.zones.revision.is_known();
         let is_recent = self.age(now).is_some_and(|age| age <= MAX_READY_AGE);
         self.ready |= known && is_recent;
     }
@@ -847,9 +846,7 @@
             doubt: self.doubt(now),
             members: self.peers.known_count(now) + 1,
             is_large: self.peers.is_large(now),
-            position: StorePosition::from_table_revision(
-                head.targets.revision.min(head.zones.revision),
-            ),
+            position: head.targets.revision.min(head.zones.revision),
         }
     }
 
--- a/crates/catalog/src/message.rs
+++ b/crates/catalog/src/message.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use lovagelatch_domain::{ConfigRevision, ServiceName, ZoneName};
+use lovagelatch_domain::{ConfigRevision, ServiceName, StorePosition, ZoneName};
 use lovagelatch_membership::{TableDelta, TableHead};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -40,9 +40,9 @@
     /// Head of the route table.
     pub routes: TableHead,
     /// Head of the target table.
-    pub targets: TableHead,
+    pub targets: TableHead<StorePosition>,
     /// Head of the table of evacuated zones.
-    pub zones: TableHead,
+    pub zones: TableHead<StorePosition>,
 }
 
 /// Second-hand status of a balancer that may be an elected reader.
@@ -110,9 +110,9 @@
     /// Changes of the configuration, if any.
     pub config: Option<ConfigDelta>,
     /// Changes of the targets, if any.
-    pub targets: Option<TableDelta<TargetName, TargetRow>>,
+    pub targets: Option<TableDelta<TargetName, TargetRow, StorePosition>>,
     /// Changes of the evacuated zones, if any.
-    pub zones: Option<TableDelta<ZoneName, EvacuatedZone>>,
+    pub zones: Option<TableDelta<ZoneName, EvacuatedZone, StorePosition>>,
 }
 
 /// A message between balancers.
--- a/crates/catalog/tests/all/main.rs
+++ b/crates/catalog/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod messages;
 mod readers;
 mod restored;
+mod revisions;
 mod stops;
 mod support;
 mod tables;
--- a/crates/domain/src/store.rs
+++ b/crates/domain/src/store.rs
@@ -1,5 +1,7 @@
 //! Positions in the history of the users' store.
 
+use std::fmt::{self, Display, Formatter};
+
 use serde::{Deserialize, Serialize};
 
 /// The number of times that the store has come back from a copy; 0 if the store does not say.
@@ -12,15 +14,15 @@
 #[serde(transparent)]
 pub struct StoreEra(pub u64);
 
-/// Bits of a table revision that hold the store's revision, enough for ten thousand years of 300,000
-/// changes a day. The others hold the lowest bits of the era.
-const REVISION_BITS: u32 = 40;
-
-const MAX_REVISION: u64 = (1 << REVISION_BITS) - 1;
-const MAX_ERA: u64 = u64::MAX >> REVISION_BITS;
-
-/// A point in the history of the store, ordered by era and then by revision.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+/// A point in the history of the store, ordered by era and then by revision. Tables that follow the
+/// store have one as their revision.
+///
+/// It is encoded as one number with the era in the upper half, which for the first era is the
+/// revision.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(into = "PositionNumber", from = "PositionNumber")]
 pub struct StorePosition {
     /// The era of the store.
     pub era: StoreEra,
@@ -29,27 +31,46 @@
 }
 
 impl StorePosition {
-    /// Creates a position from what the store says. The era is reduced to the bits that a table
-    /// revision has for it: only its changes matter, whatever number it started from.
+    /// Creates a position from what the store says.
     #[must_use]
     pub fn new(era: StoreEra, revision: u64) -> Self {
-        Self::from_table_revision(Self { era, revision }.to_table_revision())
+        Self { era, revision }
     }
 
-    /// Returns the position as the revision of a table, in the same order: one number, since a
-    /// table holds one for each row.
+    /// Returns whether this is a position that a store can be at; the default is none.
     #[must_use]
-    pub fn to_table_revision(self) -> u64 {
-        let era = self.era.0 & MAX_ERA;
-        (era << REVISION_BITS) | self.revision.min(MAX_REVISION)
+    pub fn is_known(self) -> bool {
+        self != Self::default()
     }
+}
 
-    /// Returns the position that a table revision stands for.
-    #[must_use]
-    pub fn from_table_revision(revision: u64) -> Self {
-        Self {
-            era: StoreEra(revision >> REVISION_BITS),
-            revision: revision & MAX_REVISION,
-        }
+impl From<u64> for StorePosition {
+    /// Returns a position in the first era.
+    fn from(revision: u64) -> Self {
+        Self::new(StoreEra::default(), revision)
+    }
+}
+
+/// An encoded [`StorePosition`].
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+struct PositionNumber(u128);
+
+impl From<StorePosition> for PositionNumber {
+    fn from(position: StorePosition) -> Self {
+        Self((u128::from(position.era.0) << u64::BITS) | u128::from(position.revision))
+    }
+}
+
+impl From<PositionNumber> for StorePosition {
+    #[allow(clippy::cast_possible_truncation)]
+    fn from(PositionNumber(number): PositionNumber) -> Self {
+        Self::new(StoreEra((number >> u64::BITS) as u64), number as u64)
+    }
+}
+
+impl Display for StorePosition {
+    fn fmt(&self, out: &mut Formatter<'_>) -> fmt::Result {
+        write!(out, "{} of era {}", self.revision, self.era.0)
     }
 }
--- a/crates/flows/src/agent/entry.rs
+++ b/crates/flows/src/agent/entry.rs
@@ -1,6 +1,6 @@
 //! Per-flow state of an agent, and packets whose outcome at the target is pending.
 
-use lovagelatch_domain::{AgentAddress, Moment, ServiceId};
+use lovagelatch_domain::{AgentAddress, Moment, ServiceId, StorePosition};
 use smallvec::SmallVec;
 
 use super::service_time::DeliveredRequest;
@@ -104,7 +104,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct FrameOrigin {
     pub(super) purpose: FramePurpose,
-    pub(super) zones_revision: u64,
+    pub(super) zones_revision: StorePosition,
     /// The service of the agent that the frame was sent to.
     pub(super) service: ServiceId,
     pub(super) class: Option<Box<RequestClass>>,
--- a/crates/flows/src/agent/inbound.rs
+++ b/crates/flows/src/agent/inbound.rs
@@ -1,6 +1,6 @@
 //! Packets of clients: delivered to the target, forwarded to another agent, returned or dropped.
 
-use lovagelatch_domain::{AgentAddress, Moment};
+use lovagelatch_domain::{AgentAddress, Moment, StorePosition};
 
 use super::entry::{EntryState, FlowEntry, FrameOrigin, RequestPhase, TentativeDelivery};
 use super::warmup::WarmupAdmission;
@@ -185,7 +185,7 @@
         }
         if known.is_none() {
             let admitted = self.zone_admits(frame.zones_revision, now);
-            if !admitted && frame.zones_revision == 0 {
+            if !admitted && !frame.zones_revision.is_known() {
                 // The flow may be open, and a reset would end it.
                 return (AgentStep::Drop(DropReason::ZoneEvacuated), None);
             }
@@ -231,7 +231,7 @@
 
     /// Returns whether the target's zone accepts new flows, for an offer whose sender knew the
     /// zones up to `revision`.
-    fn zone_admits(&mut self, revision: u64, now: Moment) -> bool {
+    fn zone_admits(&mut self, revision: StorePosition, now: Moment) -> bool {
         let was_evacuated = self.zone.evacuated;
         let admitted = self.zone.admits_offer(revision);
         if admitted && was_evacuated {
--- a/crates/flows/src/agent/requests.rs
+++ b/crates/flows/src/agent/requests.rs
@@ -170,7 +170,7 @@
     /// likely with many others: a client that each of them resets has used up its tries within
     /// milliseconds.
     fn is_first_offer(&self, frame: &PacketFrame, packet: &FlowPacket, now: Moment) -> bool {
-        let is_copy = packet.acknowledged > 0 || frame.zones_revision == 0;
+        let is_copy = packet.acknowledged > 0 || !frame.zones_revision.is_known();
         !is_copy && frame.class.is_some() && self.knows_all_flows(now)
     }
 
--- a/crates/flows/src/agent/zone.rs
+++ b/crates/flows/src/agent/zone.rs
@@ -4,6 +4,7 @@
 //! cut off from the store and from the others does not learn of it at all, but still makes offers.
 //! The agent therefore decides for its own target, by the newest notice that any balancer sent.
 
+use lovagelatch_domain::StorePosition;
 use std::time::Duration;
 
 use crate::frame::ZoneNotice;
@@ -11,8 +12,8 @@
 /// The newest known state of the zone. Invariant: `revision` never decreases.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct ZoneState {
-    /// The store revision of this state; 0 before the first notice.
-    pub(super) revision: u64,
+    /// The store revision of this state; the default before the first notice.
+    pub(super) revision: StorePosition,
     pub(super) evacuated: bool,
 }
 
@@ -31,13 +32,13 @@
     /// Returns whether an offer may be accepted whose sender knew the zones up to `revision` and
     /// considered this one not evacuated. A revision newer than the known one ends an evacuation.
     /// Before the first notice, an offer with revision 0 is not accepted.
-    pub(super) fn admits_offer(&mut self, revision: u64) -> bool {
+    pub(super) fn admits_offer(&mut self, revision: StorePosition) -> bool {
         if revision > self.revision {
             *self = Self {
                 revision,
                 evacuated: false,
             };
         }
-        self.revision > 0 && !self.evacuated
+        self.revision.is_known() && !self.evacuated
     }
 }
--- a/crates/flows/src/frame.rs
+++ b/crates/flows/src/frame.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use lovagelatch_catalog::WarmupRule;
-use lovagelatch_domain::{AgentAddress, ConfigRevision, ServiceId};
+use lovagelatch_domain::{AgentAddress, ConfigRevision, ServiceId, StorePosition};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use thiserror::Error;
@@ -133,10 +133,10 @@
     /// of the first choice. Boxed, because most frames have none.
     pub class: Option<Box<RequestClass>>,
     /// For an offer, the store revision up to which the balancer knew the evacuated zones; at that
-    /// revision neither the receiver's zone nor that of any agent in `rest` is evacuated. 0 if the
+    /// revision neither the receiver's zone nor that of any agent in `rest` is evacuated. The default if the
     /// balancer makes no such statement: it is cut off, or the packet is a copy of one that the
     /// receiver's target answered.
-    pub zones_revision: u64,
+    pub zones_revision: StorePosition,
     /// Why the packet was sent to the receiver.
     pub purpose: FramePurpose,
     /// The delegate that collects the answers of a search; `None` if the balancer itself does.
@@ -156,7 +156,7 @@
             slots: 0,
             warmup: None,
             class: None,
-            zones_revision: 0,
+            zones_revision: StorePosition::default(),
             purpose,
             asker: None,
             rest: SmallVec::new(),
@@ -228,9 +228,9 @@
     pub failing: bool,
     /// Whether the agent is stopping.
     pub leaving: bool,
-    /// The store revision up to which the agent knows whether its zone is evacuated; 0 before the
+    /// The store revision up to which the agent knows whether its zone is evacuated; the default before the
     /// first notice.
-    pub zones_revision: u64,
+    pub zones_revision: StorePosition,
     /// Whether its zone is evacuated, so that its target gets no new flows.
     pub evacuated: bool,
     /// How many more new flows its cold target can take until the next report; `None` where no
@@ -256,7 +256,7 @@
             responsive: true,
             failing: false,
             leaving: false,
-            zones_revision: 0,
+            zones_revision: StorePosition::default(),
             evacuated: false,
             room: None,
             waiting: 0,
@@ -294,7 +294,7 @@
 pub struct ZoneNotice {
     /// The store revision at which the notice is valid; a notice with a later revision supersedes
     /// it, whichever balancer sends it.
-    pub revision: u64,
+    pub revision: StorePosition,
     /// Whether the zone is evacuated.
     pub evacuated: bool,
     /// How long ago the store reported this.
--- a/crates/flows/src/load.rs
+++ b/crates/flows/src/load.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use lovagelatch_catalog::{AgentStop, RESTART_GRACE, STOP_REPEAT_WINDOW};
-use lovagelatch_domain::{AgentAddress, Moment, ServiceId};
+use lovagelatch_domain::{AgentAddress, Moment, ServiceId, StorePosition};
 
 use crate::frame::LoadReport;
 use crate::ring::FlowTarget;
@@ -143,7 +143,7 @@
 
     /// Returns whether the agent reports its zone as evacuated, at a store revision later than
     /// `revision`.
-    pub(crate) fn knows_evacuated(&self, revision: u64) -> bool {
+    pub(crate) fn knows_evacuated(&self, revision: StorePosition) -> bool {
         self.report.evacuated && self.report.zones_revision > revision
     }
 
@@ -492,7 +492,7 @@
     /// Returns whether an agent reports its zone as evacuated, at a store revision later than
     /// `revision`.
     #[must_use]
-    pub fn knows_evacuated(&self, agent: AgentAddress, revision: u64) -> bool {
+    pub fn knows_evacuated(&self, agent: AgentAddress, revision: StorePosition) -> bool {
         let load = self.loads.get(&agent);
         load.is_some_and(|load| load.knows_evacuated(revision))
     }
--- a/crates/flows/src/view/builder.rs
+++ b/crates/flows/src/view/builder.rs
@@ -49,7 +49,7 @@
 /// Evacuated zones that are not in force yet.
 #[derive(Clone, Debug)]
 struct PendingZones {
-    revision: u64,
+    revision: StorePosition,
     evacuated: SmallVec<[ZoneIndex; 4]>,
     /// When they come into force.
     due: Moment,
@@ -273,13 +273,17 @@
         }
     }
 
-    fn apply_zones(&mut self, revision: u64, evacuated: SmallVec<[ZoneIndex; 4]>, now: Moment) {
+    fn apply_zones(
+        &mut self,
+        revision: StorePosition,
+        evacuated: SmallVec<[ZoneIndex; 4]>,
+        now: Moment,
+    ) {
         let known = &self.view.zones;
         let ends_one = known.evacuated.iter().any(|zone| !evacuated.contains(zone));
-        let era_of = |revision| StorePosition::from_table_revision(revision).era;
         let due = match &self.pending_zones {
             Some(pending) => Some(pending.due),
-            None if era_of(revision) > era_of(known.revision) => Some(now + RECOVERY_WINDOW),
+            None if revision.era > known.revision.era => Some(now + RECOVERY_WINDOW),
             None => None,
         };
         self.pending_zones = match due.filter(|due| ends_one && now < *due) {
--- a/crates/flows/src/view/zones.rs
+++ b/crates/flows/src/view/zones.rs
@@ -6,7 +6,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use lovagelatch_domain::{Moment, ZoneName};
+use lovagelatch_domain::{Moment, StorePosition, ZoneName};
 use smallvec::SmallVec;
 
 use super::regions::{RegionIndex, ZoneRegions, region_at};
@@ -41,8 +41,8 @@
 /// What a process knows about the zones.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ZoneTable {
-    /// The store revision that the evacuated zones are known up to; 0 while they are unknown.
-    pub revision: u64,
+    /// The store revision that the evacuated zones are known up to; the default while they are unknown.
+    pub revision: StorePosition,
     /// When the evacuated zones were read from the store, by this process or by the one that
     /// informed it.
     pub read_at: Moment,
@@ -64,7 +64,7 @@
     /// Returns whether the evacuated zones are known. Until they are, any zone may be evacuated.
     #[must_use]
     pub fn is_known(&self) -> bool {
-        self.revision > 0
+        self.revision.is_known()
     }
 
     /// Returns whether a zone is evacuated, so that its targets get no new flows.
@@ -79,11 +79,15 @@
         region_at(&self.regions, zone)
     }
 
-    /// Returns the revision up to which this process knows the evacuated zones for certain; 0 if it
+    /// Returns the revision up to which this process knows the evacuated zones for certain; the default if it
     /// may have missed a later update.
     #[must_use]
-    pub fn confirmed_revision(&self) -> u64 {
-        if self.cut_off { 0 } else { self.revision }
+    pub fn confirmed_revision(&self) -> StorePosition {
+        if self.cut_off {
+            StorePosition::default()
+        } else {
+            self.revision
+        }
     }
 
     /// Returns whether a zone is this process's own zone.
@@ -104,7 +108,7 @@
     /// Applies the evacuated zones of a later revision.
     pub(super) fn apply(
         &mut self,
-        revision: u64,
+        revision: StorePosition,
         evacuated: SmallVec<[ZoneIndex; 4]>,
         now: Moment,
     ) {
--- a/crates/membership/src/delta.rs
+++ b/crates/membership/src/delta.rs
@@ -20,29 +20,37 @@
 
 /// Identifies a state of a table; small enough to be sent every second.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct TableHead {
+pub struct TableHead<R = u64> {
     /// Revision of the table; 0 before any is known.
-    pub revision: u64,
+    pub revision: R,
     /// Wrapping sum of the row hashes.
     pub digest: u64,
 }
 
+impl<R: PartialEq> TableHead<R> {
+    /// Returns whether the two states have the same revision and different content.
+    #[must_use]
+    pub fn conflicts_with(&self, other: &Self) -> bool {
+        self.revision == other.revision && self.digest != other.digest
+    }
+}
+
 /// The changes after one revision of a table, or the whole table.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TableDelta<K, V> {
+pub struct TableDelta<K, V, R = u64> {
     /// Revision that the delta applies to; `None` for the whole table.
-    pub from: Option<u64>,
+    pub from: Option<R>,
     /// State after the delta is applied.
-    pub to: TableHead,
+    pub to: TableHead<R>,
     /// Oldest revision after which all removals are known.
-    pub floor: u64,
+    pub floor: R,
     /// New and changed rows with the revisions of their last change.
-    pub changed: Vec<(u64, V)>,
+    pub changed: Vec<(R, V)>,
     /// Keys of removed rows with the revisions of their removal.
-    pub removed: Vec<(u64, K)>,
+    pub removed: Vec<(R, K)>,
 }
 
-impl<K, V> TableDelta<K, V> {
+impl<K, V, R: PartialEq> TableDelta<K, V, R> {
     /// Appends a part of the same delta; a part of another delta replaces the parts collected so
     /// far.
     pub(crate) fn append(&mut self, part: Self) {
@@ -66,35 +74,35 @@
 
 /// Why a delta was refused. The table is unchanged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-pub enum TableError {
+pub enum TableError<R = u64> {
     /// It leads to a revision that is not higher than the one held.
     #[error("revision {offered} is not higher than revision {held} held")]
     NotNewer {
         /// Revision that the delta leads to.
-        offered: u64,
+        offered: R,
         /// Revision held.
-        held: u64,
+        held: R,
     },
     /// It starts at a revision after the one held.
     #[error("delta starts at revision {from}, after revision {held} held")]
     Gap {
         /// Revision at which the delta starts.
-        from: u64,
+        from: R,
         /// Revision held.
-        held: u64,
+        held: R,
     },
     /// The digest of the result differs from the one in the delta.
     #[error("digest mismatch after delta to revision {revision}")]
     WrongDigest {
         /// Revision that the delta leads to.
-        revision: u64,
+        revision: R,
     },
 }
 
 /// Makes every key occur once. A key that is both changed and removed counts as changed.
-pub(crate) fn without_duplicates<K: Ord + Clone, V: TableRow<Key = K>>(
-    mut delta: TableDelta<K, V>,
-) -> TableDelta<K, V> {
+pub(crate) fn without_duplicates<K: Ord + Clone, V: TableRow<Key = K>, R>(
+    mut delta: TableDelta<K, V, R>,
+) -> TableDelta<K, V, R> {
     delta.changed.sort_by_key(|(_, row)| row.key());
     delta.changed.dedup_by(|a, b| a.1.key() == b.1.key());
     delta.removed.sort_by(|a, b| a.1.cmp(&b.1));
@@ -108,9 +116,9 @@
 }
 
 /// Returns the row changes that a delta without duplicates makes.
-pub(crate) fn planned_changes<K: Ord + Clone, V: TableRow<Key = K>>(
+pub(crate) fn planned_changes<K: Ord + Clone, V: TableRow<Key = K>, R>(
     rows: &[V],
-    delta: &TableDelta<K, V>,
+    delta: &TableDelta<K, V, R>,
 ) -> Vec<RowChange<V>> {
     let mut changes = Vec::with_capacity(delta.changed.len() + delta.removed.len());
     for (_, row) in &delta.changed {
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -25,6 +25,7 @@
 mod probe;
 mod ring;
 mod rumor;
+mod stamps;
 mod suspicion;
 mod table;
 mod view;
@@ -43,6 +44,7 @@
 };
 pub use neighbour::{DueAccusation, NeighbourMonitor, SILENCE_TIMEOUT};
 pub use ring::ring_neighbours;
+pub use stamps::Revision;
 pub use suspicion::{
     ACCUSATION_TTL, AccusationOutcome, AccusationTracker, MIN_ACCUSERS, MIN_ZONE_ACCUSERS,
 };
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -20,6 +20,7 @@
     RowChange, TableDelta, TableError, TableHead, TableRow, diff_rows, find, planned_changes,
     row_hash, without_duplicates,
 };
+use crate::stamps::{Revision, RowStamps};
 
 /// Removals that are kept before the oldest are forgotten.
 const MAX_REMOVED_ROWS: usize = 4096;
@@ -29,39 +30,43 @@
 
 /// The revisions of a table's rows. The owner holds the rows themselves, sorted by key.
 #[derive(Clone, Debug)]
-pub struct TableIndex<K> {
-    head: TableHead,
+pub struct TableIndex<K, R = u64> {
+    head: TableHead<R>,
     /// Invariant: one for each row, in the same order.
-    stamps: Vec<u64>,
+    stamps: RowStamps,
     /// Invariant: sorted by revision.
-    removed: Vec<(u64, K)>,
-    floor: u64,
+    removed: Vec<(R, K)>,
+    floor: R,
 }
 
-impl<K> Default for TableIndex<K> {
+impl<K, R: Default> Default for TableIndex<K, R> {
     fn default() -> Self {
         Self {
             head: TableHead::default(),
-            stamps: Vec::new(),
+            stamps: RowStamps::default(),
             removed: Vec::new(),
-            floor: 0,
+            floor: R::default(),
         }
     }
 }
 
-impl<K: Ord + Clone> TableIndex<K> {
+impl<K: Ord + Clone, R: Revision> TableIndex<K, R> {
     /// Returns the revision and digest of the table.
     #[must_use]
-    pub fn head(&self) -> TableHead {
+    pub fn head(&self) -> TableHead<R> {
         self.head
     }
 
     /// Returns the changes after `revision`, or the whole table if they are no longer known.
     #[must_use]
-    pub fn delta_since<V: TableRow<Key = K>>(&self, rows: &[V], revision: u64) -> TableDelta<K, V> {
-        let full = revision < self.floor || revision == 0;
-        let after = if full { 0 } else { revision };
-        let stamped = self.stamps.iter().copied().zip(rows);
+    pub fn delta_since<V: TableRow<Key = K>>(
+        &self,
+        rows: &[V],
+        revision: R,
+    ) -> TableDelta<K, V, R> {
+        let full = revision < self.floor || revision == R::default();
+        let after = if full { R::default() } else { revision };
+        let stamped = self.stamps.iter::<R>().zip(rows);
         let changed = stamped.filter(|&(stamp, _)| full || stamp > after);
         let removed = self.removed.iter().filter(|(stamp, _)| *stamp > after);
         TableDelta {
@@ -79,8 +84,8 @@
         &self,
         rows: &[V],
         next: Vec<V>,
-        revision: u64,
-    ) -> TableDelta<K, V> {
+        revision: R,
+    ) -> TableDelta<K, V, R> {
         let mut digest = self.head.digest;
         let mut changed = Vec::new();
         let mut removed = Vec::new();
@@ -106,7 +111,7 @@
             removed.push((revision, gone.key()));
         }
         // Before the first table, earlier removals are unknown.
-        let is_first = self.head.revision == 0;
+        let is_first = self.head.revision == R::default();
         TableDelta {
             from: (!is_first).then_some(self.head.revision),
             to: TableHead { revision, digest },
@@ -122,10 +127,10 @@
     pub fn delta_of<V: TableRow<Key = K>>(
         &self,
         rows: &[V],
-        changed: Vec<(u64, V)>,
-        removed: Vec<(u64, K)>,
-        revision: u64,
-    ) -> TableDelta<K, V> {
+        changed: Vec<(R, V)>,
+        removed: Vec<(R, K)>,
+        revision: R,
+    ) -> TableDelta<K, V, R> {
         let held_hash = |key: &K| find(rows, key).map_or(0, |at| row_hash(&rows[at]));
         let mut digest = self.head.digest;
         for (_, row) in &changed {
@@ -153,8 +158,8 @@
     pub fn apply<V: TableRow<Key = K>>(
         &mut self,
         rows: &mut Vec<V>,
-        delta: TableDelta<K, V>,
-    ) -> Result<Vec<RowChange<V>>, TableError> {
+        delta: TableDelta<K, V, R>,
+    ) -> Result<Vec<RowChange<V>>, TableError<R>> {
         let held = self.head.revision;
         let revision = delta.to.revision;
         if revision <= held {
@@ -175,8 +180,8 @@
     pub(crate) fn apply_authoritative<V: TableRow<Key = K>>(
         &mut self,
         rows: &mut Vec<V>,
-        delta: TableDelta<K, V>,
-    ) -> Result<Vec<RowChange<V>>, TableError> {
+        delta: TableDelta<K, V, R>,
+    ) -> Result<Vec<RowChange<V>>, TableError<R>> {
         match delta.from {
             None => self.replace(rows, delta),
             Some(from) if from > self.head.revision => Err(TableError::Gap {
@@ -190,11 +195,16 @@
     fn replace<V: TableRow<Key = K>>(
         &mut self,
         rows: &mut Vec<V>,
-        mut delta: TableDelta<K, V>,
-    ) -> Result<Vec<RowChange<V>>, TableError> {
+        mut delta: TableDelta<K, V, R>,
+    ) -> Result<Vec<RowChange<V>>, TableError<R>> {
         delta.changed.sort_by_key(|(_, row)| row.key());
         delta.changed.dedup_by(|a, b| a.1.key() == b.1.key());
-        let (stamps, next): (Vec<u64>, Vec<V>) = delta.changed.into_iter().unzip();
+        let mut stamps = RowStamps::with_capacity(delta.changed.len());
+        let mut next = Vec::with_capacity(delta.changed.len());
+        for (stamp, row) in delta.changed {
+            stamps.push(stamp);
+            next.push(row);
+        }
         let digest = next
             .iter()
             .fold(0, |sum: u64, row| sum.wrapping_add(row_hash(row)));
@@ -216,8 +226,8 @@
     fn merge<V: TableRow<Key = K>>(
         &mut self,
         rows: &mut Vec<V>,
-        delta: TableDelta<K, V>,
-    ) -> Result<Vec<RowChange<V>>, TableError> {
+        delta: TableDelta<K, V, R>,
+    ) -> Result<Vec<RowChange<V>>, TableError<R>> {
         let changes = planned_changes(rows, &delta);
         let mut digest = self.head.digest;
         for change in &changes {
@@ -244,8 +254,8 @@
     fn patch<V: TableRow<Key = K>>(
         &mut self,
         rows: &mut Vec<V>,
-        changed: Vec<(u64, V)>,
-        removed: Vec<(u64, K)>,
+        changed: Vec<(R, V)>,
+        removed: Vec<(R, K)>,
     ) {
         for (stamp, key) in removed {
             self.remove(rows, stamp, key);
@@ -260,10 +270,10 @@
     fn rebuild<V: TableRow<Key = K>>(
         &mut self,
         rows: &mut Vec<V>,
-        changed: Vec<(u64, V)>,
-        removed: Vec<(u64, K)>,
+        changed: Vec<(R, V)>,
+        removed: Vec<(R, K)>,
     ) {
-        let mut next: BTreeMap<K, (u64, Option<V>)> = BTreeMap::new();
+        let mut next: BTreeMap<K, (R, Option<V>)> = BTreeMap::new();
         for (stamp, key) in removed {
             next.insert(key, (stamp, None));
         }
@@ -272,8 +282,12 @@
         }
         self.removed.retain(|(_, key)| !next.contains_key(key));
         let old_stamps = std::mem::take(&mut self.stamps);
-        let mut old = std::mem::take(rows).into_iter().zip(old_stamps).peekable();
-        let kept = old.len() + next.len();
+        let old_count = rows.len();
+        let mut old = std::mem::take(rows)
+            .into_iter()
+            .zip(old_stamps.iter::<R>())
+            .peekable();
+        let kept = old_count + next.len();
         rows.reserve(kept);
         self.stamps.reserve(kept);
         for (key, (stamp, row)) in next {
@@ -297,13 +311,13 @@
         self.removed.sort();
     }
 
-    fn put<V: TableRow<Key = K>>(&mut self, rows: &mut Vec<V>, stamp: u64, row: V) {
+    fn put<V: TableRow<Key = K>>(&mut self, rows: &mut Vec<V>, stamp: R, row: V) {
         let key = row.key();
         self.removed.retain(|(_, gone)| *gone != key);
         match find(rows, &key) {
             Ok(position) => {
                 rows[position] = row;
-                self.stamps[position] = stamp;
+                self.stamps.set(position, stamp);
             }
             Err(position) => {
                 rows.insert(position, row);
@@ -312,7 +326,7 @@
         }
     }
 
-    fn remove<V: TableRow<Key = K>>(&mut self, rows: &mut Vec<V>, stamp: u64, key: K) {
+    fn remove<V: TableRow<Key = K>>(&mut self, rows: &mut Vec<V>, stamp: R, key: K) {
         if let Ok(position) = find(rows, &key) {
             rows.remove(position);
             self.stamps.remove(position);
