--- a/bins/balancer/src/opaque/metrics.rs
+++ b/bins/balancer/src/opaque/metrics.rs
@@ -168,6 +168,7 @@
             None => StoreOutcome::Answered,
             Some(StoreFailure::HistoryGone) => StoreOutcome::HistoryGone,
             Some(StoreFailure::Refused) => StoreOutcome::Refused,
+            Some(StoreFailure::TooLong) => StoreOutcome::TooLong,
             Some(StoreFailure::Unanswered) => StoreOutcome::Unanswered,
         });
     }
@@ -179,6 +180,7 @@
     Answered,
     HistoryGone,
     Refused,
+    TooLong,
     Unanswered,
 }
 
@@ -187,6 +189,7 @@
         Self::Answered,
         Self::HistoryGone,
         Self::Refused,
+        Self::TooLong,
         Self::Unanswered,
     ];
 
@@ -199,6 +202,7 @@
             Self::Answered => "answered",
             Self::HistoryGone => "history_gone",
             Self::Refused => "refused",
+            Self::TooLong => "too_long",
             Self::Unanswered => "unanswered",
         }
     }
--- a/crates/catalog/src/answer.rs
+++ b/crates/catalog/src/answer.rs
@@ -73,6 +73,21 @@
     HistoryGone,
     /// The store rejected the call.
     Refused,
+    /// The answer was still arriving when its time was over.
+    TooLong,
     /// No answer arrived, or it was incomplete or could not be decoded.
     Unanswered,
 }
+
+impl StoreFailure {
+    /// Returns whether the failure says nothing about the store, but the call has to be followed by
+    /// a list. A watch that takes too long would take longer if it were repeated: its answer grows
+    /// with each change.
+    pub(crate) fn requires_list(self, call: StoreCall) -> bool {
+        match self {
+            Self::HistoryGone => true,
+            Self::TooLong => matches!(call, StoreCall::Watch { .. }),
+            Self::Refused | Self::Unanswered => false,
+        }
+    }
+}
--- a/crates/catalog/src/member.rs
+++ b/crates/catalog/src/member.rs
@@ -565,13 +565,18 @@
             Ok(answer) if answer.era == self.tables.position().era => {
                 self.apply_store_answer(call, answer, now)
             }
-            // The history that this process lacks is gone, or the store is in another era.
-            Ok(_) | Err(StoreFailure::HistoryGone) => {
+            // The store is in another era.
+            Ok(_) => {
                 self.reader.list_again();
                 false
             }
             // The regular calls notice failures of the store.
-            Err(StoreFailure::Refused | StoreFailure::Unanswered) => false,
+            Err(failure) => {
+                if failure.requires_list(call) {
+                    self.reader.list_again();
+                }
+                false
+            }
         };
         for request in requests.into_iter().filter(|_| is_current) {
             if request.sender == self.settings.gossip {
@@ -616,8 +621,8 @@
     fn store_failed(&mut self, call: StoreCall, failure: StoreFailure, now: Moment) {
         let was_reachable = self.reader.store_reachable();
         let inputs = self.reader_inputs(now);
-        self.reader.failed(failure, &inputs, now);
-        if failure == StoreFailure::HistoryGone {
+        self.reader.failed(call, failure, &inputs, now);
+        if failure.requires_list(call) {
             return;
         }
         self.last_failure = self.last_failure.max(Some(self.failure_time(call, now)));
--- a/crates/catalog/src/reader.rs
+++ b/crates/catalog/src/reader.rs
@@ -327,8 +327,14 @@
     }
 
     /// Records that the call in flight failed.
-    pub(crate) fn failed(&mut self, failure: StoreFailure, inputs: &ReaderInputs, now: Moment) {
-        if failure == StoreFailure::HistoryGone {
+    pub(crate) fn failed(
+        &mut self,
+        call: StoreCall,
+        failure: StoreFailure,
+        inputs: &ReaderInputs,
+        now: Moment,
+    ) {
+        if failure.requires_list(call) {
             self.interrupted();
             return;
         }
--- a/crates/catalog/tests/all/readers.rs
+++ b/crates/catalog/tests/all/readers.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use lovagelatch_catalog::StoreFailure;
+use lovagelatch_catalog::{CatalogAction, StoreCall, StoreFailure};
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -192,3 +192,48 @@
         assert!(last <= case.late, "{}: {last} rounds", case.balancers);
     }
 }
+
+struct LongAnswerCase {
+    name: &'static str,
+    call: StoreCall,
+    /// The calls that follow at once.
+    expected: &'static [StoreCall],
+}
+
+// Guards against a reader that makes the same watch again and again, whose answer takes too long
+// and grows with each change; and against one that lists without pause where lists take too long.
+#[test]
+fn a_watch_whose_answer_takes_too_long_is_followed_by_a_list() {
+    let watch = StoreCall::Watch {
+        after: 2,
+        wait: Duration::from_millis(1_500),
+    };
+    let cases = [
+        LongAnswerCase {
+            name: "a watch",
+            call: watch,
+            expected: &[StoreCall::List],
+        },
+        LongAnswerCase {
+            name: "a list",
+            call: StoreCall::List,
+            expected: &[],
+        },
+    ];
+    for case in cases {
+        let mut group = settled(1);
+        let now = group.now;
+        let member = &mut group.node(1).member;
+        let before = member.last_store_failure();
+        let outcome = Err(StoreFailure::TooLong);
+        let actions = member.store_answered(case.call, outcome, now);
+        let calls = actions.iter().filter_map(|action| match action {
+            CatalogAction::Call(call) => Some(*call),
+            _ => None,
+        });
+        assert_eq!(calls.collect::<Vec<_>>(), case.expected, "{}", case.name);
+        // A store that is still sending has not failed, but one that cannot be listed has.
+        let failed = member.last_store_failure() != before;
+        assert_eq!(failed, case.expected.is_empty(), "{}", case.name);
+    }
+}
--- a/crates/fleet/src/platform.rs
+++ b/crates/fleet/src/platform.rs
@@ -101,8 +101,8 @@
     }
 
     async fn get(&self, path: &str, timeout: Duration) -> Result<Option<Bytes>, PlatformError> {
-        let response = HttpClient::new(self.address, MAX_RESPONSE_BYTES)
-            .get(path, timeout)
+        let response = HttpClient::new(self.address)
+            .get(path, timeout, MAX_RESPONSE_BYTES)
             .await?;
         match response.status() {
             StatusCode::NO_CONTENT => Ok(None),
