Refused entries of an answer are logged up to a limit

A reader wrote a line for each entry that it could not read, at each change of one: entries of another writer decide on their number, and a line could quote a value of 500 KB (cut since answers are read as they arrive). At most eight lines and a count follow an answer now. The test failed before, with 1,000 lines.

--- a/bins/balancer/src/opaque/catalog.rs
+++ b/bins/balancer/src/opaque/catalog.rs
@@ -488,6 +488,8 @@
         CatalogNotice::DefaultUsed { version, value } => log_default(log, *version, value),
         CatalogNotice::Refused(error) => warn!(log, "catalog change refused";
             "decision" => DecisionKind::ConfigRefused, "error" => error.to_string()),
+        CatalogNotice::MoreRefused(count) => warn!(log, "more catalog changes refused";
+            "decision" => DecisionKind::ConfigRefused, "left_out" => count),
         CatalogNotice::Conflict(peer) => warn!(log, "another content of the same revision";
             "decision" => DecisionKind::ConfigRefused, "balancer" => peer.to_string()),
         CatalogNotice::StoreFailed(failure) => warn!(log, "store lost";
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -29,7 +29,8 @@
 pub use answer::{StoreAnswer, StoreCall, StoreEvent, StoreFailure};
 pub use catalog::{Catalog, CatalogChanges, CatalogError, CatalogTables};
 pub use member::{
-    CatalogAction, CatalogMember, CatalogNotice, CatalogStatus, MEMBER_TICK, MemberSettings,
+    CatalogAction, CatalogMember, CatalogNotice, CatalogStatus, MAX_REFUSED_NOTICES, MEMBER_TICK,
+    MemberSettings,
 };
 pub use message::{
     CatalogDelta, CatalogHead, CatalogMessage, ConfigDelta, HeadMessage, MessageError,
--- a/crates/catalog/src/member.rs
+++ b/crates/catalog/src/member.rs
@@ -55,6 +55,10 @@
 /// The oldest catalog that a process may become ready with.
 const MAX_READY_AGE: Duration = Duration::from_secs(5);
 
+/// Limit on the rejected changes and values of one answer of the store that are reported one by
+/// one: anyone who writes to the store decides on their number.
+pub const MAX_REFUSED_NOTICES: usize = 8;
+
 /// Settings of a member.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MemberSettings {
@@ -86,6 +90,8 @@
     },
     /// A change or value was rejected.
     Refused(CatalogError),
+    /// So many more changes or values of the same answer were rejected.
+    MoreRefused(usize),
     /// Another balancer has different content for the same revision.
     Conflict(SocketAddrV4),
     /// A call to the store failed.
@@ -497,9 +503,13 @@
         if !is_current {
             self.reader.list_again();
         }
-        for error in errors {
+        let omitted = errors.len().saturating_sub(MAX_REFUSED_NOTICES);
+        for error in errors.into_iter().take(MAX_REFUSED_NOTICES) {
             self.notice(CatalogNotice::Refused(error));
         }
+        if omitted > 0 {
+            self.notice(CatalogNotice::MoreRefused(omitted));
+        }
         self.record_zones_read(zones_before, now);
         self.update_readiness(now);
         if changed {
--- a/crates/catalog/tests/all/member.rs
+++ b/crates/catalog/tests/all/member.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use lovagelatch_catalog::{
-    CatalogAction, CatalogMember, CatalogMessage, CatalogNotice, HeadMessage, MAX_UNUSABLE_VALUES,
-    MemberSettings, PublishedConfig, StoreAnswer, StoreCall, StoreEvent, StoreFailure,
-    UnusableValue, ValueDefault, ValueOwner,
+    CatalogAction, CatalogMember, CatalogMessage, CatalogNotice, HeadMessage, MAX_REFUSED_NOTICES,
+    MAX_UNUSABLE_VALUES, MemberSettings, PublishedConfig, StoreAnswer, StoreCall, StoreEvent,
+    StoreFailure, TargetName, UnusableValue, ValueDefault, ValueOwner,
 };
 use lovagelatch_domain::{Moment, StoreEra};
 use smallvec::smallvec;
@@ -603,3 +603,37 @@
         assert!(!group.node(last).member.is_cut_off(now), "{}", case.name);
     }
 }
+
+// Guards against a log that grows with the number of entries that another writer keeps in the store
+// and that cannot be read.
+#[test]
+fn refused_values_of_an_answer_are_reported_up_to_a_limit() {
+    for (unreadable, reported, omitted) in [
+        (MAX_REFUSED_NOTICES, MAX_REFUSED_NOTICES, None),
+        (
+            1_000,
+            MAX_REFUSED_NOTICES,
+            Some(1_000 - MAX_REFUSED_NOTICES),
+        ),
+    ] {
+        let mut group = settled(1);
+        for number in 0..unreadable {
+            group.store.write(StoreEvent::Unreadable {
+                key: format!("servers/odd-{number}"),
+                reason: "not understood".to_owned(),
+                target: Some(TargetName(format!("odd-{number}").into())),
+            });
+        }
+        group.run(Duration::from_secs(1));
+        let notices = &group.node(1).notices;
+        let refused = notices
+            .iter()
+            .filter(|notice| matches!(notice, CatalogNotice::Refused(_)));
+        assert_eq!(refused.count(), reported);
+        let more = notices.iter().find_map(|notice| match notice {
+            CatalogNotice::MoreRefused(count) => Some(*count),
+            _ => None,
+        });
+        assert_eq!(more, omitted);
+    }
+}
