--- a/crates/catalog/src/verification.rs
+++ b/crates/catalog/src/verification.rs
@@ -26,10 +26,14 @@
 /// How long a request to this process itself waits: longer than any call to the store.
 const OWN_REQUEST_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Minimum interval between two requests in a small fleet.
-const MIN_INTERVAL: Duration = Duration::from_millis(25);
+/// Mean interval between requests in a small fleet while further ones are needed.
+const MEAN_INTERVAL: Duration = Duration::from_millis(25);
 
-/// Number of balancers up to which [`MIN_INTERVAL`] applies. In larger fleets the interval grows
+/// Number of requests that may follow each other without regard to [`MEAN_INTERVAL`]: the flows of a
+/// single lost target are told at once, and those of a lost fleet do not overload the readers.
+const BURST: u32 = 4;
+
+/// Number of balancers up to which [`MEAN_INTERVAL`] applies. In larger fleets the interval grows
 /// with their number, so that the load of the readers does not.
 const SMALL_FLEET: u32 = 12;
 
@@ -58,7 +62,10 @@
     next_number: RequestNumber,
     /// The number of requests without an answer since the last one that was answered.
     failures: usize,
-    next_at: Moment,
+    /// When the requests so far would have been made at the mean interval.
+    paced_until: Moment,
+    /// How long before `paced_until` the next request may be made.
+    lead: Duration,
 }
 
 impl VerificationRequests {
@@ -71,7 +78,8 @@
             sent: None,
             next_number: first_number,
             failures: 0,
-            next_at: Moment::ZERO,
+            paced_until: Moment::ZERO,
+            lead: Duration::ZERO,
         }
     }
 
@@ -87,7 +95,8 @@
 
     /// Returns when the next request is due; `None` if none is needed.
     pub(crate) fn next_due(&self) -> Option<Moment> {
-        let due = self.sent.map_or(self.next_at, |sent| sent.expires);
+        let next = self.paced_until - self.lead;
+        let due = self.sent.map_or(next, |sent| sent.expires);
         (self.wanted > self.verified_at).then_some(due)
     }
 
@@ -122,7 +131,9 @@
             expires: now + timeout,
         });
         let members = u32::try_from(members).unwrap_or(u32::MAX);
-        self.next_at = now + MIN_INTERVAL * members.div_ceil(SMALL_FLEET).max(1);
+        let interval = MEAN_INTERVAL * members.div_ceil(SMALL_FLEET).max(1);
+        self.paced_until = self.paced_until.max(now) + interval;
+        self.lead = interval * (BURST - 1);
         number
     }
 
--- a/crates/catalog/tests/all/verification.rs
+++ b/crates/catalog/tests/all/verification.rs
@@ -1,5 +1,6 @@
 //! Requests to compare the catalog of a balancer with the store.
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use lovagelatch_catalog::{CatalogMessage, StoreEvent, StoreFailure};
@@ -151,3 +152,44 @@
         Moment::ZERO
     );
 }
+
+struct PaceCase {
+    balancers: u8,
+    /// Requests of one balancer that are answered in the first and the second 500 ms of a time in
+    /// which it always needs a newer verification.
+    expected: [RangeInclusive<usize>; 2],
+}
+
+// Guards against flows of a single lost target that are told late, and against readers that get
+// more requests the more balancers lose flows.
+#[test]
+fn requests_are_paced_by_the_size_of_the_fleet_after_a_burst() {
+    let cases = [
+        PaceCase {
+            balancers: 8,
+            expected: [4..=10, 4..=10],
+        },
+        PaceCase {
+            balancers: 59,
+            expected: [4..=8, 2..=4],
+        },
+    ];
+    for case in cases {
+        let mut group = settled(case.balancers);
+        let (_, other) = reader_and_other(&group, case.balancers);
+        for expected in case.expected {
+            let mut answered = 0;
+            for _ in 0..10 {
+                group.request_verification(other);
+                let before = group.node(other).member.verified_at();
+                group.run(Duration::from_millis(50));
+                answered += usize::from(group.node(other).member.verified_at() > before);
+            }
+            assert!(
+                expected.contains(&answered),
+                "{} balancers: {answered} answers, not {expected:?}",
+                case.balancers
+            );
+        }
+    }
+}
--- a/crates/flows/src/balancer/search_timers.rs
+++ b/crates/flows/src/balancer/search_timers.rs
@@ -34,7 +34,7 @@
 pub(super) const COVERAGE_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
 /// The same while the view is being compared with the store, which takes some milliseconds.
-const VERIFICATION_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+const VERIFICATION_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Whether a search could be widened to all possible holders.
 pub(super) enum WidenOutcome {
