Entries outside the configuration supersede none in it

Hypotheses: agents refuse, balancers know no target, or may not use those that they know. Refusals come from balancers, and the log says that another target is at the address, of the other writer's service: the last.

Cause: of the entries at one address the latest counts as that of the target that runs, whatever its service.

An entry of a service outside the configuration now displaces none of a service in it; all are compared again when the configuration comes to name other services. Agents refuse flows of other services anyway, so a target of a service that is not named yet gets none by this.

--- a/crates/flows/src/view/builder.rs
+++ b/crates/flows/src/view/builder.rs
@@ -253,7 +253,11 @@
             self.configured = self.configured_services(catalog);
             let services = self.view.services.keys().copied();
             let unconfigured = services.filter(|service| !self.configured.contains(service));
-            self.view.unconfigured = Arc::new(unconfigured.collect());
+            let unconfigured: HashSet<ServiceId> = unconfigured.collect();
+            if unconfigured != *self.view.unconfigured {
+                self.view.unconfigured = Arc::new(unconfigured);
+                self.mark_superseded(&ComparedAgents::All);
+            }
         }
     }
 
@@ -525,8 +529,13 @@
             self.tracked.edit_service(services, service, edits, context);
             self.update_unconfigured(service);
         }
+        self.mark_superseded(&agents);
+    }
+
+    fn mark_superseded(&mut self, agents: &ComparedAgents) {
+        let services = &mut self.view.services;
         self.shared
-            .mark_superseded(&mut self.view.services, &agents);
+            .mark_superseded(services, &self.view.unconfigured, agents);
     }
 
     /// Returns the agents whose targets have to be compared after these edits.
--- a/crates/flows/src/view/superseded.rs
+++ b/crates/flows/src/view/superseded.rs
@@ -7,8 +7,12 @@
 //!
 //! An address has one target at a time, and a dead target's entry does not change. The entry that
 //! changed last is therefore that of the target that runs.
+//!
+//! An entry of a service that the configuration does not name may be another writer's and name no
+//! target at all, so it says nothing about those of the configuration's services. If a target of
+//! such a service does run at the address, its agent refuses the flows of other services.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::sync::Arc;
 
 use lovagelatch_domain::{AgentAddress, Moment, ServiceId};
@@ -107,20 +111,24 @@
     pub(super) fn mark_superseded(
         &mut self,
         services: &mut Arc<ServiceMap>,
+        unconfigured: &HashSet<ServiceId>,
         agents: &ComparedAgents,
     ) {
         let found = self.targets_to_compare(services, agents);
-        let mut latest: BTreeMap<AgentAddress, EntryOrder> = BTreeMap::new();
+        let is_configured = |target: &FlowTarget| !unconfigured.contains(&target.service);
+        // Whether the service of the latest entry is configured counts before its order.
+        let mut latest: BTreeMap<AgentAddress, (bool, EntryOrder)> = BTreeMap::new();
         for target in found.iter().filter(|target| has_entry(target)) {
-            let order = order_of(target);
+            let order = (is_configured(target), order_of(target));
             let known = latest.entry(target.agent).or_insert(order);
             *known = order.max(*known);
         }
         let mut changed: BTreeMap<ServiceId, Vec<(TargetKey, bool)>> = BTreeMap::new();
         for target in &found {
-            let superseded = latest
-                .get(&target.agent)
-                .is_some_and(|latest| !has_entry(target) || order_of(target) < *latest);
+            let order = (is_configured(target), order_of(target));
+            let superseded = latest.get(&target.agent).is_some_and(|latest| {
+                latest.0 >= order.0 && (!has_entry(target) || order < *latest)
+            });
             if superseded != target.superseded {
                 let marks = changed.entry(target.service).or_default();
                 marks.push((target.key, superseded));
--- a/crates/flows/tests/all/superseded.rs
+++ b/crates/flows/tests/all/superseded.rs
@@ -3,7 +3,8 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
-use lovagelatch_catalog::{PublishedTarget, TargetName};
+use lovagelatch_catalog::{Catalog, PublishedTarget, TargetName};
+use lovagelatch_domain::{AgentAddress, ConfigRevision};
 use lovagelatch_flows::{
     BalancerStep, FlowBalancer, FlowStanding, FlowTarget, FlowView, RefusalReason,
     SupersededTargets, TargetKey,
@@ -405,3 +406,89 @@
     assert!(is_superseded("vault"));
     assert!(!is_superseded("claims"));
 }
+
+/// Applies catalogs one second apart, in which the configuration names only these services, and
+/// returns the agent that gets a new flow after the last one; `None` if it is refused.
+fn placed_after(steps: &[(&[PublishedTarget], &[&str])]) -> Option<AgentAddress> {
+    let balancer = FlowBalancer::new(balancer());
+    let mut builder = builder();
+    let mut now = at(0);
+    for (number, (targets, services)) in (0..).zip(steps) {
+        now = at(1_000 * number);
+        let named = services.iter().map(|name| service(name));
+        let next = Catalog {
+            version: ConfigRevision(number + 1),
+            unrouted: named.collect::<Vec<_>>().into(),
+            ..catalog(targets.to_vec())
+        };
+        builder.apply(&next, now);
+    }
+    let view = builder.build(now);
+    match balancer.handle_packet(&opening(flow(1)), b"syn", &view, now) {
+        BalancerStep::Send { to, .. } => Some(to),
+        BalancerStep::Reset(RefusalReason::NoTarget) => None,
+        step => panic!("unexpected: {step:?}"),
+    }
+}
+
+struct ForeignCase {
+    name: &'static str,
+    /// The targets of each catalog, and the services that its configuration names beside `claims`.
+    steps: Vec<(Vec<PublishedTarget>, Vec<&'static str>)>,
+    /// Whether a new flow of `claims` goes to the target at address 1.
+    placed: bool,
+}
+
+// Guards against a service whose every new flow is refused because another writer keeps entries at
+// the addresses of its targets, of a service that the configuration does not name.
+#[test]
+fn an_entry_outside_the_configuration_supersedes_none_in_it() {
+    let foreign = PublishedTarget {
+        service: service("metrics"),
+        ..successor()
+    };
+    let (own, both) = (vec![former()], vec![former(), foreign.clone()]);
+    let cases = [
+        ForeignCase {
+            name: "the foreign entry comes later",
+            steps: vec![(own.clone(), vec![]), (both.clone(), vec![])],
+            placed: true,
+        },
+        ForeignCase {
+            name: "the foreign entry comes first",
+            steps: vec![(vec![foreign], vec![]), (both.clone(), vec![])],
+            placed: true,
+        },
+        ForeignCase {
+            name: "both are there at the start",
+            steps: vec![(both.clone(), vec![])],
+            placed: true,
+        },
+        ForeignCase {
+            name: "the service of the later entry is in the configuration",
+            steps: vec![
+                (own.clone(), vec!["metrics"]),
+                (both.clone(), vec!["metrics"]),
+            ],
+            placed: false,
+        },
+        ForeignCase {
+            name: "a configuration comes to name the service",
+            steps: vec![
+                (own.clone(), vec![]),
+                (both.clone(), vec![]),
+                (both.clone(), vec!["metrics"]),
+            ],
+            placed: false,
+        },
+    ];
+    for case in cases {
+        let steps: Vec<_> = case
+            .steps
+            .iter()
+            .map(|(targets, services)| (&targets[..], &services[..]))
+            .collect();
+        let expected = case.placed.then(|| agent(1));
+        assert_eq!(placed_after(&steps), expected, "{}", case.name);
+    }
+}
